--- /dev/null
+++ b/Makefile
@@ -0,0 +1,26 @@
+# Targets used by README and by .ci/run.
+
+PACKAGES := ./... ./bench/...
+
+.PHONY: build test lint demo bench capacity
+
+build:
+	mkdir -p bin
+	go build -o bin/ ./cmd/... ./bench/cmd/...
+
+test:
+	go test -race -count=1 $(PACKAGES)
+
+lint:
+	test -z "$$(gofmt -l cmd internal bench)" || (gofmt -l cmd internal bench; exit 1)
+	go vet $(PACKAGES)
+	go tool staticcheck $(PACKAGES)
+
+demo: build
+	bin/demo
+
+bench: build
+	bin/measure bench
+
+capacity: build
+	bin/measure capacity
--- /dev/null
+++ b/cmd/gentiantide/main.go
@@ -0,0 +1,4 @@
+// Command gentiantide is the operators' command line.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/gentiantided/main.go
@@ -0,0 +1,4 @@
+// Command gentiantided is the node daemon of gentiantide.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/platform/errors.go
@@ -0,0 +1,18 @@
+package platform
+
+import "github.com/pkg/errors"
+
+// Outcomes of platform calls. Test for them with errors.Is.
+var (
+	// ErrNotFound means that the row or object does not exist.
+	ErrNotFound = errors.New("not found")
+	// ErrConflict means that a condition of a transaction did not hold.
+	// Nothing was written.
+	ErrConflict = errors.New("condition failed")
+	// ErrUnavailable means that the service is away or refused the call.
+	// Nothing was written.
+	ErrUnavailable = errors.New("platform service unavailable")
+	// ErrUnknown means that the answer was lost: the write may or may not have
+	// taken effect, now or later. Only reading back tells.
+	ErrUnknown = errors.New("outcome of the write is unknown")
+)
--- /dev/null
+++ b/internal/platform/weights.go
@@ -0,0 +1,10 @@
+package platform
+
+import "context"
+
+// Weights is the rate-limited weight store.
+type Weights interface {
+	// Stat returns the size in bytes of a model's weights.
+	// Errors: ErrNotFound, ErrUnavailable.
+	Stat(ctx context.Context, model, version string) (int64, error)
+}
