--- /dev/null
+++ b/internal/platform/platformtest/objects.go
@@ -0,0 +1,57 @@
+package platformtest
+
+import (
+	"context"
+	"sync"
+
+	"gentiantide.example/gentiantide/internal/platform"
+)
+
+// Objects is an in-memory platform.Objects.
+type Objects struct {
+	Faults
+
+	mu   sync.Mutex
+	data map[string][]byte
+}
+
+// NewObjects returns an empty object store.
+func NewObjects() *Objects {
+	return &Objects{data: make(map[string][]byte)}
+}
+
+// Put implements platform.Objects.
+func (o *Objects) Put(ctx context.Context, key string, data []byte) error {
+	if err := o.before(ctx, true); err != nil {
+		return err
+	}
+	o.mu.Lock()
+	o.data[key] = append([]byte(nil), data...)
+	o.mu.Unlock()
+	return o.after()
+}
+
+// Get implements platform.Objects.
+func (o *Objects) Get(ctx context.Context, key string) ([]byte, error) {
+	if err := o.before(ctx, false); err != nil {
+		return nil, err
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	data, ok := o.data[key]
+	if !ok {
+		return nil, platform.ErrNotFound
+	}
+	return append([]byte(nil), data...), nil
+}
+
+// Delete implements platform.Objects.
+func (o *Objects) Delete(ctx context.Context, key string) error {
+	if err := o.before(ctx, true); err != nil {
+		return err
+	}
+	o.mu.Lock()
+	delete(o.data, key)
+	o.mu.Unlock()
+	return o.after()
+}
--- /dev/null
+++ b/internal/settings/snapshot.go
@@ -0,0 +1,139 @@
+package settings
+
+import (
+	"sort"
+	"strings"
+
+	"gentiantide.example/gentiantide/internal/core"
+)
+
+// Backend is what operators say of one backend server. It is immutable.
+type Backend struct {
+	ID core.ReplicaID
+	// Drain takes the backend server out of service: it gets no new work.
+	Drain bool
+}
+
+// Snapshot is all settings of one version, with inheritance worked out. It is
+// immutable; readers get it from an atomic pointer.
+type Snapshot struct {
+	version      uint64
+	authRequired bool
+	services     []Service // sorted by ID
+	byID         map[core.DeploymentID]int
+	byModel      map[string]int
+	orgs         map[core.Org]Organisation
+	orgByKey     map[string]core.Org
+	defaultOrg   Organisation
+	backends     map[core.ReplicaID]Backend
+}
+
+// SnapshotInput is what a Snapshot is made of.
+type SnapshotInput struct {
+	Version      uint64
+	AuthRequired bool
+	Services     []Service
+	Orgs         []Organisation
+	// DefaultOrg applies to organisations without a node of their own.
+	DefaultOrg Organisation
+	Backends   []Backend
+}
+
+// NewSnapshot builds a snapshot.
+func NewSnapshot(in SnapshotInput) *Snapshot {
+	s := &Snapshot{
+		version:      in.Version,
+		authRequired: in.AuthRequired,
+		services:     append([]Service(nil), in.Services...),
+		byID:         make(map[core.DeploymentID]int),
+		byModel:      make(map[string]int),
+		orgs:         make(map[core.Org]Organisation),
+		orgByKey:     make(map[string]core.Org),
+		defaultOrg:   in.DefaultOrg,
+		backends:     make(map[core.ReplicaID]Backend),
+	}
+	s.defaultOrg.Weight = max(1, s.defaultOrg.Weight)
+	sort.Slice(s.services, func(i, j int) bool { return s.services[i].ID < s.services[j].ID })
+	for i, service := range s.services {
+		s.byID[service.ID] = i
+		if service.Kind == KindModel {
+			s.byModel[service.Model] = i
+		}
+	}
+	for _, org := range in.Orgs {
+		s.orgs[org.ID] = org
+		for _, key := range org.KeySHA256 {
+			s.orgByKey[key] = org.ID
+		}
+	}
+	for _, b := range in.Backends {
+		s.backends[b.ID] = b
+	}
+	return s
+}
+
+// Version returns the version of the settings; it only rises.
+func (s *Snapshot) Version() uint64 { return s.version }
+
+// AuthRequired reports whether callers must present an API key.
+func (s *Snapshot) AuthRequired() bool { return s.authRequired }
+
+// Services returns all deployments, sorted by ID. The caller must not change it.
+func (s *Snapshot) Services() []Service { return s.services }
+
+// Service returns the settings of a deployment, or nil.
+func (s *Snapshot) Service(id core.DeploymentID) *Service {
+	if i, ok := s.byID[id]; ok {
+		return &s.services[i]
+	}
+	return nil
+}
+
+// ServiceByModel returns the deployment that serves a model, or nil.
+func (s *Snapshot) ServiceByModel(model string) *Service {
+	if i, ok := s.byModel[model]; ok {
+		return &s.services[i]
+	}
+	return nil
+}
+
+// ServiceByRoute returns the plain service with the longest route that is a
+// prefix of path, or nil.
+func (s *Snapshot) ServiceByRoute(path string) *Service {
+	var found *Service
+	for i := range s.services {
+		service := &s.services[i]
+		if service.Kind != KindPlain || service.Route == "" || !strings.HasPrefix(path, service.Route) {
+			continue
+		}
+		if found == nil || len(service.Route) > len(found.Route) {
+			found = service
+		}
+	}
+	return found
+}
+
+// Organisation returns the settings of an organisation; one without a node of
+// its own gets the defaults.
+func (s *Snapshot) Organisation(org core.Org) Organisation {
+	if o, ok := s.orgs[org]; ok {
+		return o
+	}
+	o := s.defaultOrg
+	o.ID = org
+	return o
+}
+
+// OrgByKey returns the organisation with an API key of this hex SHA-256 digest.
+func (s *Snapshot) OrgByKey(digest string) (core.Org, bool) {
+	org, ok := s.orgByKey[digest]
+	return org, ok
+}
+
+// Backend returns what operators say of a backend server.
+func (s *Snapshot) Backend(id core.ReplicaID) Backend {
+	if b, ok := s.backends[id]; ok {
+		return b
+	}
+	return Backend{ID: id}
+}
