--- /dev/null
+++ b/internal/directory/view.go
@@ -0,0 +1,44 @@
+package directory
+
+import (
+	"sort"
+
+	"gentiantide.example/gentiantide/internal/core"
+)
+
+// View is an immutable list of replicas. Readers get it from an atomic pointer.
+type View struct {
+	replicas     []Replica // sorted by ID
+	byID         map[core.ReplicaID]int
+	byDeployment map[core.DeploymentID][]int
+}
+
+// NewView builds a view.
+func NewView(replicas []Replica) *View {
+	v := &View{
+		replicas:     append([]Replica(nil), replicas...),
+		byID:         make(map[core.ReplicaID]int),
+		byDeployment: make(map[core.DeploymentID][]int),
+	}
+	sort.Slice(v.replicas, func(i, j int) bool { return v.replicas[i].ID < v.replicas[j].ID })
+	for i, r := range v.replicas {
+		v.byID[r.ID] = i
+		v.byDeployment[r.Deployment] = append(v.byDeployment[r.Deployment], i)
+	}
+	return v
+}
+
+// All returns all replicas, sorted by ID. The caller must not change it.
+func (v *View) All() []Replica { return v.replicas }
+
+// Replica returns a replica by ID, or nil.
+func (v *View) Replica(id core.ReplicaID) *Replica {
+	if i, ok := v.byID[id]; ok {
+		return &v.replicas[i]
+	}
+	return nil
+}
+
+// Indexes returns the indexes into All of a deployment's replicas. The caller
+// must not change it.
+func (v *View) Indexes(id core.DeploymentID) []int { return v.byDeployment[id] }
--- /dev/null
+++ b/internal/membership/view.go
@@ -0,0 +1,84 @@
+package membership
+
+import (
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+
+	"gentiantide.example/gentiantide/internal/core"
+)
+
+// View is one node's immutable picture of all nodes. Readers get it from an
+// atomic pointer.
+type View struct {
+	self    core.NodeID
+	members []Member // sorted by ID
+	byID    map[core.NodeID]int
+}
+
+// NewView builds a view.
+func NewView(self core.NodeID, members []Member) *View {
+	v := &View{self: self, members: append([]Member(nil), members...), byID: make(map[core.NodeID]int)}
+	sort.Slice(v.members, func(i, j int) bool { return v.members[i].ID < v.members[j].ID })
+	for i, m := range v.members {
+		v.byID[m.ID] = i
+	}
+	return v
+}
+
+// Self returns the id of the own node.
+func (v *View) Self() core.NodeID { return v.self }
+
+// Members returns all members, sorted by ID. The caller must not change it.
+func (v *View) Members() []Member { return v.members }
+
+// Member returns a member by ID.
+func (v *View) Member(id core.NodeID) (Member, bool) {
+	i, ok := v.byID[id]
+	if !ok {
+		return Member{}, false
+	}
+	return v.members[i], true
+}
+
+// Live reports whether a node is live.
+func (v *View) Live(id core.NodeID) bool {
+	m, ok := v.Member(id)
+	return ok && m.State == StateLive
+}
+
+// Owner returns the live node of a data centre with the highest rendezvous
+// weight for the key; with an empty data centre all live nodes take part.
+// All nodes with the same view agree, and a node that leaves moves only the
+// keys that it owned.
+func (v *View) Owner(key string, dc core.DataCentre) (core.NodeID, bool) {
+	var best core.NodeID
+	var bestWeight uint64
+	found := false
+	for i := range v.members {
+		m := &v.members[i]
+		if m.State != StateLive || (dc != "" && m.DataCentre != dc) {
+			continue
+		}
+		weight := rendezvousWeight(string(m.ID), key)
+		if !found || weight > bestWeight {
+			best, bestWeight, found = m.ID, weight, true
+		}
+	}
+	return best, found
+}
+
+// rendezvousWeight returns the weight of a node for a key. It allocates nothing.
+func rendezvousWeight(node, key string) uint64 {
+	h := xxhash.Sum64String(node) * 0x9E3779B97F4A7C15
+	return mix(h ^ xxhash.Sum64String(key))
+}
+
+// mix is the finaliser of SplitMix64.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xBF58476D1CE4E5B9
+	x ^= x >> 27
+	x *= 0x94D049BB133111EB
+	return x ^ x>>31
+}
