--- /dev/null
+++ b/internal/peer/transport.go
@@ -0,0 +1,204 @@
+package peer
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"gentiantide.example/gentiantide/internal/core"
+)
+
+const (
+	dialTimeout = 1 * time.Second
+	// redialDelay keeps a node from dialling a dead peer on every message.
+	redialDelay = 200 * time.Millisecond
+	// writeTimeout closes a connection whose peer no longer reads.
+	writeTimeout = 2 * time.Second
+	// sendQueue is the number of frames that wait for one connection; more
+	// are dropped, so that a slow peer costs bounded memory.
+	sendQueue = 1024
+)
+
+// Transport is the Messenger over TCP.
+type Transport struct {
+	self core.NodeID
+	log  *slog.Logger
+
+	handlers map[string]Handler
+
+	mu        sync.Mutex
+	links     map[core.NodeID]*link
+	listener  net.Listener
+	accepted  map[net.Conn]struct{}
+	closed    bool
+	baseCtx   context.Context
+	cancel    context.CancelFunc
+	serving   sync.WaitGroup
+	bytesSent atomic.Int64
+	bytesRead atomic.Int64
+	blocked   atomic.Pointer[func(core.NodeID) bool]
+}
+
+// New returns a transport for a node. Handlers are registered before Start.
+func New(self core.NodeID, log *slog.Logger) *Transport {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Transport{
+		self:     self,
+		log:      log,
+		handlers: make(map[string]Handler),
+		links:    make(map[core.NodeID]*link),
+		accepted: make(map[net.Conn]struct{}),
+		baseCtx:  ctx,
+		cancel:   cancel,
+	}
+}
+
+// Self implements Messenger.
+func (t *Transport) Self() core.NodeID { return t.self }
+
+// Handle implements Messenger.
+func (t *Transport) Handle(kind string, handler Handler) { t.handlers[kind] = handler }
+
+// Start serves connections from other nodes on the listener until Close.
+func (t *Transport) Start(listener net.Listener) {
+	t.mu.Lock()
+	t.listener = listener
+	t.mu.Unlock()
+	t.serving.Add(1)
+	go t.acceptLoop(listener)
+}
+
+// SetAddress sets the IP and port of a node's peer listener.
+func (t *Transport) SetAddress(node core.NodeID, address string) {
+	if node == t.self {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if l, ok := t.links[node]; ok {
+		if l.address == address {
+			return
+		}
+		l.close()
+	}
+	t.links[node] = newLink(t, node, address)
+}
+
+// Forget drops the connection to a node that has left the fleet.
+func (t *Transport) Forget(node core.NodeID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if l, ok := t.links[node]; ok {
+		l.close()
+		delete(t.links, node)
+	}
+}
+
+// Block makes messages to the nodes for which cut returns true fail, as a
+// network cut in that direction would. Tests use it; nil removes the cut.
+func (t *Transport) Block(cut func(core.NodeID) bool) {
+	if cut == nil {
+		t.blocked.Store(nil)
+		return
+	}
+	t.blocked.Store(&cut)
+}
+
+// Call implements Messenger.
+func (t *Transport) Call(ctx context.Context, to core.NodeID, kind string, req, resp any) error {
+	body, err := msgpack.Marshal(req)
+	if err != nil {
+		return errors.Wrapf(err, "encode %s", kind)
+	}
+	var answer []byte
+	if to == t.self {
+		answer, err = t.callLocal(ctx, kind, body)
+	} else {
+		answer, err = t.callRemote(ctx, to, kind, body)
+	}
+	if err != nil || resp == nil {
+		return err
+	}
+	return errors.Wrapf(msgpack.Unmarshal(answer, resp), "decode answer of %s", kind)
+}
+
+func (t *Transport) callLocal(ctx context.Context, kind string, body []byte) ([]byte, error) {
+	handler, ok := t.handlers[kind]
+	if !ok {
+		return nil, &RemoteError{Message: "unknown message kind " + kind}
+	}
+	answer, err := handler(ctx, t.self, body)
+	if err != nil {
+		return nil, &RemoteError{Message: err.Error()}
+	}
+	return answer, nil
+}
+
+func (t *Transport) callRemote(ctx context.Context, to core.NodeID, kind string, body []byte) ([]byte, error) {
+	l := t.link(to)
+	if l == nil {
+		return nil, ErrUnavailable
+	}
+	return l.call(ctx, kind, body)
+}
+
+// Send implements Messenger.
+func (t *Transport) Send(to core.NodeID, kind string, msg any) error {
+	body, err := msgpack.Marshal(msg)
+	if err != nil {
+		return errors.Wrapf(err, "encode %s", kind)
+	}
+	if to == t.self {
+		go func() {
+			if _, err := t.callLocal(t.baseCtx, kind, body); err != nil {
+				t.log.Warn("message to own node failed", "kind", kind, "error", err)
+			}
+		}()
+		return nil
+	}
+	l := t.link(to)
+	if l == nil {
+		return ErrUnavailable
+	}
+	return l.send(&frame{Type: frameOneWay, Kind: kind, Body: body})
+}
+
+// link returns the link to a node, or nil if its address is unknown or the
+// direction is cut.
+func (t *Transport) link(to core.NodeID) *link {
+	if cut := t.blocked.Load(); cut != nil && (*cut)(to) {
+		return nil
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.links[to]
+}
+
+// Traffic returns the bytes sent and received so far, without TCP/IP headers.
+func (t *Transport) Traffic() (sent, received int64) {
+	return t.bytesSent.Load(), t.bytesRead.Load()
+}
+
+// Close ends all connections and waits for the handlers.
+func (t *Transport) Close() {
+	t.mu.Lock()
+	t.closed = true
+	if t.listener != nil {
+		_ = t.listener.Close()
+	}
+	for _, l := range t.links {
+		l.close()
+	}
+	for conn := range t.accepted {
+		_ = conn.Close()
+	}
+	t.mu.Unlock()
+	t.cancel()
+	t.serving.Wait()
+}
