--- a/internal/membership/tracker_test.go
+++ b/internal/membership/tracker_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"gentiantide.example/gentiantide/internal/core"
+	_ "gentiantide.example/gentiantide/internal/fixedseed"
 )
 
 // cluster is a set of trackers joined by links that can be cut one way.
