Add the HTTP adapters of the platform services

Cause: the nodes reach the table service, object store, weight store and fleet list over HTTP and need the typed outcomes of package platform. Change: one adapter each, over a shared client (internal/httpsend) that knows whether any byte of a failed request was sent and never repeats a request that may have been sent.

--- /dev/null
+++ b/internal/platform/httpoutcome/outcome.go
@@ -0,0 +1,67 @@
+package httpoutcome
+
+import (
+	"fmt"
+	"net/http"
+
+	"gentiantide.example/gentiantide/internal/httpsend"
+	"gentiantide.example/gentiantide/internal/platform"
+)
+
+// Read returns the outcome of a read: nil, ErrNotFound, ErrUnavailable, or an
+// untyped error if the service rejected the call as malformed.
+func Read(reply httpsend.Reply, err error) error {
+	if err != nil {
+		return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+	}
+	d := detail(reply.Body)
+	switch {
+	case reply.Status == http.StatusOK:
+		return nil
+	// A 404 without the code comes from something other than the service, such
+	// as a wrong base URL, and must not be taken for an absent row.
+	case reply.Status == http.StatusNotFound && d.Code == CodeNotFound:
+		return platform.ErrNotFound
+	case rejected(reply.Status):
+		return fmt.Errorf("rejected with status %d: %s", reply.Status, d.Message)
+	default:
+		return fmt.Errorf("%w: status %d", platform.ErrUnavailable, reply.Status)
+	}
+}
+
+// Write returns the outcome of a write: nil, ErrConflict, ErrUnavailable,
+// ErrUnknown, or an untyped error if the service rejected the call as
+// malformed, in which case nothing was written.
+func Write(reply httpsend.Reply, err error) error {
+	if err != nil {
+		return writeFailure(err)
+	}
+	d := detail(reply.Body)
+	switch {
+	case reply.Status == http.StatusOK, reply.Status == http.StatusNoContent:
+		return nil
+	case reply.Status == http.StatusConflict && d.Code == CodeConflict:
+		return platform.ErrConflict
+	case reply.Status == http.StatusServiceUnavailable, reply.Status == http.StatusTooManyRequests:
+		return fmt.Errorf("%w: status %d", platform.ErrUnavailable, reply.Status)
+	case rejected(reply.Status):
+		return fmt.Errorf("rejected with status %d: %s", reply.Status, d.Message)
+	default:
+		return fmt.Errorf("%w: status %d", platform.ErrUnknown, reply.Status)
+	}
+}
+
+func writeFailure(err error) error {
+	if httpsend.Sent(err) {
+		return fmt.Errorf("%w: %w", platform.ErrUnknown, err)
+	}
+	return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+}
+
+func rejected(status int) bool {
+	switch status {
+	case http.StatusBadRequest, http.StatusRequestEntityTooLarge, http.StatusUnprocessableEntity:
+		return true
+	}
+	return false
+}
