--- /dev/null
+++ b/internal/backend/openai/engine.go
@@ -0,0 +1,163 @@
+package openai
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"gentiantide.example/gentiantide/internal/backend"
+	"gentiantide.example/gentiantide/internal/httpsend"
+)
+
+const (
+	pathChat        = "/v1/chat/completions"
+	pathCompletions = "/v1/completions"
+	// controlTimeout bounds load reports, orders and cancellations, which an
+	// engine answers from memory.
+	controlTimeout = 2 * time.Second
+	// maxControl bounds the answers to them in bytes.
+	maxControl = 1 << 20
+	// maxErrorBody is how much of an error answer is kept for the message.
+	maxErrorBody = 512
+)
+
+// Engine is a backend.Engine behind HTTP.
+type Engine struct {
+	client *httpsend.Client
+	base   string
+}
+
+var _ backend.Engine = (*Engine)(nil)
+
+// New returns the engine at baseURL. Engines of one process share a client.
+func New(client *httpsend.Client, baseURL string) *Engine {
+	return &Engine{client: client, base: strings.TrimRight(baseURL, "/")}
+}
+
+// Generate implements backend.Engine. The stream ends with ErrInterrupted when
+// ctx or the deadline of the request ends. Besides the errors of the interface
+// it returns ErrFailed.
+func (e *Engine) Generate(ctx context.Context, req backend.Request) (backend.Stream, error) {
+	if req.Path != pathChat && req.Path != pathCompletions {
+		return nil, fmt.Errorf("%w: unknown path %q", backend.ErrInvalid, req.Path)
+	}
+	body, err := requestBody(req)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := withDeadline(ctx, req.Deadline)
+	resp, err := e.client.Send(ctx, httpsend.Request{
+		Method: http.MethodPost,
+		URL:    e.base + req.Path,
+		Header: requestHeader(req),
+		Body:   body,
+	})
+	if err != nil {
+		cancel()
+		return nil, sendFailure(err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		err := statusFailure(resp)
+		resp.Body.Close()
+		cancel()
+		return nil, err
+	}
+	return newStream(e, req, resp, cancel), nil
+}
+
+func withDeadline(ctx context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
+	if deadline.IsZero() {
+		return context.WithCancel(ctx)
+	}
+	return context.WithDeadline(ctx, deadline)
+}
+
+func requestHeader(req backend.Request) http.Header {
+	header := http.Header{"Content-Type": {"application/json"}, "Accept": {"text/event-stream"}}
+	if req.ID != "" {
+		header.Set(headerRequestID, req.ID)
+	}
+	return header
+}
+
+// Load implements backend.Engine.
+func (e *Engine) Load(ctx context.Context) (backend.Load, error) {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	reply, err := e.client.Fetch(ctx, httpsend.Request{Method: http.MethodGet, URL: e.base + "/v1/load", Replayable: true}, maxControl)
+	if err != nil {
+		return backend.Load{}, fmt.Errorf("load report: %w: %w", backend.ErrUnreachable, err)
+	}
+	var load backend.Load
+	if reply.Status != http.StatusOK {
+		return backend.Load{}, fmt.Errorf("load report: %w: status %d", backend.ErrUnreachable, reply.Status)
+	}
+	if err := json.Unmarshal(reply.Body, &load); err != nil {
+		return backend.Load{}, fmt.Errorf("load report: %w: %w", backend.ErrUnreachable, err)
+	}
+	return load, nil
+}
+
+// Order implements backend.Engine. A refused order is ErrRefused, a malformed
+// one ErrInvalid.
+func (e *Engine) Order(ctx context.Context, order backend.Order) error {
+	body, err := json.Marshal(order)
+	if err != nil {
+		return fmt.Errorf("order: %w: %w", backend.ErrInvalid, err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	reply, err := e.client.Fetch(ctx, httpsend.Request{
+		Method: http.MethodPost,
+		URL:    e.base + "/v1/orders",
+		Header: http.Header{"Content-Type": {"application/json"}},
+		Body:   body,
+	}, maxControl)
+	switch {
+	case err != nil:
+		return fmt.Errorf("order: %w", sendFailure(err))
+	case reply.Status/100 == 2:
+		return nil
+	case reply.Status == http.StatusConflict:
+		return backend.ErrFenced
+	default:
+		return fmt.Errorf("order: %w", statusError(reply.Status, reply.Header, reply.Body))
+	}
+}
+
+// cancelRun tells the engine to end one run of a request.
+func (e *Engine) cancelRun(id, run string) {
+	ctx, cancel := context.WithTimeout(context.Background(), controlTimeout)
+	defer cancel()
+	target := e.base + "/v1/requests/" + url.PathEscape(id) + "?run=" + url.QueryEscape(run)
+	// The outcome changes nothing: the connection is closed already.
+	_, _ = e.client.Fetch(ctx, httpsend.Request{Method: http.MethodDelete, URL: target}, maxControl)
+}
+
+// requestBody adds the fields that the relay sets to the caller's JSON object.
+func requestBody(req backend.Request) ([]byte, error) {
+	body := bytes.TrimSpace(req.Body)
+	if len(body) < 2 || body[0] != '{' || !json.Valid(body) {
+		return nil, fmt.Errorf("%w: body is not a JSON object", backend.ErrInvalid)
+	}
+	out := make([]byte, 0, len(body)+len(req.Generated)+64)
+	out = append(out, body[:len(body)-1]...)
+	if len(bytes.TrimSpace(body[1:len(body)-1])) > 0 {
+		out = append(out, ',')
+	}
+	out = append(out, `"stream":true`...)
+	if req.ResumeFrom > 0 {
+		generated, err := json.Marshal(req.Generated)
+		if err != nil {
+			return nil, fmt.Errorf("%w: %w", backend.ErrInvalid, err)
+		}
+		out = fmt.Appendf(out, `,"resume_from":%d,"generated":`, req.ResumeFrom)
+		out = append(out, generated...)
+	}
+	return append(out, '}'), nil
+}
--- /dev/null
+++ b/internal/backend/openai/headers.go
@@ -0,0 +1,7 @@
+package openai
+
+const (
+	headerRequestID = "X-Request-Id"
+	headerNotRun    = "X-Not-Run"
+	headerRun       = "X-Engine-Run"
+)
