--- /dev/null
+++ b/bench/standin/engine/answer.go
@@ -0,0 +1,52 @@
+package engine
+
+import (
+	"hash/fnv"
+	"strconv"
+)
+
+// PromptHash is the hash that determines the answer to a prompt. The prompt of
+// a chat is the role, ": ", the content and a newline of each message.
+func PromptHash(prompt string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(prompt))
+	return h.Sum64()
+}
+
+// words is the size of the vocabulary.
+const words = 10_000
+
+// AppendToken appends token i of the answer to the prompt with the hash, for
+// example "w1234 ". Tokens are ASCII and need no escape in JSON.
+func AppendToken(dst []byte, hash uint64, i int) []byte {
+	x := hash + uint64(i)*0x9e3779b97f4a7c15
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	x ^= x >> 31
+	dst = append(dst, 'w')
+	dst = strconv.AppendUint(dst, x%words, 10)
+	return append(dst, ' ')
+}
+
+// Answer returns the first n tokens of the answer to the prompt as one text.
+func Answer(prompt string, n int) string {
+	hash := PromptHash(prompt)
+	var text []byte
+	for i := range n {
+		text = AppendToken(text, hash, i)
+	}
+	return string(text)
+}
+
+// DefaultLength is the number of tokens in the answer to a prompt without
+// max_tokens.
+func (p Params) DefaultLength(hash uint64) int {
+	mean := uint64(max(p.DefaultTokens, 1))
+	n := int(mean/2 + hash%mean + 1)
+	if p.LongOneIn > 0 && (hash>>32)%uint64(p.LongOneIn) == 0 {
+		n *= max(p.LongFactor, 1)
+	}
+	return n
+}
--- /dev/null
+++ b/bench/standin/fleet/server.go
@@ -0,0 +1,99 @@
+package fleet
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"gentiantide.example/gentiantide/bench/standin/httpkit"
+	"gentiantide.example/gentiantide/internal/platform"
+)
+
+const maxList = 8 << 20
+
+// Server is the fleet list. It is an http.Handler.
+type Server struct {
+	// Fault is the fault plan in force.
+	Fault httpkit.Fault[Fault]
+
+	params Params
+	mux    *http.ServeMux
+
+	mu      sync.Mutex
+	history history
+}
+
+// New returns a server with an empty list.
+func New(p Params) *Server {
+	s := &Server{params: p, mux: http.NewServeMux()}
+	s.Fault.Mount(s.mux)
+	httpkit.Healthz(s.mux)
+	s.mux.HandleFunc("GET /fleet", s.get)
+	s.mux.HandleFunc("PUT /fleet", s.put)
+	s.mux.HandleFunc("PATCH /fleet", s.patch)
+	return s
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+
+// Set replaces the whole list. The first list is visible at once: the fleet is
+// taken to have existed before the service started.
+func (s *Server) Set(vms []platform.VM) {
+	if vms == nil {
+		vms = []platform.VM{}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	since := time.Now()
+	if len(s.history.versions) == 0 {
+		since = time.Time{}
+	}
+	s.history.set(since, vms)
+}
+
+// Visible returns the list as callers see it now.
+func (s *Server) Visible() []platform.VM {
+	lag := s.params.Lag + time.Duration(s.Fault.Get().ExtraLag)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.history.at(time.Now().Add(-lag))
+}
+
+func (s *Server) get(w http.ResponseWriter, r *http.Request) {
+	fault := s.Fault.Get()
+	if !httpkit.Sleep(r.Context(), time.Duration(fault.Delay)) || fault.Down {
+		httpkit.Unavailable(w, "fleet list is down")
+		return
+	}
+	httpkit.WriteJSON(w, http.StatusOK, s.Visible())
+}
+
+func (s *Server) put(w http.ResponseWriter, r *http.Request) {
+	vms := []platform.VM{}
+	if !httpkit.ReadJSON(w, r, maxList, &vms) {
+		return
+	}
+	if err := checkAll(vms); err != nil {
+		httpkit.BadRequest(w, err.Error())
+		return
+	}
+	s.Set(vms)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) patch(w http.ResponseWriter, r *http.Request) {
+	var change Change
+	if !httpkit.ReadJSON(w, r, maxList, &change) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	vms, err := change.apply(s.history.latest())
+	if err != nil {
+		httpkit.BadRequest(w, err.Error())
+		return
+	}
+	s.history.set(time.Now(), vms)
+	w.WriteHeader(http.StatusNoContent)
+}
