Add the online request path, intents and the callers' HTTP API

Cause: nodes need a path from a caller's request to a backend server. Change: internal/relay (retry, resume, hedge, preemption), internal/intent (records of non-idempotent calls), internal/httpapi (errors, authentication) and internal/httpapi/callers (OpenAI forms, plain services, health checks). Measured: go test -race ./internal/relay passes; the relay's recovery cases are tested, intent and HTTP are not yet. Conclusion: usable for integration; tests of intent and HTTP follow.

--- /dev/null
+++ b/internal/httpapi/callers/api.go
@@ -0,0 +1,34 @@
+package callers
+
+import (
+	"log/slog"
+	"net/http"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// API serves the callers' HTTP API.
+type API struct {
+	cfg      Config
+	inFlight *inFlight
+}
+
+// Register adds the routes of a new API to mux. It takes the pattern "/" for
+// plain services; more specific patterns of others go before it.
+func Register(mux *http.ServeMux, cfg Config) *API {
+	if cfg.Scope == nil {
+		cfg.Scope = tally.NoopScope
+	}
+	cfg.Scope = cfg.Scope.SubScope("callers")
+	if cfg.Logger == nil {
+		cfg.Logger = slog.New(slog.DiscardHandler)
+	}
+	a := &API{cfg: cfg, inFlight: newInFlight()}
+	mux.HandleFunc("POST "+pathChat, a.generate)
+	mux.HandleFunc("POST "+pathCompletions, a.generate)
+	mux.HandleFunc("GET /v1/models", a.models)
+	mux.HandleFunc("GET /healthz", a.healthz)
+	mux.HandleFunc("GET /readyz", a.readyz)
+	mux.HandleFunc("/", a.plain)
+	return a
+}
--- /dev/null
+++ b/internal/httpapi/callers/exchange.go
@@ -0,0 +1,71 @@
+package callers
+
+import (
+	"net/http"
+	"time"
+
+	"gentiantide.example/gentiantide/internal/core"
+	"gentiantide.example/gentiantide/internal/httpapi"
+	"gentiantide.example/gentiantide/internal/settings"
+)
+
+// exchange is one request of a caller and its answer.
+type exchange struct {
+	api      *API
+	w        http.ResponseWriter
+	r        *http.Request
+	id       string
+	arrived  time.Time
+	snapshot *settings.Snapshot
+	org      core.Org
+	options  options
+	service  *settings.Service
+	attempts int
+}
+
+// open authenticates the caller and reads the options. If it refuses, the
+// answer is written and it returns nil.
+func (a *API) open(w http.ResponseWriter, r *http.Request) *exchange {
+	x := &exchange{api: a, w: w, r: r, id: a.cfg.NewID(), arrived: time.Now(), snapshot: a.cfg.Settings()}
+	a.cfg.Scope.Counter("requests").Inc(1)
+	var refusal *core.Refusal
+	if x.org, refusal = httpapi.Authenticate(r, x.snapshot); refusal == nil {
+		x.options, refusal = parseOptions(r.Header)
+	}
+	if refusal != nil {
+		x.refuse(refusal)
+		return nil
+	}
+	return x
+}
+
+func (x *exchange) deadline() time.Time {
+	return x.options.deadline(x.arrived, x.service.OnlineDeadline)
+}
+
+// writeGrace is how long after its deadline a request may still write the end
+// of its answer; a caller that stops reading would block the write otherwise.
+const writeGrace = 5 * time.Second
+
+func (x *exchange) limitWrites() {
+	_ = http.NewResponseController(x.w).SetWriteDeadline(x.deadline().Add(writeGrace))
+}
+
+// refuse writes a refusal as the answer.
+func (x *exchange) refuse(refusal *core.Refusal) {
+	x.note(refusal)
+	httpapi.WriteRefusal(x.w, refusal)
+}
+
+// note counts and logs a refused or failed request.
+func (x *exchange) note(refusal *core.Refusal) {
+	x.api.cfg.Scope.Tagged(map[string]string{"code": string(refusal.Code)}).Counter("refusals").Inc(1)
+	deployment := core.DeploymentID("")
+	if x.service != nil {
+		deployment = x.service.ID
+	}
+	x.api.cfg.Logger.Info("request refused",
+		"request", x.id, "org", x.org, "method", x.r.Method, "path", x.r.URL.Path, "deployment", deployment,
+		"code", refusal.Code, "execution", refusal.Execution, "attempts", x.attempts,
+		"elapsed", time.Since(x.arrived), "reason", refusal.Message)
+}
--- /dev/null
+++ b/internal/httpapi/callers/plain.go
@@ -0,0 +1,63 @@
+package callers
+
+import (
+	"context"
+	"net/http"
+
+	"gentiantide.example/gentiantide/internal/backend"
+	"gentiantide.example/gentiantide/internal/core"
+	"gentiantide.example/gentiantide/internal/httpapi"
+	"gentiantide.example/gentiantide/internal/intent"
+	"gentiantide.example/gentiantide/internal/relay"
+)
+
+// plain serves the calls of plain services by route.
+func (a *API) plain(w http.ResponseWriter, r *http.Request) {
+	x := a.open(w, r)
+	if x == nil {
+		return
+	}
+	if x.service = x.snapshot.ServiceByRoute(r.URL.Path); x.service == nil {
+		x.refuse(core.Refuse(core.CodeNotFound, "there is no service at "+r.URL.Path))
+		return
+	}
+	body, refusal := readBody(w, r)
+	if refusal != nil {
+		x.refuse(refusal)
+		return
+	}
+	call := backend.Call{Method: r.Method, Path: r.URL.RequestURI(), Header: x.forwarded(), Body: body}
+	marked := x.options.nonIdempotent || relay.NonIdempotentRoute(x.service, r.Method, r.URL.Path)
+	x.admitted(func() {
+		if marked && x.options.key != "" {
+			x.keyed(intent.DigestOf([]byte(r.Method), []byte(call.Path), body), func(ctx context.Context, gate gate) outcome {
+				return x.runCall(ctx, call, marked, gate)
+			})
+			return
+		}
+		x.write(x.runCall(r.Context(), call, marked, nil))
+	})
+}
+
+func (x *exchange) runCall(ctx context.Context, call backend.Call, marked bool, gate gate) outcome {
+	result, refusal := x.api.cfg.Relay.Call(ctx, relay.PlainCall{
+		Deployment: x.service.ID, Org: x.org, Class: core.ClassOnline, Call: call,
+		NonIdempotent: marked, Deadline: x.deadline(), Gate: gate,
+	})
+	x.attempts = result.Attempts
+	if refusal != nil {
+		return outcome{refusal: refusal}
+	}
+	return outcome{answer: intent.Answer{
+		Status: result.Answer.Status, Header: endToEnd(result.Answer.Header), Body: result.Answer.Body,
+	}}
+}
+
+// forwarded returns the caller's headers for the service. The API key stays
+// with gentiantide, and the organisation is the authenticated one.
+func (x *exchange) forwarded() http.Header {
+	header := endToEnd(x.r.Header)
+	header.Del("Authorization")
+	header.Set(httpapi.OrganisationHeader, string(x.org))
+	return header
+}
--- /dev/null
+++ b/internal/intent/record.go
@@ -0,0 +1,26 @@
+package intent
+
+import (
+	"github.com/pkg/errors"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// record is the value of an intent row.
+type record struct {
+	State   State  `msgpack:"state"`
+	Attempt string `msgpack:"attempt"`
+	Digest  Digest `msgpack:"digest"`
+	// Answer is set in StateDone unless it was too large to keep.
+	Answer *Answer `msgpack:"answer,omitempty"`
+}
+
+func (r record) encode() ([]byte, error) {
+	data, err := msgpack.Marshal(r)
+	return data, errors.Wrap(err, "encoding an intent")
+}
+
+func decodeRecord(data []byte) (record, error) {
+	var r record
+	err := msgpack.Unmarshal(data, &r)
+	return r, errors.Wrap(err, "decoding an intent")
+}
--- /dev/null
+++ b/internal/relay/fakes_test.go
@@ -0,0 +1,233 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"strconv"
+	"sync"
+	"time"
+
+	"gentiantide.example/gentiantide/internal/backend"
+	"gentiantide.example/gentiantide/internal/core"
+	"gentiantide.example/gentiantide/internal/dispatch"
+	"gentiantide.example/gentiantide/internal/settings"
+)
+
+const testDeployment core.DeploymentID = "verse-models"
+
+// script says how a fake engine treats one send.
+type script struct {
+	openErr  error
+	delay    time.Duration // before the first token
+	gap      time.Duration // before each token
+	stopAt   int           // fails with endErr before this token; -1: never
+	endErr   error         // io.EOF: a truncated stream that ends regularly
+	repeat   int           // tokens sent again from before the resume point
+	skip     int           // tokens left out at stopAt
+	deaf     bool          // ignores cancellation until its delay passes
+	dies     bool          // hangs at stopAt until cancelled
+	preempts time.Duration // the slot is preempted after this time; 0: never
+}
+
+func good() script { return script{stopAt: -1} }
+
+// fleet is a fake of everything below the relay: the dispatcher, its slots,
+// the engines and the services. Each send takes the next script.
+type fleet struct {
+	mu       sync.Mutex
+	tokens   int
+	scripts  []script
+	refusals []*core.Refusal // of the next acquisitions; nil grants
+	sends    int
+	ran      int // sends that reached an engine and may have run
+	granted  int
+	released int
+	running  int // streams that the engines have not ended
+	asks     []dispatch.Ask
+	requests []backend.Request
+	last     []dispatch.Observation
+}
+
+func (f *fleet) snapshot(change func(*settings.Service)) func() *settings.Snapshot {
+	service := settings.Service{
+		ID: testDeployment, Kind: settings.KindModel, Model: "verse", Route: "/verse/",
+		OnlineDeadline: time.Minute, MaxAttempts: 4, NonIdempotentRoutes: []string{"POST /verse/issue"},
+	}
+	if change != nil {
+		change(&service)
+	}
+	s := settings.NewSnapshot(settings.SnapshotInput{Version: 1, Services: []settings.Service{service}})
+	return func() *settings.Snapshot { return s }
+}
+
+func (f *fleet) relay(budget Budget, change func(*settings.Service)) *Relay {
+	return New(Config{
+		Acquirer: f, Settings: f.snapshot(change), Budget: budget,
+		Engines:  func(string) backend.Engine { return f },
+		Services: func(string) backend.Service { return f },
+	})
+}
+
+// budget is a Budget of a fixed number of retries.
+type budget struct {
+	mu   sync.Mutex
+	left int
+}
+
+func (b *budget) Succeeded(core.DeploymentID, float64) {}
+
+func (b *budget) Spend(core.DeploymentID) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.left--
+	return b.left >= 0
+}
+
+func (f *fleet) Acquire(_ context.Context, ask dispatch.Ask) (dispatch.Slot, *core.Refusal) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.asks = append(f.asks, ask)
+	if len(f.refusals) > 0 {
+		refusal := f.refusals[0]
+		f.refusals = f.refusals[1:]
+		if refusal != nil {
+			return nil, refusal
+		}
+	}
+	f.granted++
+	slot := &fakeSlot{fleet: f, id: core.ReplicaID("r" + strconv.Itoa(f.granted)), preempted: make(chan struct{})}
+	if len(f.scripts) > 0 && f.scripts[0].preempts > 0 {
+		time.AfterFunc(f.scripts[0].preempts, func() { close(slot.preempted) })
+	}
+	return slot, nil
+}
+
+type fakeSlot struct {
+	fleet     *fleet
+	id        core.ReplicaID
+	preempted chan struct{}
+}
+
+func (s *fakeSlot) Replica() core.ReplicaID    { return s.id }
+func (s *fakeSlot) Address() string            { return string(s.id) }
+func (s *fakeSlot) Preempted() <-chan struct{} { return s.preempted }
+func (s *fakeSlot) Release(o dispatch.Observation) {
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	s.fleet.released++
+	s.fleet.last = append(s.fleet.last, o)
+}
+
+func (f *fleet) next() script {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.sends++
+	s := good()
+	if len(f.scripts) > 0 {
+		s, f.scripts = f.scripts[0], f.scripts[1:]
+	}
+	if !certainlyNotRun(s.openErr) {
+		f.ran++
+	}
+	return s
+}
+
+func (f *fleet) Generate(ctx context.Context, req backend.Request) (backend.Stream, error) {
+	s := f.next()
+	f.mu.Lock()
+	f.requests = append(f.requests, req)
+	f.mu.Unlock()
+	if s.deaf {
+		time.Sleep(s.delay)
+	} else if err := wait(ctx, s.delay); err != nil {
+		return nil, err
+	}
+	if s.openErr != nil {
+		return nil, s.openErr
+	}
+	f.mu.Lock()
+	f.running++
+	f.mu.Unlock()
+	return &fakeStream{fleet: f, ctx: ctx, script: s, at: max(0, req.ResumeFrom-s.repeat)}, nil
+}
+
+func (f *fleet) Do(ctx context.Context, call backend.Call) (backend.Answer, error) {
+	s := f.next()
+	if err := wait(ctx, s.delay); err != nil {
+		return backend.Answer{}, err
+	}
+	return backend.Answer{Status: 200, Body: call.Body}, s.openErr
+}
+
+func (f *fleet) Load(context.Context) (backend.Load, error) { return backend.Load{}, nil }
+func (f *fleet) Order(context.Context, backend.Order) error { return nil }
+func tokenText(i int) string                                { return "t" + strconv.Itoa(i) + " " }
+func expectedText(n int) (text string) {
+	for i := range n {
+		text += tokenText(i)
+	}
+	return text
+}
+
+func wait(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return backend.ErrInterrupted
+	}
+}
+
+type fakeStream struct {
+	fleet  *fleet
+	ctx    context.Context
+	script script
+	at     int
+	closed bool
+}
+
+func (s *fakeStream) Next() (backend.Token, error) {
+	if s.ctx.Err() != nil {
+		return backend.Token{}, backend.ErrInterrupted
+	}
+	if err := wait(s.ctx, s.script.gap); err != nil {
+		return backend.Token{}, err
+	}
+	if s.script.stopAt >= 0 && s.at >= s.script.stopAt {
+		switch {
+		case s.script.dies:
+			<-s.ctx.Done()
+			return backend.Token{}, backend.ErrInterrupted
+		case s.script.skip > 0:
+			s.at += s.script.skip
+			s.script.stopAt = -1
+		default:
+			return backend.Token{}, s.script.endErr
+		}
+	}
+	if s.at >= s.fleet.tokens {
+		return backend.Token{}, io.EOF
+	}
+	token := backend.Token{Index: s.at, Text: tokenText(s.at)}
+	s.at++
+	return token, nil
+}
+
+func (s *fakeStream) Finish() backend.Finish {
+	return backend.Finish{Reason: "stop", PromptTokens: 3, OutputTokens: s.fleet.tokens}
+}
+
+func (s *fakeStream) Close() error {
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	if !s.closed {
+		s.closed = true
+		s.fleet.running--
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/relay/routes.go
@@ -0,0 +1,25 @@
+package relay
+
+import (
+	"strings"
+
+	"gentiantide.example/gentiantide/internal/settings"
+)
+
+// NonIdempotentRoute reports whether the deployment's settings mark calls with
+// this method and path as non-idempotent. An entry that ends with "/" covers
+// all paths below it; a slash at the end of path is ignored otherwise.
+func NonIdempotentRoute(service *settings.Service, method, path string) bool {
+	path, _, _ = strings.Cut(path, "?")
+	for _, entry := range service.NonIdempotentRoutes {
+		entryMethod, entryPath, ok := strings.Cut(entry, " ")
+		if !ok || entryMethod != method {
+			continue
+		}
+		if path == entryPath || strings.TrimSuffix(path, "/") == entryPath ||
+			strings.HasSuffix(entryPath, "/") && strings.HasPrefix(path, entryPath) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/relay/runslot.go
@@ -0,0 +1,49 @@
+package relay
+
+import (
+	"context"
+
+	"gentiantide.example/gentiantide/internal/core"
+	"gentiantide.example/gentiantide/internal/dispatch"
+)
+
+// ask describes the work to the dispatcher.
+func (u *run) ask(ctx context.Context) dispatch.Ask {
+	deadline, _ := ctx.Deadline()
+	if u.sends == 0 && !u.startBy.IsZero() && (deadline.IsZero() || u.startBy.Before(deadline)) {
+		deadline = u.startBy
+	}
+	return dispatch.Ask{
+		Deployment:     u.service.ID,
+		Class:          u.class,
+		Org:            u.org,
+		ExpectedTokens: u.expectedTokens,
+		PrefixHash:     u.prefixHash,
+		Deadline:       deadline,
+		Due:            u.due,
+		Exclude:        append([]core.ReplicaID(nil), u.tried...),
+		NoWait:         u.class == core.ClassBatch,
+	}
+}
+
+// acquire takes a slot. Batch work waits for one as long as its context lasts.
+func (u *run) acquire(ctx context.Context) (dispatch.Slot, *core.Refusal) {
+	if u.class == core.ClassBatch {
+		return u.relay.queue.acquire(ctx, u.service.ID, func() (dispatch.Slot, *core.Refusal) {
+			return u.acquireOnce(ctx)
+		})
+	}
+	return u.acquireOnce(ctx)
+}
+
+// acquireOnce asks for a slot on a replica that has not failed this work, or,
+// if there is none, on any: in a small deployment the failed replica may be
+// the only one, and it may be back.
+func (u *run) acquireOnce(ctx context.Context) (dispatch.Slot, *core.Refusal) {
+	slot, refusal := u.relay.cfg.Acquirer.Acquire(ctx, u.ask(ctx))
+	if refusal == nil || refusal.Code != core.CodeNoBackend || len(u.tried) == 0 {
+		return slot, refusal
+	}
+	u.tried = u.tried[:0]
+	return u.relay.cfg.Acquirer.Acquire(ctx, u.ask(ctx))
+}
