Wire the node and write the demo

Cause: the roles need one process, and the promises a run from outside. Change: internal/node with graceful stop, state dump and metrics; gentiantided run and check; the harness, the caller and the scenario of the demo. Answers that a live engine failed on are told apart from engine failures, so that a poisoned item does not eject replicas.

--- /dev/null
+++ b/bench/client/expect.go
@@ -0,0 +1,28 @@
+package client
+
+import (
+	"fmt"
+
+	"gentiantide.example/gentiantide/bench/standin/engine"
+)
+
+// Expected returns the text that an engine stand-in answers to a body with
+// max_tokens: its answers are determined by the prompt.
+func Expected(body map[string]any) string {
+	tokens := 0
+	switch n := body["max_tokens"].(type) {
+	case float64:
+		tokens = int(n)
+	case int:
+		tokens = n
+	}
+	if prompt, ok := body["prompt"].(string); ok {
+		return engine.Answer(prompt, tokens)
+	}
+	var prompt string
+	for _, m := range body["messages"].([]any) {
+		message := m.(map[string]any)
+		prompt += fmt.Sprintf("%s: %s\n", message["role"], message["content"])
+	}
+	return engine.Answer(prompt, tokens)
+}
--- /dev/null
+++ b/bench/harness/fleet.go
@@ -0,0 +1,259 @@
+package harness
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"path/filepath"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"gentiantide.example/gentiantide/internal/platform"
+)
+
+const (
+	readyWait = 15 * time.Second
+	readyPoll = 20 * time.Millisecond
+)
+
+// Backend is one stand-in of a backend server.
+type Backend struct {
+	VM      platform.VM
+	Process *Process
+}
+
+// URL returns the base URL of the backend server.
+func (b *Backend) URL() string { return "http://" + b.VM.Address }
+
+// Fleet is a set of stand-ins and nodes on loopback.
+type Fleet struct {
+	options                            Options
+	client                             *http.Client
+	Table, Objects, Weights, FleetList string
+	Nodes                              []*Node
+	Engines                            []*Backend
+	PlainServers                       []*Backend
+	platformProcesses                  []*Process
+}
+
+// Start starts a fleet and waits until the stand-ins answer. The nodes are
+// started but may not be ready; see WaitReady.
+func Start(options Options) (*Fleet, error) {
+	f := &Fleet{options: options, client: &http.Client{Timeout: 10 * time.Second}}
+	if err := f.start(); err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *Fleet) start() error {
+	if err := f.startPlatform(); err != nil {
+		return err
+	}
+	if err := f.startBackends(); err != nil {
+		return err
+	}
+	if err := f.layOutNodes(); err != nil {
+		return err
+	}
+	if err := f.putFleetList(); err != nil {
+		return err
+	}
+	for _, n := range f.Nodes {
+		if err := f.StartNode(n); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) startPlatform() error {
+	addresses, err := FreeAddresses(4)
+	if err != nil {
+		return err
+	}
+	f.Table, f.Objects, f.Weights, f.FleetList = addresses[0], addresses[1], addresses[2], addresses[3]
+	for _, s := range []struct {
+		name, address string
+		args          []string
+	}{
+		{"table", f.Table, f.options.TableArgs}, {"objects", f.Objects, nil},
+		{"weights", f.Weights, nil}, {"fleet", f.FleetList, f.options.FleetArgs},
+	} {
+		p, err := f.startStandin(s.name, s.name, s.address, s.args)
+		if err != nil {
+			return err
+		}
+		f.platformProcesses = append(f.platformProcesses, p)
+	}
+	return nil
+}
+
+func (f *Fleet) startStandin(name, kind, address string, args []string) (*Process, error) {
+	args = append([]string{kind, "-listen", address}, args...)
+	p, err := StartProcess(f.options.WorkDir, name, filepath.Join(f.options.BinDir, "standin"), args...)
+	if err != nil {
+		return nil, err
+	}
+	return p, f.waitFor(p, "http://"+address+"/healthz")
+}
+
+func (f *Fleet) startBackends() error {
+	for _, dc := range f.options.DataCentres {
+		for i := range f.options.Engines {
+			if err := f.addBackend(&f.Engines, dc, "engine", f.options.EngineDeployment, i, f.options.EngineArgs); err != nil {
+				return err
+			}
+		}
+		for i := range f.options.Plain {
+			if err := f.addBackend(&f.PlainServers, dc, "plain", f.options.PlainDeployment, i, f.options.PlainArgs); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) addBackend(list *[]*Backend, dc, kind, deployment string, i int, args []string) error {
+	addresses, err := FreeAddresses(1)
+	if err != nil {
+		return err
+	}
+	id := fmt.Sprintf("%s-%s-%d", deployment, dc, i+1)
+	p, err := f.startStandin(id, kind, addresses[0], args)
+	if err != nil {
+		return err
+	}
+	*list = append(*list, &Backend{Process: p, VM: platform.VM{
+		ID: id, Kind: platform.KindBackend, DataCentre: dc, Region: f.options.Region,
+		Address: addresses[0], Deployment: deployment,
+	}})
+	return nil
+}
+
+func (f *Fleet) layOutNodes() error {
+	var seeds []string
+	for _, dc := range f.options.DataCentres {
+		for i := range f.options.NodesPerDC {
+			addresses, err := FreeAddresses(3)
+			if err != nil {
+				return err
+			}
+			n := &Node{ID: fmt.Sprintf("%s-node-%d", dc, i+1), DataCentre: dc,
+				Callers: addresses[0], Operators: addresses[1], Peers: addresses[2]}
+			f.Nodes = append(f.Nodes, n)
+			seeds = append(seeds, n.Peers)
+		}
+	}
+	for _, n := range f.Nodes {
+		if err := n.writeConfig(f, seeds); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) putFleetList() error {
+	var vms []platform.VM
+	for _, n := range f.Nodes {
+		vms = append(vms, platform.VM{ID: n.ID, Kind: platform.KindNode, DataCentre: n.DataCentre,
+			Region: f.options.Region, Address: n.Peers})
+	}
+	for _, b := range append(append([]*Backend(nil), f.Engines...), f.PlainServers...) {
+		vms = append(vms, b.VM)
+	}
+	_, err := f.Do(context.Background(), http.MethodPut, "http://"+f.FleetList+"/fleet", vms)
+	return err
+}
+
+// StartNode starts the process of a node, also again after it ended.
+func (f *Fleet) StartNode(n *Node) error {
+	p, err := StartProcess(f.options.WorkDir, n.ID, filepath.Join(f.options.BinDir, "gentiantided"), "run", "-config", n.Config)
+	n.Process = p
+	return err
+}
+
+// WaitReady waits until the node's readiness check passes.
+func (f *Fleet) WaitReady(n *Node) error { return f.waitFor(n.Process, n.URL()+"/readyz") }
+
+func (f *Fleet) waitFor(p *Process, url string) error {
+	for deadline := time.Now().Add(readyWait); time.Now().Before(deadline); time.Sleep(readyPoll) {
+		select {
+		case <-p.Done():
+			return errors.Errorf("%s ended early: %v (see its log)", p.Name, p.Err())
+		default:
+		}
+		if response, err := f.client.Get(url); err == nil {
+			_ = response.Body.Close()
+			if response.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+	}
+	return errors.Errorf("%s did not answer %s within %s", p.Name, url, readyWait)
+}
+
+// Fault commands a fault plan of a stand-in; base is its URL.
+func (f *Fleet) Fault(base string, plan any) error {
+	_, err := f.Do(context.Background(), http.MethodPost, base+"/fault", plan)
+	return err
+}
+
+// Do sends a JSON request and returns the body of a successful answer.
+func (f *Fleet) Do(ctx context.Context, method, url string, body any) ([]byte, error) {
+	var reader io.Reader
+	if body != nil {
+		data, err := json.Marshal(body)
+		if err != nil {
+			return nil, errors.Wrap(err, "encode request")
+		}
+		reader = bytes.NewReader(data)
+	}
+	request, err := http.NewRequestWithContext(ctx, method, url, reader)
+	if err != nil {
+		return nil, errors.Wrap(err, "build request")
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := f.client.Do(request)
+	if err != nil {
+		return nil, errors.Wrapf(err, "%s %s", method, url)
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		return nil, errors.Wrapf(err, "%s %s", method, url)
+	}
+	if response.StatusCode >= http.StatusMultipleChoices {
+		return data, errors.Errorf("%s %s: status %d: %s", method, url, response.StatusCode, data)
+	}
+	return data, nil
+}
+
+// GetJSON reads a JSON document.
+func (f *Fleet) GetJSON(ctx context.Context, url string, into any) error {
+	data, err := f.Do(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return err
+	}
+	return errors.Wrapf(json.Unmarshal(data, into), "decode %s", url)
+}
+
+// Close kills all processes of the fleet.
+func (f *Fleet) Close() {
+	for _, n := range f.Nodes {
+		if n.Process != nil {
+			n.Process.Kill()
+		}
+	}
+	for _, b := range append(append([]*Backend(nil), f.Engines...), f.PlainServers...) {
+		b.Process.Kill()
+	}
+	for _, p := range f.platformProcesses {
+		p.Kill()
+	}
+}
--- /dev/null
+++ b/bench/harness/process.go
@@ -0,0 +1,88 @@
+package harness
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// stopWait is how long Stop waits before it kills a process.
+const stopWait = 30 * time.Second
+
+// Process is one child process. Its output goes to a file.
+type Process struct {
+	Name string
+	cmd  *exec.Cmd
+	log  *os.File
+	done chan struct{}
+
+	mu  sync.Mutex
+	err error
+}
+
+// StartProcess starts a program; the log file is DIR/NAME.log, appended to.
+func StartProcess(dir, name, program string, args ...string) (*Process, error) {
+	log, err := os.OpenFile(filepath.Join(dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return nil, errors.Wrap(err, "open log")
+	}
+	cmd := exec.Command(program, args...)
+	cmd.Stdout, cmd.Stderr = log, log
+	// The child dies with the harness, also if the harness is killed.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		_ = log.Close()
+		return nil, errors.Wrapf(err, "start %s", name)
+	}
+	p := &Process{Name: name, cmd: cmd, log: log, done: make(chan struct{})}
+	go p.wait()
+	return p, nil
+}
+
+func (p *Process) wait() {
+	err := p.cmd.Wait()
+	p.mu.Lock()
+	p.err = err
+	p.mu.Unlock()
+	_ = p.log.Close()
+	close(p.done)
+}
+
+// PID returns the process id.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
+// Done is closed when the process has ended.
+func (p *Process) Done() <-chan struct{} { return p.done }
+
+// Err returns how the process ended; valid after Done.
+func (p *Process) Err() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.err
+}
+
+// Signal sends a signal; an ended process is no error.
+func (p *Process) Signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
+
+// Kill ends the process at once, as the loss of its VM would.
+func (p *Process) Kill() {
+	p.Signal(syscall.SIGKILL)
+	<-p.done
+}
+
+// Stop asks the process to stop, waits, and kills it if it does not.
+func (p *Process) Stop() error {
+	p.Signal(syscall.SIGTERM)
+	select {
+	case <-p.done:
+		return p.Err()
+	case <-time.After(stopWait):
+		p.Kill()
+		return errors.Errorf("%s did not stop within %s", p.Name, stopWait)
+	}
+}
--- /dev/null
+++ b/cmd/gentiantided/check.go
@@ -0,0 +1,45 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+
+	"github.com/google/subcommands"
+
+	"gentiantide.example/gentiantide/internal/config"
+)
+
+// checkCommand checks a node settings file.
+type checkCommand struct{ file string }
+
+// Name implements subcommands.Command.
+func (*checkCommand) Name() string { return "check" }
+
+// Synopsis implements subcommands.Command.
+func (*checkCommand) Synopsis() string { return "check a node settings file" }
+
+// Usage implements subcommands.Command.
+func (*checkCommand) Usage() string {
+	return "check -config FILE\n  Checks a node settings file and lists every problem with its position.\n"
+}
+
+// SetFlags implements subcommands.Command.
+func (c *checkCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.file, "config", "", "node settings `file`, JSON with comments")
+}
+
+// Execute implements subcommands.Command.
+func (c *checkCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	if c.file == "" {
+		fmt.Fprintln(os.Stderr, "check: -config is required")
+		return subcommands.ExitUsageError
+	}
+	if _, err := config.Load(c.file); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	fmt.Printf("%s: ok\n", c.file)
+	return subcommands.ExitSuccess
+}
--- a/cmd/gentiantided/main.go
+++ b/cmd/gentiantided/main.go
@@ -1,4 +1,20 @@
 // Command gentiantided is the node daemon of gentiantide.
 package main
 
-func main() {}
+import (
+	"context"
+	"flag"
+	"os"
+
+	"github.com/google/subcommands"
+)
+
+func main() {
+	subcommands.Register(subcommands.HelpCommand(), "")
+	subcommands.Register(subcommands.FlagsCommand(), "")
+	subcommands.Register(&runCommand{}, "")
+	subcommands.Register(&checkCommand{}, "")
+	subcommands.Register(&versionCommand{}, "")
+	flag.Parse()
+	os.Exit(int(subcommands.Execute(context.Background())))
+}
--- /dev/null
+++ b/cmd/gentiantided/run.go
@@ -0,0 +1,70 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/google/subcommands"
+
+	"gentiantide.example/gentiantide/internal/config"
+	"gentiantide.example/gentiantide/internal/node"
+)
+
+// runCommand runs the node until SIGTERM or SIGINT.
+type runCommand struct{ file string }
+
+// Name implements subcommands.Command.
+func (*runCommand) Name() string { return "run" }
+
+// Synopsis implements subcommands.Command.
+func (*runCommand) Synopsis() string { return "run the node" }
+
+// Usage implements subcommands.Command.
+func (*runCommand) Usage() string {
+	return "run -config FILE\n  Runs the node. SIGTERM or SIGINT stops it gracefully; a second one ends it at once.\n"
+}
+
+// SetFlags implements subcommands.Command.
+func (c *runCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.file, "config", "", "node settings `file`, JSON with comments")
+}
+
+// Execute implements subcommands.Command.
+func (c *runCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	if c.file == "" {
+		fmt.Fprintln(os.Stderr, "run: -config is required")
+		return subcommands.ExitUsageError
+	}
+	cfg, err := config.Load(c.file)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: cfg.LogLevel}))
+	if err := node.New(cfg, log).Run(stopSignal(log)); err != nil {
+		log.Error("node failed", "error", err)
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+// stopSignal returns a channel that is closed by the first signal. The second
+// ends the process.
+func stopSignal(log *slog.Logger) <-chan struct{} {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	stop := make(chan struct{})
+	go func() {
+		<-signals
+		close(stop)
+		<-signals
+		log.Warn("second stop signal, streams in progress are cut")
+		os.Exit(int(subcommands.ExitFailure))
+	}()
+	return stop
+}
--- a/internal/core/refusal.go
+++ b/internal/core/refusal.go
@@ -10,17 +10,20 @@
 
 // The codes of refusals. Callers and operations.md rely on them.
 const (
-	CodeInvalidRequest    Code = "invalid_request"
-	CodeUnauthorized      Code = "unauthorized"
-	CodeNotFound          Code = "not_found"
-	CodeModelNotFound     Code = "model_not_found"
-	CodeConflict          Code = "conflict"
-	CodeKeyReused         Code = "key_reused"
-	CodeOutcomeUnknown    Code = "outcome_unknown"
-	CodeOverloaded        Code = "overloaded"
-	CodeDeadlineExceeded  Code = "deadline_exceeded"
-	CodeNoBackend         Code = "no_backend"
-	CodeBackendFailed     Code = "backend_failed"
+	CodeInvalidRequest   Code = "invalid_request"
+	CodeUnauthorized     Code = "unauthorized"
+	CodeNotFound         Code = "not_found"
+	CodeModelNotFound    Code = "model_not_found"
+	CodeConflict         Code = "conflict"
+	CodeKeyReused        Code = "key_reused"
+	CodeOutcomeUnknown   Code = "outcome_unknown"
+	CodeOverloaded       Code = "overloaded"
+	CodeDeadlineExceeded Code = "deadline_exceeded"
+	CodeNoBackend        Code = "no_backend"
+	CodeBackendFailed    Code = "backend_failed"
+	// CodeRequestFailed means that a live backend server answered that this
+	// request failed; other requests may succeed.
+	CodeRequestFailed     Code = "request_failed"
 	CodeStreamInterrupted Code = "stream_interrupted"
 	CodeStoreUnavailable  Code = "store_unavailable"
 	CodeStopping          Code = "stopping"
@@ -55,7 +58,7 @@
 		return http.StatusTooManyRequests
 	case CodeDeadlineExceeded:
 		return http.StatusGatewayTimeout
-	case CodeBackendFailed, CodeStreamInterrupted:
+	case CodeBackendFailed, CodeRequestFailed, CodeStreamInterrupted:
 		return http.StatusBadGateway
 	case CodeNoBackend, CodeStoreUnavailable, CodeStopping:
 		return http.StatusServiceUnavailable
--- /dev/null
+++ b/internal/node/metrics.go
@@ -0,0 +1,26 @@
+package node
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+)
+
+// reportInterval is the time between two reports of the metrics scope.
+const reportInterval = 1 * time.Second
+
+// newMetrics returns the root scope, the HTTP handler that serves it as text
+// and the closer of the scope.
+func newMetrics() (tally.Scope, http.Handler, io.Closer) {
+	reporter := prometheus.NewReporter(prometheus.Options{})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:          "gentiantide",
+		CachedReporter:  reporter,
+		Separator:       prometheus.DefaultSeparator,
+		SanitizeOptions: &prometheus.DefaultSanitizerOpts,
+	}, reportInterval)
+	return scope, reporter.HTTPHandler(), closer
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,240 @@
+package node
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
+
+	"gentiantide.example/gentiantide/internal/batch"
+	"gentiantide.example/gentiantide/internal/batch/service"
+	"gentiantide.example/gentiantide/internal/config"
+	"gentiantide.example/gentiantide/internal/core"
+	"gentiantide.example/gentiantide/internal/directory"
+	"gentiantide.example/gentiantide/internal/dispatch"
+	"gentiantide.example/gentiantide/internal/fleet"
+	"gentiantide.example/gentiantide/internal/httpapi"
+	"gentiantide.example/gentiantide/internal/httpapi/callers"
+	"gentiantide.example/gentiantide/internal/httpapi/operators"
+	"gentiantide.example/gentiantide/internal/intent"
+	"gentiantide.example/gentiantide/internal/membership"
+	"gentiantide.example/gentiantide/internal/owner"
+	"gentiantide.example/gentiantide/internal/peer"
+	"gentiantide.example/gentiantide/internal/platform"
+	"gentiantide.example/gentiantide/internal/platform/httpfleet"
+	"gentiantide.example/gentiantide/internal/platform/httpobjects"
+	"gentiantide.example/gentiantide/internal/platform/httptable"
+	"gentiantide.example/gentiantide/internal/relay"
+	"gentiantide.example/gentiantide/internal/settings"
+)
+
+// Node is one gentiantided process.
+type Node struct {
+	cfg     *config.Node
+	log     *slog.Logger
+	started time.Time
+
+	table   *httptable.Table
+	objects *httpobjects.Objects
+
+	transport  *peer.Transport
+	settings   *settings.Manager
+	members    *membership.Service
+	fleet      *fleet.Watcher
+	directory  *directory.Service
+	owner      *owner.Service
+	dispatcher *dispatch.Dispatcher
+	relay      *relay.Relay
+	intents    *intent.Store
+	batch      *service.Service
+	backends   *backends
+	budgets    *budgets
+	ids        *idSource
+
+	scope          tally.Scope
+	metricsHandler http.Handler
+	metricsCloser  io.Closer
+
+	callersServer   *http.Server
+	operatorsServer *http.Server
+	stopping        atomic.Bool
+	background      sync.WaitGroup
+}
+
+// New wires a node. It opens no connection and starts nothing.
+func New(cfg *config.Node, log *slog.Logger) *Node {
+	n := &Node{
+		cfg: cfg, log: log, started: time.Now(),
+		table:    httptable.New(cfg.Platform.Table, cfg.Timeouts.Table),
+		objects:  httpobjects.New(cfg.Platform.Objects, cfg.Timeouts.Objects),
+		backends: newBackends(),
+		budgets:  &budgets{},
+	}
+	n.ids = newIDSource(cfg.ID, n.started.UnixNano())
+	n.scope, n.metricsHandler, n.metricsCloser = newMetrics()
+	n.transport = peer.New(cfg.ID, log.With("role", "peer"))
+	n.wireViews()
+	n.wireRequestPath()
+	n.wireBatch()
+	n.wireHTTP()
+	return n
+}
+
+// wireViews connects settings, members, fleet list and directory, which feed
+// each other through snapshots.
+func (n *Node) wireViews() {
+	n.settings = settings.NewManager(settings.Options{
+		Table: n.table, Messenger: n.transport, DataCentre: n.cfg.DataCentre,
+		View:   func() *membership.View { return n.members.Current() },
+		Logger: n.log.With("role", "settings"),
+	})
+	identity := membership.Identity{
+		ID: n.cfg.ID, DataCentre: n.cfg.DataCentre, Region: n.cfg.Region,
+		Address: n.cfg.Listen.Peers, Incarnation: n.started.UnixNano(),
+	}
+	n.members = membership.NewService(identity, n.transport, n.cfg.Seeds, membership.Hooks{
+		SettingsVersion:   func() uint64 { return n.settings.Current().Version() },
+		OnSettingsVersion: n.settings.OnPeerVersion,
+		OwnStatus:         func() []byte { return n.directory.OwnStatus() },
+		CentreStatus:      func() []byte { return n.directory.CentreStatus() },
+		OnStatus:          func(from core.NodeID, status []byte) { n.directory.OnStatus(from, status) },
+		OnView:            n.onView,
+	}, n.log.With("role", "membership"))
+	n.directory = directory.NewService(n.cfg.DataCentre, n.cfg.Region, n.backends,
+		n.settings.Current, n.members.Current, n.replicaLoad, n.log.With("role", "directory"))
+	n.fleet = fleet.NewWatcher(httpfleet.New(n.cfg.Platform.Fleet, n.cfg.Timeouts.Fleet), n.transport,
+		n.members.Current, n.onFleet, n.log.With("role", "fleet"))
+}
+
+func (n *Node) wireRequestPath() {
+	n.owner = owner.NewService(owner.Options{
+		Members: n.members.Current, Replicas: n.directory.Current, Settings: n.settings.Current,
+		Messenger: n.transport, Now: time.Now,
+	})
+	n.dispatcher = dispatch.New(dispatch.Options{
+		DataCentre: n.cfg.DataCentre, Region: n.cfg.Region, Members: n.members.Current,
+		Replicas: n.directory.Current, Settings: n.settings.Current, Messenger: n.transport,
+		Owner: n.owner, Now: time.Now, Seed: uint64(n.started.UnixNano()),
+	})
+	n.relay = relay.New(relay.Config{
+		Acquirer: n.dispatcher, Engines: n.backends.engine, Services: n.backends.service,
+		Settings: n.settings.Current, Budget: n.budgets, Scope: n.scope,
+	})
+	n.intents = intent.New(intent.Config{
+		Table: n.table, NewID: n.ids.new, Scope: n.scope, Logger: n.log.With("role", "intent"),
+	})
+}
+
+func (n *Node) wireBatch() {
+	runner := &itemRunner{relay: n.relay, settings: n.settings.Current}
+	cfg := batch.DefaultConfig()
+	n.batch = service.New(service.Params{
+		Config: cfg, Table: n.table, Objects: n.objects, Messenger: n.transport,
+		Members: n.members.Current, Incarnation: n.started.UnixNano(), Runner: runner,
+		Log: n.log.With("role", "batch"), Scope: n.scope,
+		Weight:   service.WeightFrom(n.settings.Current),
+		MaxTries: func(item batch.Item) int { return n.maxTries(cfg, item) },
+		CheckURL: runner.checkURL, Authenticate: n.authenticate, WriteRefusal: httpapi.WriteRefusal,
+	})
+}
+
+// maxTries returns the tries of an item from the settings of its deployment.
+func (n *Node) maxTries(cfg batch.Config, item batch.Item) int {
+	if service := n.settings.Current().ServiceByRoute(item.URL); service != nil {
+		return service.BatchMaxTries
+	}
+	if _, model, refusal := callers.ParseItem(item.URL, item.Body); refusal == nil {
+		if service := n.settings.Current().ServiceByModel(model); service != nil {
+			return service.BatchMaxTries
+		}
+	}
+	return cfg.MaxTries
+}
+
+func (n *Node) wireHTTP() {
+	callersMux := http.NewServeMux()
+	n.batch.Register(callersMux)
+	callers.Register(callersMux, callers.Config{
+		Relay: n.relay, Intents: n.intents, Settings: n.settings.Current, Ready: n.ready,
+		NewID: n.ids.new, Scope: n.scope, Logger: n.log.With("role", "callers"),
+	})
+	n.callersServer = &http.Server{Handler: callersMux, ReadHeaderTimeout: headerTimeout}
+	operatorsMux := http.NewServeMux()
+	server := &operators.Server{
+		Editor: n.settings, Dump: n.dump, Metrics: n.metricsHandler, Version: Version,
+		Fleet: func() any { return fleetStatus(n.members.Current(), n.directory.Current()) },
+	}
+	server.Register(operatorsMux)
+	n.operatorsServer = &http.Server{Handler: operatorsMux, ReadHeaderTimeout: headerTimeout}
+}
+
+func (n *Node) authenticate(r *http.Request) (core.Org, *core.Refusal) {
+	return httpapi.Authenticate(r, n.settings.Current())
+}
+
+// ready returns why the node should get no requests from the balancer, or nil.
+func (n *Node) ready() *core.Refusal {
+	if n.stopping.Load() {
+		return core.Refuse(core.CodeStopping, "the node is stopping")
+	}
+	select {
+	case <-n.settings.Ready():
+	default:
+		return core.Refuse(core.CodeNoBackend, "the settings are not loaded yet")
+	}
+	if n.fleet.Current() == nil {
+		return core.Refuse(core.CodeNoBackend, "the fleet list is not known yet")
+	}
+	return nil
+}
+
+// replicaLoad returns the ledger's counts of a replica that this node owns.
+func (n *Node) replicaLoad(id core.ReplicaID) (inUse, queued int) {
+	return n.owner.Counts(id)
+}
+
+func (n *Node) onView(*membership.View) {
+	n.directory.Refresh(time.Now())
+	n.dispatcher.OnViewChange()
+}
+
+func (n *Node) onFleet(vms []platform.VM) {
+	var nodes []membership.Member
+	leaving := make(map[core.NodeID]bool)
+	for _, vm := range vms {
+		if vm.Kind != platform.KindNode || core.Region(vm.Region) != n.cfg.Region {
+			continue
+		}
+		id := core.NodeID(vm.ID)
+		nodes = append(nodes, membership.Member{ID: id, DataCentre: core.DataCentre(vm.DataCentre),
+			Region: core.Region(vm.Region), Address: vm.Address})
+		leaving[id] = vm.Leaving
+	}
+	n.members.SetFleet(nodes, leaving)
+	n.directory.SetFleet(vms)
+}
+
+// listen opens the three listeners.
+func (n *Node) listen() (callersL, operatorsL, peersL net.Listener, err error) {
+	open := func(name, address string) net.Listener {
+		if err != nil {
+			return nil
+		}
+		var l net.Listener
+		if l, err = net.Listen("tcp", address); err != nil {
+			err = errors.Wrapf(err, "listen for %s", name)
+		}
+		return l
+	}
+	callersL = open("callers", n.cfg.Listen.Callers)
+	operatorsL = open("operators", n.cfg.Listen.Operators)
+	peersL = open("peers", n.cfg.Listen.Peers)
+	return callersL, operatorsL, peersL, err
+}
--- /dev/null
+++ b/internal/node/runner.go
@@ -0,0 +1,106 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"gentiantide.example/gentiantide/internal/backend"
+	"gentiantide.example/gentiantide/internal/batch"
+	"gentiantide.example/gentiantide/internal/core"
+	"gentiantide.example/gentiantide/internal/httpapi/callers"
+	"gentiantide.example/gentiantide/internal/relay"
+	"gentiantide.example/gentiantide/internal/settings"
+)
+
+// itemRunner runs the items of batch jobs through the relay.
+type itemRunner struct {
+	relay    *relay.Relay
+	settings func() *settings.Snapshot
+}
+
+// checkURL returns the reason why items cannot be sent to a URL, or "".
+func (r *itemRunner) checkURL(method, url string) string {
+	if method == http.MethodPost && callers.IsGenerationPath(url) {
+		return ""
+	}
+	if r.settings().ServiceByRoute(url) != nil {
+		return ""
+	}
+	return "neither a generation path with method POST nor the route of a plain service"
+}
+
+// Run implements batch.Runner.
+func (r *itemRunner) Run(ctx context.Context, item batch.Item) batch.Outcome {
+	if callers.IsGenerationPath(item.URL) {
+		return r.generate(ctx, item)
+	}
+	return r.call(ctx, item)
+}
+
+func (r *itemRunner) generate(ctx context.Context, item batch.Item) batch.Outcome {
+	g, model, refusal := callers.ParseItem(item.URL, item.Body)
+	if refusal != nil {
+		return failed(item, refusal)
+	}
+	service := r.settings().ServiceByModel(model)
+	if service == nil {
+		return failed(item, core.Refuse(core.CodeModelNotFound, "no deployment serves model "+model))
+	}
+	ctx, cancel := context.WithTimeout(ctx, service.BatchItemDeadline)
+	defer cancel()
+	g.ID, g.Deployment, g.Org, g.Class = item.ID, service.ID, item.Org, core.ClassBatch
+	g.NonIdempotent, g.Due = item.NonIdempotent, item.Due
+	result, refusal := r.relay.Generate(ctx, g, relay.Discard{})
+	if refusal != nil {
+		return failed(item, refusal)
+	}
+	return batch.Outcome{
+		Kind: batch.Done, StatusCode: http.StatusOK, RequestID: item.ID,
+		Body:         callers.ItemAnswer(item.URL, item.ID, model, time.Now().Unix(), result),
+		PromptTokens: result.PromptTokens, OutputTokens: result.Tokens,
+	}
+}
+
+func (r *itemRunner) call(ctx context.Context, item batch.Item) batch.Outcome {
+	service := r.settings().ServiceByRoute(item.URL)
+	if service == nil {
+		return failed(item, core.Refuse(core.CodeNotFound, "no plain service has the route "+item.URL))
+	}
+	ctx, cancel := context.WithTimeout(ctx, service.BatchItemDeadline)
+	defer cancel()
+	result, refusal := r.relay.Call(ctx, relay.PlainCall{
+		Deployment: service.ID, Org: item.Org, Class: core.ClassBatch,
+		Call: backend.Call{Method: item.Method, Path: item.URL, Body: item.Body,
+			Header: http.Header{"Content-Type": {"application/json"}}},
+		NonIdempotent: item.NonIdempotent, Due: item.Due,
+	})
+	if refusal != nil {
+		return failed(item, refusal)
+	}
+	body := result.Answer.Body
+	if !json.Valid(body) {
+		body, _ = json.Marshal(string(body)) // a string always encodes
+	}
+	return batch.Outcome{Kind: batch.Done, StatusCode: result.Answer.Status, RequestID: item.ID, Body: body}
+}
+
+// failed turns a refusal of the relay into the outcome of an item.
+func failed(item batch.Item, refusal *core.Refusal) batch.Outcome {
+	out := batch.Outcome{Code: refusal.Code, Message: refusal.Message, Execution: refusal.Execution}
+	switch refusal.Code {
+	case core.CodeInvalidRequest:
+		out.Kind = batch.Invalid
+	case core.CodeRequestFailed, core.CodeModelNotFound, core.CodeNotFound, core.CodeDeadlineExceeded:
+		out.Kind = batch.ItemFailure
+	case core.CodeCancelled:
+		out.Kind = batch.NotRun
+	default:
+		out.Kind = batch.BackendFailure
+	}
+	if item.NonIdempotent && refusal.Execution != core.NotRun {
+		out.Kind = batch.Unknown
+	}
+	return out
+}
--- /dev/null
+++ b/internal/node/version.go
@@ -0,0 +1,4 @@
+package node
+
+// Version is the version of the program.
+const Version = "0.1.0-dev"
--- a/internal/relay/failure.go
+++ b/internal/relay/failure.go
@@ -16,6 +16,7 @@
 	failureRefused             // the backend server refused without running
 	failureInvalid             // the backend server rejected the request
 	failureInterrupted         // the connection broke after sending
+	failureFailed              // a live backend server answered that the request failed
 	failureBroken              // a token was missing, or the end came early
 	failureStalled             // nothing came for too long
 	failurePreempted           // the owner wants the slot back
@@ -34,7 +35,7 @@
 // String returns the name used in metrics and messages.
 func (f failure) String() string {
 	return [...]string{
-		"none", "not_sent", "refused", "invalid", "interrupted", "broken",
+		"none", "not_sent", "refused", "invalid", "interrupted", "failed", "broken",
 		"stalled", "preempted", "deadline", "caller_gone", "too_large",
 	}[f]
 }
@@ -68,6 +69,8 @@
 		return failureRefused
 	case errors.Is(err, backend.ErrInvalid):
 		return failureInvalid
+	case errors.Is(err, backend.ErrFailed):
+		return failureFailed
 	default:
 		return failureInterrupted
 	}
--- a/internal/relay/policy.go
+++ b/internal/relay/policy.go
@@ -35,7 +35,7 @@
 	switch s.failure {
 	case failurePreempted:
 		return verdictReacquire
-	case failureNotSent, failureRefused, failureInterrupted, failureBroken, failureStalled:
+	case failureNotSent, failureRefused, failureInterrupted, failureFailed, failureBroken, failureStalled:
 	default:
 		return verdictStop
 	}
--- a/internal/relay/refusals.go
+++ b/internal/relay/refusals.go
@@ -42,6 +42,8 @@
 		out.Code, out.Message = core.CodeInvalidRequest, err.Error()
 	case f == failureNotSent || f == failureRefused:
 		out.Code, out.Message, out.RetryAfter = core.CodeNoBackend, err.Error(), retryAdvice
+	case f == failureFailed:
+		out.Code, out.Message = core.CodeRequestFailed, err.Error()
 	default:
 		out.Code, out.Message = core.CodeBackendFailed, err.Error()
 	}
