--- a/internal/backend/openai/chunk.go
+++ b/internal/backend/openai/chunk.go
@@ -41,6 +41,11 @@
 	if c, ok := parseTokenChunk(data); ok {
 		return c, nil
 	}
+	return parseAnyChunk(data)
+}
+
+// parseAnyChunk reads a chunk of any field order.
+func parseAnyChunk(data []byte) (chunk, error) {
 	var wire wireChunk
 	if err := json.Unmarshal(data, &wire); err != nil {
 		return chunk{}, fmt.Errorf("malformed chunk: %w", err)
