--- /dev/null
+++ b/bench/standin/ratelimit/bucket_test.go
@@ -0,0 +1,49 @@
+package ratelimit
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+)
+
+// Guards against a stand-in with more capacity than the real service, or one
+// that refuses what a short wait would serve.
+func TestCapacity(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		b := NewBucket(400, 50*time.Millisecond, 250*time.Millisecond)
+		served, refused := 0, 0
+		results := make(chan bool)
+		start := time.Now()
+		for time.Since(start) < 10*time.Second {
+			go func() { results <- b.Take(t.Context(), 1) }()
+			time.Sleep(time.Millisecond)
+			synctest.Wait()
+			for len := 0; len < 1000; len++ {
+				select {
+				case ok := <-results:
+					if ok {
+						served++
+					} else {
+						refused++
+					}
+				default:
+					len = 1000
+				}
+			}
+		}
+		g.Expect(served).To(gomega.BeNumerically("~", 4000, 30))
+		g.Expect(refused).To(gomega.BeNumerically(">", 5000))
+		time.Sleep(time.Second)
+		for drained := false; !drained; {
+			select {
+			case <-results:
+			default:
+				drained = true
+			}
+		}
+		g.Expect(b.Take(t.Context(), 1)).To(gomega.BeTrue())
+	})
+}
