--- a/internal/owner/ledger.go
+++ b/internal/owner/ledger.go
@@ -101,7 +101,8 @@
 		return Decision{}
 	}
 	entry := l.entry(r, now)
-	if l.mayGrant(entry) && !l.overtakes(entry) {
+	// No waiter is passed over: settle has granted what could be granted.
+	if l.mayGrant(entry) {
 		l.grant(entry, now)
 		return Decision{Verdict: VerdictGranted}
 	}
@@ -268,15 +269,6 @@
 	return !entry.long || l.longHeld() < l.limits.longCap()
 }
 
-// overtakes reports whether granting the new entry would pass over a waiter
-// that could use the slot.
-func (l *Ledger) overtakes(entry *reservation) bool {
-	if entry.online() {
-		return l.nextOnline() != nil
-	}
-	return l.nextBatch() != nil
-}
-
 func (l *Ledger) grant(entry *reservation, now time.Time) {
 	if online, batch := l.active(); entry.online() && online+batch >= l.limits.Slots {
 		l.preempt(now)
