--- a/internal/httpapi/callers/genrequest.go
+++ b/internal/httpapi/callers/genrequest.go
@@ -42,9 +42,12 @@
 func parseGeneration(path string, body []byte) (genRequest, *core.Refusal) {
 	req := genRequest{path: path}
 	var fields map[string]json.RawMessage
-	if err := json.Unmarshal(body, &fields); err != nil || fields == nil {
+	if err := json.Unmarshal(body, &fields); err != nil {
 		return req, invalid("the request body must be a JSON object: %v", err)
 	}
+	if fields == nil {
+		return req, invalid("the request body must be a JSON object")
+	}
 	var count, maxTokens, maxCompletion int
 	var options streamOptions
 	for _, f := range []struct {
--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -39,7 +39,10 @@
 	scripts  []script
 	refusals []*core.Refusal // of the next acquisitions; nil grants
 	sends    int
-	ran      int // sends that reached an engine and may have run
+	ran      int    // sends that reached an engine and may have run
+	single   bool   // there is only one replica
+	back     int    // the next granted slots are wanted back at once
+	padding  string // added to each token
 	granted  int
 	released int
 	running  int // streams that the engines have not ended
@@ -94,11 +97,17 @@
 			return nil, refusal
 		}
 	}
+	if f.single && len(ask.Exclude) > 0 {
+		return nil, core.Refuse(core.CodeNoBackend, "no replica is left")
+	}
 	f.granted++
 	slot := &fakeSlot{fleet: f, id: core.ReplicaID("r" + strconv.Itoa(f.granted)), preempted: make(chan struct{})}
-	if len(f.scripts) > 0 && f.scripts[0].preempts > 0 {
+	if ask.Class == core.ClassBatch && len(f.scripts) > 0 && f.scripts[0].preempts > 0 {
 		time.AfterFunc(f.scripts[0].preempts, func() { close(slot.preempted) })
 	}
+	if f.back--; f.back >= 0 {
+		close(slot.preempted)
+	}
 	return slot, nil
 }
 
@@ -126,7 +135,7 @@
 	if len(f.scripts) > 0 {
 		s, f.scripts = f.scripts[0], f.scripts[1:]
 	}
-	if !certainlyNotRun(s.openErr) {
+	if s.openErr == nil || s.openErr == backend.ErrInterrupted {
 		f.ran++
 	}
 	return s
@@ -213,7 +222,7 @@
 	if s.at >= s.fleet.tokens {
 		return backend.Token{}, io.EOF
 	}
-	token := backend.Token{Index: s.at, Text: tokenText(s.at)}
+	token := backend.Token{Index: s.at, Text: tokenText(s.at) + s.fleet.padding}
 	s.at++
 	return token, nil
 }
--- a/internal/relay/generate_test.go
+++ b/internal/relay/generate_test.go
@@ -41,6 +41,7 @@
 		class   core.Class
 		change  func(*settings.Service)
 		sink    collector
+		single  bool
 		sends   int
 	}{
 		"plain run":                  {sends: 1},
@@ -55,12 +56,13 @@
 		"hedge loses late":           {scripts: []script{{stopAt: -1, delay: 2 * time.Second}, {stopAt: -1, delay: 9 * time.Second, deaf: true}}, change: hedged, sends: 2},
 		"hedge and first both fail":  {scripts: []script{{openErr: backend.ErrInterrupted, delay: 3 * time.Second}, {openErr: backend.ErrInterrupted, delay: time.Second}}, change: hedged, sends: 3},
 		"slow caller":                {sink: collector{slow: 6 * time.Second}, sends: 1},
-		"batch preempted repeatedly": {class: core.ClassBatch, sends: 6, scripts: preemptions(5)},
+		"batch preempted repeatedly": {class: core.ClassBatch, sends: 7, scripts: append(preemptions(5), script{openErr: backend.ErrInterrupted})},
+		"only one replica":           {single: true, scripts: []script{{openErr: backend.ErrInterrupted}}, sends: 2},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				g := gomega.NewWithT(t)
-				f := &fleet{tokens: 6, scripts: c.scripts}
+				f := &fleet{tokens: 6, scripts: c.scripts, single: c.single}
 				sink := c.sink
 				result, refusal := f.relay(&budget{left: 5}, c.change).Generate(t.Context(), Generation{Deployment: testDeployment, Class: c.class}, &sink)
 				g.Expect(refusal).To(gomega.BeNil())
@@ -68,12 +70,33 @@
 				g.Expect(result.Text).To(gomega.Equal(sink.text))
 				g.Expect(result.FinishReason).To(gomega.Equal("stop"))
 				g.Expect(f.sends).To(gomega.Equal(c.sends))
+				for _, ask := range f.asks[1:] {
+					if c.class == core.ClassOnline && !c.single {
+						g.Expect(ask.Exclude).To(gomega.ContainElement(core.ReplicaID("r1")))
+					}
+				}
 				expectNothingLeft(g, f)
 			})
 		})
 	}
 }
 
+// Guards against queueing a request that cannot meet the first-token target,
+// and against refusing its retry because the target has passed.
+func TestAskDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		f := &fleet{tokens: 1, scripts: []script{{openErr: backend.ErrInterrupted}}}
+		start := time.Now()
+		r := f.relay(&budget{left: 1}, func(s *settings.Service) { s.FirstToken = time.Second })
+		_, refusal := r.Generate(t.Context(), Generation{Deployment: testDeployment}, Discard{})
+		g.Expect(refusal).To(gomega.BeNil())
+		g.Expect(f.asks[0].Deadline).To(gomega.BeTemporally("==", start.Add(time.Second)))
+		g.Expect(f.asks[1].Deadline).To(gomega.BeTemporally("==", start.Add(time.Minute)))
+		g.Expect(f.requests[0].Deadline).To(gomega.BeTemporally("==", start.Add(time.Minute)))
+	})
+}
+
 // expectNothingLeft waits for losing attempts, whose engine may be deaf.
 func expectNothingLeft(g *gomega.WithT, f *fleet) {
 	time.Sleep(time.Minute)
--- a/internal/relay/race.go
+++ b/internal/relay/race.go
@@ -75,10 +75,6 @@
 // hedge opens a second attempt on another replica, if a slot is free there.
 func (r *race) hedge() {
 	u := r.run
-	if !u.relay.cfg.Budget.Spend(u.service.ID) {
-		return
-	}
-	u.relay.metrics.hedges.Inc(1)
 	second := u.newAttempt(r.ctx)
 	ask := u.ask(r.ctx)
 	ask.NoWait = true
@@ -87,17 +83,21 @@
 	go r.openHedge(second, ask)
 }
 
+// openHedge takes the slot before it spends from the budget: while no slot is
+// free, hedges must not use up what retries need.
 func (r *race) openHedge(a *attempt, ask dispatch.Ask) {
-	slot, refusal := r.run.relay.cfg.Acquirer.Acquire(a.ctx, ask)
+	relay := r.run.relay
+	slot, refusal := relay.cfg.Acquirer.Acquire(a.ctx, ask)
 	if refusal != nil {
 		r.done <- a
 		return
 	}
-	if a.ctx.Err() != nil {
+	if a.ctx.Err() != nil || !relay.cfg.Budget.Spend(r.run.service.ID) {
 		slot.Release(dispatch.Observation{Cancelled: true})
 		r.done <- a
 		return
 	}
+	relay.metrics.hedges.Inc(1)
 	a.slot = slot
 	a.open(r.run.work, r.done)
 }
--- a/internal/relay/runslot.go
+++ b/internal/relay/runslot.go
@@ -30,12 +30,27 @@
 func (u *run) acquire(ctx context.Context) (dispatch.Slot, *core.Refusal) {
 	if u.class == core.ClassBatch {
 		return u.relay.queue.acquire(ctx, u.service.ID, func() (dispatch.Slot, *core.Refusal) {
-			return u.acquireOnce(ctx)
+			slot, refusal := u.acquireOnce(ctx)
+			if refusal == nil && wantedBack(slot) {
+				slot.Release(dispatch.Observation{Cancelled: true})
+				return nil, core.Refuse(core.CodeOverloaded, "the slot was taken back before it was used")
+			}
+			return slot, refusal
 		})
 	}
 	return u.acquireOnce(ctx)
 }
 
+// wantedBack reports whether the owner has taken the slot back.
+func wantedBack(slot dispatch.Slot) bool {
+	select {
+	case <-slot.Preempted():
+		return true
+	default:
+		return false
+	}
+}
+
 // acquireOnce asks for a slot on a replica that has not failed this work, or,
 // if there is none, on any: in a small deployment the failed replica may be
 // the only one, and it may be back.
