Let a node be ready before its deployments exist

Cause: the readiness check waited for replicas of deployments that the settings do not name yet, so the demo could not create them. Change: only deployments in the settings count.

--- a/internal/directory/service.go
+++ b/internal/directory/service.go
@@ -106,13 +106,16 @@
 }
 
 // Ready reports whether the state of the backend servers is known: the slots
-// of at least one replica of each deployment that has replicas. Requests that
-// arrive earlier would be refused for want of a usable replica.
+// of at least one replica of each deployment in the settings that has replicas.
+// Requests that arrive earlier would be refused for want of a usable replica.
 func (s *Service) Ready() bool {
 	known := make(map[core.DeploymentID]bool)
-	view := s.Current()
+	view, current := s.Current(), s.settings()
 	for i := range view.All() {
 		r := &view.All()[i]
+		if current.Service(r.Deployment) == nil {
+			continue
+		}
 		known[r.Deployment] = known[r.Deployment] || r.Slots > 0 || r.State != StateUp
 	}
 	for _, ok := range known {
