--- a/bench/standin/httpkit/fault.go
+++ b/bench/standin/httpkit/fault.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -11,7 +12,8 @@
 
 // Fault holds the commanded fault plan of type T. Its zero plan is healthy.
 type Fault[T any] struct {
-	plan atomic.Pointer[T]
+	setting sync.Mutex // keeps plan and what OnSet did in step
+	plan    atomic.Pointer[T]
 	// OnSet, if not nil, is called with each new plan.
 	OnSet func(T)
 }
@@ -27,6 +29,8 @@
 
 // Set replaces the plan.
 func (f *Fault[T]) Set(plan T) {
+	f.setting.Lock()
+	defer f.setting.Unlock()
 	f.plan.Store(&plan)
 	if f.OnSet != nil {
 		f.OnSet(plan)
