Give each node its own metrics registry

Cause: two nodes in one process would register the same metrics twice. Change: a registry per node. Measured: builds; tests with several nodes in one process follow.

--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	client "github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 )
@@ -15,7 +16,8 @@
 // newMetrics returns the root scope, the HTTP handler that serves it as text
 // and the closer of the scope.
 func newMetrics() (tally.Scope, http.Handler, io.Closer) {
-	reporter := prometheus.NewReporter(prometheus.Options{})
+	registry := client.NewRegistry() // one for each node, so that a process can hold several
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:          "gentiantide",
 		CachedReporter:  reporter,
