Test the choice of replicas and speed it up

Cause: choosing among 150 replicas took 2.1 to 2.5 us, above the bound of 2 us, and had no test. Change: one pass over the replicas instead of three or four; the two candidates are drawn at random until usable.

--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -35,7 +35,7 @@
 }
 
 // Choose picks a replica by the present table.
-func (r *Router) Choose(q Query) Choice { return r.table.Load().choose(q) }
+func (r *Router) Choose(q Query) Choice { return r.table.Load().choose(&q) }
 
 // Update makes a new table if the views changed. A caller that finds another
 // one at it goes on with the present table.
--- /dev/null
+++ b/internal/route/router_test.go
@@ -0,0 +1,325 @@
+package route
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"gentiantide.example/gentiantide/internal/core"
+	"gentiantide.example/gentiantide/internal/directory"
+	"gentiantide.example/gentiantide/internal/settings"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+func replica(i int, dc core.DataCentre) directory.Replica {
+	return directory.Replica{
+		ID: core.ReplicaID(fmt.Sprintf("r%d", i)), Deployment: "d", DataCentre: dc, Region: "luzon", Slots: 8,
+	}
+}
+
+func fleet(n int) []directory.Replica {
+	var list []directory.Replica
+	for i := range n {
+		list = append(list, replica(i, "luzon-a"))
+	}
+	return list
+}
+
+func router(list []directory.Replica) *Router {
+	r := NewRouter("luzon-a", "luzon")
+	r.Update(directory.NewView(list), settings.NewSnapshot(settings.SnapshotInput{}))
+	return r
+}
+
+// scan is the naive choice: it returns all replicas that a correct choice may
+// return. Its rules are written out one by one from the design.
+func scan(list []directory.Replica, r *Router, q Query) map[core.ReplicaID]bool {
+	t := r.table.Load()
+	var local, remote, ejected, ejectedRemote []*Replica
+	for _, info := range list {
+		rep := t.replicas[info.ID]
+		excluded := false
+		for _, id := range q.Exclude {
+			excluded = excluded || id == info.ID
+		}
+		switch {
+		case info.State != directory.StateUp || info.Region != "luzon" || info.Slots == 0 || excluded:
+		case rep.state.ejectedUntil.Load() != 0 && info.DataCentre == "luzon-a":
+			ejected = append(ejected, rep)
+		case rep.state.ejectedUntil.Load() != 0:
+			ejectedRemote = append(ejectedRemote, rep)
+		case info.DataCentre == "luzon-a":
+			local = append(local, rep)
+		default:
+			remote = append(remote, rep)
+		}
+	}
+	room := func(list []*Replica) bool {
+		for _, rep := range list {
+			if rep.HasRoom(q.Class) {
+				return true
+			}
+		}
+		return false
+	}
+	candidates := local
+	if len(local) == 0 || (!room(local) && room(remote)) {
+		candidates = remote
+	}
+	if len(local)+len(remote) == 0 {
+		candidates = ejected
+		if len(ejected) == 0 {
+			candidates = ejectedRemote
+		}
+	}
+	allowed := make(map[core.ReplicaID]bool)
+	for _, rep := range candidates {
+		allowed[rep.ID()] = true
+	}
+	// The most loaded one loses against any other, unless it is the affine one.
+	for _, rep := range candidates {
+		worst := len(candidates) > 1
+		for _, other := range candidates {
+			worst = worst && (other == rep || less(other, rep, q.Class))
+		}
+		if worst && q.PrefixHash == 0 {
+			allowed[rep.ID()] = false
+		}
+	}
+	return allowed
+}
+
+// Guards against work for replicas that are leaving, down, excluded, ejected or
+// in another region, against leaving the data centre without need, and against
+// a choice of the most loaded replica.
+func TestChoiceAgainstScan(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var list []directory.Replica
+		for i := range rapid.IntRange(0, 8).Draw(t, "replicas") {
+			info := replica(i, rapid.SampledFrom([]core.DataCentre{"luzon-a", "luzon-a", "luzon-b"}).Draw(t, "dc"))
+			info.State = directory.State(rapid.SampledFrom([]int{0, 0, 0, 1, 2}).Draw(t, "state"))
+			info.Slots = rapid.SampledFrom([]int{0, 1, 4, 8}).Draw(t, "slots")
+			if rapid.IntRange(0, 5).Draw(t, "elsewhere") == 0 {
+				info.Region = "bengal-east"
+			}
+			list = append(list, info)
+		}
+		r := router(list)
+		for _, info := range list {
+			rep := r.table.Load().replicas[info.ID]
+			rep.SetLoad(rapid.IntRange(0, 10).Draw(t, "online"), rapid.IntRange(0, 3).Draw(t, "batch"))
+			if rapid.IntRange(0, 4).Draw(t, "ejected") == 0 {
+				rep.state.ejectedUntil.Store(epoch.Add(time.Hour).UnixNano())
+			}
+		}
+		q := Query{
+			Deployment: "d", Now: epoch, Random: rapid.Uint64().Draw(t, "random"),
+			Class:      core.Class(rapid.IntRange(0, 1).Draw(t, "class")),
+			PrefixHash: uint64(rapid.IntRange(0, 3).Draw(t, "prefix")),
+			Exclude:    []core.ReplicaID{"r1", "r3"}[:rapid.IntRange(0, 2).Draw(t, "excluded")],
+		}
+		allowed := scan(list, r, q)
+		got := r.Choose(q)
+		if got.Replica == nil && len(allowed) > 0 {
+			t.Fatalf("no replica, allowed are %v", allowed)
+		}
+		if got.Replica != nil && !allowed[got.Replica.ID()] {
+			t.Fatalf("chose %s, allowed are %v", got.Replica.ID(), allowed)
+		}
+	})
+}
+
+// Guards against prefix affinity that overloads one replica, that moves when
+// other replicas leave, or that fills caches in other data centres.
+func TestPrefixAffinity(t *testing.T) {
+	g := NewWithT(t)
+	list := fleet(10)
+	r := router(list)
+	q := Query{Deployment: "d", PrefixHash: 7, Now: epoch}
+	first := r.Choose(q).Replica
+	for i := range list {
+		if list[i].ID != first.ID() && i%2 == 0 {
+			list[i].State = directory.StateLeaving
+		}
+	}
+	r.Update(directory.NewView(list), settings.NewSnapshot(settings.SnapshotInput{}))
+	for i := range 20 {
+		q.Random = uint64(i) * 0x9E3779B97F4A7C15
+		g.Expect(r.Choose(q).Replica.ID()).To(Equal(first.ID()))
+	}
+	first.SetLoad(3, 0)
+	g.Expect(r.Choose(q).Replica.ID()).NotTo(Equal(first.ID()))
+
+	r = router([]directory.Replica{replica(1, "luzon-b"), replica(2, "luzon-b")})
+	chosen := make(map[core.ReplicaID]bool)
+	for i := range 20 {
+		q.Random = uint64(i) * 0x9E3779B97F4A7C15
+		c := r.Choose(q).Replica
+		chosen[c.ID()] = true
+	}
+	g.Expect(chosen).To(HaveLen(2))
+}
+
+// observe reports n requests of each replica; slow ones take five times longer.
+func observe(r *Router, n, replicas int, slow func(int) bool) {
+	for range n {
+		for i := range replicas {
+			o := Observation{FirstToken: 100 * time.Millisecond, Total: time.Second, Tokens: 10}
+			if slow(i) {
+				o.FirstToken, o.Total = 5*o.FirstToken, 5*o.Total
+			}
+			o.EjectRatio, o.EjectDuration, o.Now = 3, 10*time.Second, epoch
+			r.Observe(replica(i, "").ID, o)
+		}
+	}
+}
+
+func ejected(r *Router) (ids []core.ReplicaID) {
+	for id, rep := range r.table.Load().replicas {
+		if rep.state.ejectedUntil.Load() != 0 {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// Guards against slow replicas that keep their share of the work, and against
+// ejecting so many that the rest is overloaded.
+func TestEjectionBySpeed(t *testing.T) {
+	g := NewWithT(t)
+	r := router(fleet(12))
+	observe(r, minObservations+1, 12, func(i int) bool { return i < 2 })
+	g.Expect(ejected(r)).To(ConsistOf(core.ReplicaID("r0"), core.ReplicaID("r1")))
+
+	r = router(fleet(12))
+	observe(r, minObservations+1, 12, func(int) bool { return false })
+	g.Expect(ejected(r)).To(BeEmpty())
+	for range 3 {
+		for i := range 8 {
+			r.Observe(replica(i, "").ID, Observation{Failed: true, EjectDuration: time.Second, Now: epoch})
+		}
+	}
+	g.Expect(ejected(r)).To(HaveLen(4))
+}
+
+// Guards against one long call, or a request cancelled early, that ejects a
+// healthy replica, and against a slow one that losing hedges hide.
+func TestObservationsThatMislead(t *testing.T) {
+	g := NewWithT(t)
+	r := router(fleet(6))
+	observe(r, minObservations+1, 6, func(int) bool { return false })
+	o := Observation{Total: 20 * time.Second, FirstToken: 2 * time.Second, Tokens: 10, EjectRatio: 3, Now: epoch}
+	r.Observe("r0", o)
+	r.Observe("r1", Observation{Cancelled: true, Total: time.Millisecond, EjectRatio: 3, Now: epoch})
+	g.Expect(ejected(r)).To(BeEmpty())
+	for range 10 {
+		r.Observe("r2", Observation{Cancelled: true, Total: 500 * time.Millisecond, EjectRatio: 3, EjectDuration: time.Second, Now: epoch})
+	}
+	g.Expect(ejected(r)).To(ConsistOf(core.ReplicaID("r2")))
+}
+
+// Guards against an ejected replica that gets more than one test request at a
+// time, returns too early or never, or is not given more time after a bad one.
+func TestGradualReturn(t *testing.T) {
+	g := NewWithT(t)
+	r := router(fleet(3))
+	observe(r, minObservations+1, 3, func(i int) bool { return i == 0 })
+	g.Expect(ejected(r)).To(ConsistOf(core.ReplicaID("r0")))
+	q := Query{Deployment: "d", Class: core.ClassBatch, Now: epoch.Add(10*time.Second - 1)}
+	g.Expect(r.Choose(q).Probe).To(BeFalse())
+
+	q.Now = epoch.Add(10 * time.Second)
+	slow := Observation{FirstToken: 500 * time.Millisecond, Total: time.Second, Tokens: 10, Probe: true, EjectRatio: 3, EjectDuration: 10 * time.Second, Now: q.Now}
+	g.Expect(r.Choose(q).Probe).To(BeTrue())
+	g.Expect(r.Choose(q).Probe).To(BeFalse(), "one test request at a time")
+	r.Observe("r0", slow)
+	q.Now = q.Now.Add(20*time.Second - 1)
+	g.Expect(r.Choose(q).Probe).To(BeFalse(), "twice the time after a bad test request")
+
+	q.Now = q.Now.Add(1)
+	good := slow
+	good.FirstToken, good.Now = 100*time.Millisecond, q.Now
+	for range probesToReturn {
+		g.Expect(ejected(r)).To(HaveLen(1))
+		c := r.Choose(q)
+		g.Expect(c.Probe).To(BeTrue())
+		r.Observe(c.Replica.ID(), good)
+	}
+	g.Expect(ejected(r)).To(BeEmpty())
+}
+
+// Guards against each node's having to meet a slow replica several times
+// before it ejects it, and against old reports that eject it after its return.
+func TestOwnersReport(t *testing.T) {
+	g := NewWithT(t)
+	r := router(fleet(6))
+	report := func(id core.ReplicaID, first time.Duration, n int) {
+		r.Learn(id, Report{FirstToken: first, Observations: n, EjectRatio: 3, EjectDuration: time.Second, Now: epoch})
+	}
+	for i := range 5 {
+		report(replica(i, "").ID, 100*time.Millisecond, 20)
+	}
+	report("r5", 500*time.Millisecond, 20)
+	g.Expect(ejected(r)).To(ConsistOf(core.ReplicaID("r5")))
+	later := epoch.Add(time.Minute)
+	for range probesToReturn {
+		r.Observe("r5", Observation{FirstToken: 100 * time.Millisecond, Total: time.Second, Tokens: 10, Probe: true, EjectRatio: 3, Now: later})
+	}
+	report("r5", 500*time.Millisecond, 20)
+	g.Expect(ejected(r)).To(BeEmpty())
+}
+
+// Guards against estimates that a view with the same load resets.
+func TestEstimateOutlivesViews(t *testing.T) {
+	g := NewWithT(t)
+	list := fleet(1)
+	list[0].InUse, list[0].Batch, list[0].Queued = 5, 2, 1
+	r := router(list)
+	rep := r.Choose(Query{Deployment: "d", Now: epoch}).Replica
+	rep.Sent(core.ClassOnline)
+	r.Update(directory.NewView(list), settings.NewSnapshot(settings.SnapshotInput{}))
+	online, batch := r.Choose(Query{Deployment: "d", Now: epoch}).Replica.Estimate()
+	g.Expect([]int{online, batch}).To(Equal([]int{5, 2}))
+	list[0].InUse = 3
+	r.Update(directory.NewView(list), settings.NewSnapshot(settings.SnapshotInput{}))
+	online, _ = rep.Estimate()
+	g.Expect(online).To(Equal(2))
+}
+
+// Guards against allocations on the request path.
+func TestChooseAllocatesNothing(t *testing.T) {
+	g := NewWithT(t)
+	r := router(fleet(150))
+	q := Query{Deployment: "d", PrefixHash: 42, Exclude: []core.ReplicaID{"r3"}, Now: epoch}
+	g.Expect(testing.AllocsPerRun(100, func() {
+		q.Random += 0x9E3779B97F4A7C15
+		r.Choose(q)
+	})).To(BeZero())
+}
+
+func BenchmarkChoose150(b *testing.B) {
+	r := router(fleet(150))
+	random := rand.New(rand.NewPCG(1, 2))
+	for _, rep := range r.table.Load().replicas {
+		rep.SetLoad(random.IntN(8), random.IntN(3))
+	}
+	for _, c := range []struct {
+		name   string
+		prefix uint64
+	}{{"prefix", 42}, {"random", 0}} {
+		b.Run(c.name, func(b *testing.B) {
+			b.ReportAllocs()
+			q := Query{Deployment: "d", PrefixHash: c.prefix, Exclude: []core.ReplicaID{"r3"}, Now: epoch}
+			for i := range b.N {
+				q.Random = uint64(i) * 0x9E3779B97F4A7C15
+				q.PrefixHash *= 3
+				r.Choose(q)
+			}
+		})
+	}
+}
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -34,15 +34,17 @@
 
 // choose picks a replica. Replicas of other data centres take part only if no
 // local one is usable or all local ones are full and a remote one is not.
-func (t *table) choose(q Query) Choice {
+func (t *table) choose(q *Query) Choice {
 	g := t.groups[q.Deployment]
 	if g == nil {
 		return Choice{}
 	}
-	if c := probe(g.local, q); c.Replica != nil {
-		return c
-	}
 	local := survey(g.local, q, false)
+	if local.hidden {
+		if c := probe(g.local, q); c.Replica != nil {
+			return c
+		}
+	}
 	if local.usable > 0 && local.room > 0 {
 		return Choice{Replica: pick(g.local, q, local)}
 	}
@@ -59,7 +61,7 @@
 
 // lastResort chooses among ejected replicas when there are no others: a slow
 // replica is better than none.
-func lastResort(g *group, q Query) Choice {
+func lastResort(g *group, q *Query) Choice {
 	for _, replicas := range [2][]*Replica{g.local, g.remote} {
 		if s := survey(replicas, q, true); s.usable > 0 {
 			return Choice{Replica: pick(replicas, q, s)}
@@ -76,19 +78,25 @@
 	slots   int64
 	affine  *Replica
 	ejected bool // ejected replicas are usable
+	hidden  bool // an ejected replica was passed over
 }
 
-func survey(replicas []*Replica, q Query, ejected bool) totals {
+func survey(replicas []*Replica, q *Query, ejected bool) totals {
 	s := totals{ejected: ejected}
 	var best uint64
 	for _, r := range replicas {
-		if !usable(r, q, ejected) {
+		if !ejected && r.state.ejectedUntil.Load() != 0 {
+			s.hidden = true
+			continue
+		}
+		if excluded(r, q) {
 			continue
 		}
+		load := r.load(q.Class)
 		s.usable++
 		s.slots += int64(r.Slots)
-		s.load += r.load(q.Class)
-		if r.HasRoom(q.Class) {
+		s.load += load
+		if load < int64(r.Slots) {
 			s.room++
 		}
 		if q.PrefixHash == 0 {
@@ -103,21 +111,43 @@
 
 // pick returns the affine replica while its load is bounded, otherwise the
 // better of two random candidates.
-func pick(replicas []*Replica, q Query, s totals) *Replica {
+func pick(replicas []*Replica, q *Query, s totals) *Replica {
 	if s.affine != nil && s.affine.HasRoom(q.Class) && withinBound(s.affine, q.Class, s) {
 		return s.affine
 	}
-	first := int(uint32(q.Random)) % s.usable
+	random := q.Random
+	a := draw(replicas, q, s, &random)
 	if s.usable == 1 {
-		return nth(replicas, q, s.ejected, first)
-	}
-	second := (first + 1 + int(q.Random>>32)%(s.usable-1)) % s.usable
-	a, b := nth(replicas, q, s.ejected, first), nth(replicas, q, s.ejected, second)
-	// The estimates may have changed since the survey, but not the order.
-	if b == nil || (a != nil && !less(b, a, q.Class)) {
 		return a
 	}
-	return b
+	b := draw(replicas, q, s, &random)
+	for tries := 0; b == a && tries < maxDraws; tries++ {
+		b = draw(replicas, q, s, &random)
+	}
+	if b == a {
+		b = another(replicas, q, s.ejected, a)
+	}
+	if less(b, a, q.Class) {
+		return b
+	}
+	return a
+}
+
+// maxDraws bounds the tries to hit a usable replica at random.
+const maxDraws = 8
+
+// draw returns a random usable replica: each with the same probability, unless
+// most of the replicas are not usable.
+func draw(replicas []*Replica, q *Query, s totals, random *uint64) *Replica {
+	for range maxDraws {
+		*random += 0x9E3779B97F4A7C15
+		r := replicas[int(uint32(mix(*random)))%len(replicas)]
+		if usable(r, q, s.ejected) {
+			return r
+		}
+	}
+	*random += 0x9E3779B97F4A7C15
+	return nth(replicas, q, s.ejected, int(uint32(mix(*random)))%s.usable)
 }
 
 // withinBound compares the replica's load with the mean load for its slots,
@@ -146,7 +176,10 @@
 	return load
 }
 
-func nth(replicas []*Replica, q Query, ejected bool, n int) *Replica {
+// nth returns the usable replica of that rank. Ejections may have changed since
+// the survey; then it returns the last usable one, or else an
+// ejected one.
+func nth(replicas []*Replica, q *Query, ejected bool, n int) *Replica {
 	var last *Replica
 	for _, r := range replicas {
 		if !usable(r, q, ejected) {
@@ -157,20 +190,34 @@
 		}
 		n--
 	}
+	if last == nil {
+		return another(replicas, q, true, nil)
+	}
 	return last
 }
 
-func usable(r *Replica, q Query, ejected bool) bool {
-	if !ejected && r.state.ejectedUntil.Load() != 0 {
-		return false
+// another returns the first usable replica other than r, or r.
+func another(replicas []*Replica, q *Query, ejected bool, r *Replica) *Replica {
+	for _, other := range replicas {
+		if other != r && usable(other, q, ejected) {
+			return other
+		}
 	}
-	return len(q.Exclude) == 0 || !slices.Contains(q.Exclude, r.Info.ID)
+	return r
+}
+
+func usable(r *Replica, q *Query, ejected bool) bool {
+	return (ejected || r.state.ejectedUntil.Load() == 0) && !excluded(r, q)
+}
+
+func excluded(r *Replica, q *Query) bool {
+	return len(q.Exclude) != 0 && slices.Contains(q.Exclude, r.Info.ID)
 }
 
 // probe returns an ejected replica whose time is over, if no other test
 // request is on its way to it. Batch work probes first; online work does so
 // only when no batch work has come for as long again.
-func probe(replicas []*Replica, q Query) Choice {
+func probe(replicas []*Replica, q *Query) Choice {
 	now := q.Now.UnixNano()
 	for _, r := range replicas {
 		until := r.state.ejectedUntil.Load()
