Find slow replicas sooner and place requests on free slots

At 0.8 of capacity requests waited while slots were free. Change: the owner admits test requests, one at a time and one per interval after a bad one; holders may report the first token when it comes (FirstTokenReporter); losers of hedging count at the owner. Replicas with room go before others, and up to four are asked for a free slot before a request waits.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -23,11 +23,15 @@
 	minRetryAfter = time.Second
 	// maxRetryAfter bounds the advice, because load changes within seconds.
 	maxRetryAfter = 30 * time.Second
-	// maxAttempts bounds the replicas that one Acquire asks: two that should
-	// have a free slot, then two where it may wait.
-	maxAttempts = 4
-	// maxQueueAttempts bounds the replicas at which one Acquire may wait.
-	maxQueueAttempts = 2
+	// freeAttempts bounds the replicas that one Acquire asks for a free slot
+	// without waiting. An estimate is up to a second old, and at four fifths of
+	// capacity a replica that should have room is full in about one of three
+	// cases, so four attempts leave about one request in a hundred to wait.
+	freeAttempts = 4
+	// batchAttempts is the same for work that does not wait at all.
+	batchAttempts = 2
+	// queueAttempts bounds the replicas at which one Acquire may wait.
+	queueAttempts = 2
 )
 
 // Dispatcher gives work slots on replicas. Its methods are safe for concurrent
@@ -64,32 +68,32 @@
 func (d *Dispatcher) Acquire(ctx context.Context, ask Ask) (Slot, *core.Refusal) {
 	excluded := append([]core.ReplicaID(nil), ask.Exclude...)
 	refusal := core.Refuse(core.CodeNoBackend, "no backend server of the deployment is usable")
-	for attempt, queued := 0, 0; attempt < maxAttempts && queued < maxQueueAttempts; attempt++ {
+	for free, queued := 0, 0; queued < queueAttempts; {
 		choice := d.choose(ask, excluded)
-		if choice.Replica == nil && attempt > 0 && queued == 0 && !ask.NoWait {
+		if choice.Replica == nil && free > 0 && queued == 0 && !ask.NoWait {
 			// The replicas that seemed to have room are full; wait at one.
-			excluded = excluded[:len(ask.Exclude)]
+			excluded, free = excluded[:len(ask.Exclude)], freeAttempts
 			choice = d.choose(ask, excluded)
 		}
 		if choice.Replica == nil {
 			break
 		}
 		step := ask
-		if attempt < maxAttempts-maxQueueAttempts && choice.Replica.HasRoom(ask.Class) {
-			step.NoWait = true
-		}
+		step.NoWait = ask.NoWait || (free < freeAttempts && !choice.Replica.HasQueue())
 		slot, refused := d.try(ctx, step, choice)
 		if slot != nil {
 			d.counters.acquired[ask.Class].Add(1)
 			return slot, nil
 		}
 		refusal = refused
-		if refused.Code != core.CodeOverloaded || (ask.NoWait && attempt == 1) {
-			break
-		}
-		if !step.NoWait {
+		if step.NoWait {
+			free++
+		} else {
 			queued++
 		}
+		if refused.Code != core.CodeOverloaded || (ask.NoWait && free == batchAttempts) {
+			break
+		}
 		excluded = append(excluded, choice.Replica.ID())
 	}
 	d.counters.refused[ask.Class].Add(1)
@@ -137,7 +141,8 @@
 		}
 		choice.Replica.Done(ask.Class)
 		if choice.Probe {
-			choice.Replica.EndProbe()
+			_, duration := d.ejection(ask.Deployment)
+			choice.Replica.PostponeProbe(d.options.Now(), duration)
 		}
 		return nil, refusal
 	}
@@ -197,7 +202,7 @@
 func (d *Dispatcher) message(r *reservation) owner.ReserveMessage {
 	m := owner.ReserveMessage{
 		Replica: r.choice.Replica.ID(), ID: r.id, Class: r.ask.Class, Org: r.ask.Org,
-		Tokens: r.ask.ExpectedTokens, NoWait: r.ask.NoWait,
+		Tokens: r.ask.ExpectedTokens, NoWait: r.ask.NoWait, Probe: r.choice.Probe,
 	}
 	if !r.ask.Deadline.IsZero() {
 		m.Remaining = r.ask.Deadline.Sub(d.options.Now())
--- a/internal/dispatch/slot.go
+++ b/internal/dispatch/slot.go
@@ -35,3 +35,12 @@
 	Total  time.Duration
 	Tokens int
 }
+
+// FirstTokenReporter is implemented by the slots of a Dispatcher. A holder that
+// reports the first token when it comes, and not only by Release, lets all
+// nodes find a slow backend server sooner. Further calls are ignored; Release
+// still reports FirstToken.
+type FirstTokenReporter interface {
+	// ReportFirstToken takes the time from sending to the first token.
+	ReportFirstToken(after time.Duration)
+}
--- a/internal/owner/handlers.go
+++ b/internal/owner/handlers.go
@@ -13,9 +13,19 @@
 func (s *Service) handle() {
 	s.options.Messenger.Handle(KindReserve, s.onReserve)
 	s.options.Messenger.Handle(KindRelease, s.onRelease)
+	s.options.Messenger.Handle(KindObserve, s.onObserve)
 	s.options.Messenger.Handle(KindRegister, s.onRegister)
 }
 
+func (s *Service) onObserve(_ context.Context, _ core.NodeID, body []byte) ([]byte, error) {
+	var m ObserveMessage
+	if err := msgpack.Unmarshal(body, &m); err != nil {
+		return nil, errors.Wrap(err, "decode observation")
+	}
+	s.Observe(m)
+	return nil, nil
+}
+
 func (s *Service) onReserve(_ context.Context, from core.NodeID, body []byte) ([]byte, error) {
 	var m ReserveMessage
 	if err := msgpack.Unmarshal(body, &m); err != nil {
@@ -46,6 +56,7 @@
 func (s *Service) request(holder core.NodeID, m ReserveMessage, now time.Time) Request {
 	r := Request{
 		ID: m.ID, Holder: holder, Class: m.Class, Org: m.Org, Tokens: m.Tokens, NoWait: m.NoWait,
+		Probe:  m.Probe,
 		Weight: s.options.Settings().Organisation(m.Org).Weight,
 	}
 	if m.Remaining != 0 {
--- a/internal/owner/ledger.go
+++ b/internal/owner/ledger.go
@@ -51,6 +51,7 @@
 	pruned     time.Time
 	counters   Counters
 	assumed    assumed
+	probes     probes
 	events     []Event
 }
 
@@ -100,10 +101,16 @@
 	if released || l.limits.Closed || l.limits.Slots <= 0 || expired(r.Deadline, now) {
 		return Decision{}
 	}
+	if r.Probe && !l.probes.allow(now, l.limits.ProbeInterval) {
+		return Decision{}
+	}
 	entry := l.entry(r, now)
 	// No waiter is passed over: settle has granted what could be granted.
 	if l.mayGrant(entry) {
 		l.grant(entry, now)
+		if r.Probe {
+			l.probes.begin(r.ID, now)
+		}
 		return Decision{Verdict: VerdictGranted}
 	}
 	wait := l.expectedWait(entry)
@@ -114,15 +121,15 @@
 	return Decision{Verdict: VerdictQueued, Wait: wait}
 }
 
-// Release ends a reservation, held or waiting. completed says that the work ran
-// to its end; only such work counts in the average service time.
-func (l *Ledger) Release(id core.ReservationID, completed bool, now time.Time) []Event {
+// Release ends a reservation, held or waiting.
+func (l *Ledger) Release(id core.ReservationID, o Outcome, now time.Time) []Event {
 	l.tombstones[id] = now
+	l.probes.end(id, o.ProbeGood, now)
 	entry := l.byID[id]
 	if entry == nil {
 		return nil
 	}
-	if completed && entry.status == statusHeld {
+	if o.Completed && entry.status == statusHeld {
 		l.service[entry.Class].add(now.Sub(entry.since).Seconds())
 	}
 	l.counters.Released++
--- a/internal/owner/ledger_model_test.go
+++ b/internal/owner/ledger_model_test.go
@@ -215,7 +215,7 @@
 func (m *model) release(t *rapid.T) {
 	e := m.pick(t, func(e *entry) bool { return !e.lost })
 	delete(m.entries, e.ID)
-	m.follow(t, m.ledger.Release(e.ID, rapid.Bool().Draw(t, "completed"), m.now))
+	m.follow(t, m.ledger.Release(e.ID, Outcome{Completed: rapid.Bool().Draw(t, "completed")}, m.now))
 	if decision, _ := m.ledger.Reserve(e.Request, m.now); decision.Verdict != VerdictRefused {
 		t.Fatalf("%s is reserved again by a message that its release overtook", e.ID)
 	}
--- a/internal/owner/ledger_policy_test.go
+++ b/internal/owner/ledger_policy_test.go
@@ -26,7 +26,7 @@
 	for range 20 {
 		d := b.ask(Request{Org: "warm"})
 		b.now = b.now.Add(time.Second)
-		b.Release(d, true, b.now)
+		b.Release(d, Outcome{Completed: true}, b.now)
 	}
 }
 
@@ -40,7 +40,7 @@
 
 // finish releases a held reservation and returns the waiter that got the slot.
 func (b *bench) finish(id core.ReservationID) core.ReservationID {
-	for _, e := range b.Release(id, true, b.now) {
+	for _, e := range b.Release(id, Outcome{Completed: true}, b.now) {
 		if e.Kind == EventGranted {
 			return e.ID
 		}
@@ -102,7 +102,7 @@
 	g := NewWithT(t)
 	b := newBench(Limits{Slots: 4, QueueLimit: 10})
 	for range 100 {
-		b.Release(b.ask(Request{Tokens: 10}), true, b.now)
+		b.Release(b.ask(Request{Tokens: 10}), Outcome{Completed: true}, b.now)
 	}
 	for range 4 {
 		b.ask(Request{Tokens: 200})
@@ -162,17 +162,39 @@
 	g.Expect(b.Load()).To(And(HaveField("InUse", 2), HaveField("Queued", 0)))
 }
 
+// Guards against test requests of all nodes to one slow replica.
+func TestProbesOfAllNodes(t *testing.T) {
+	g := NewWithT(t)
+	b := newBench(Limits{Slots: 4, ProbeInterval: 10 * time.Second})
+	granted := func(id core.ReservationID) bool {
+		d, _ := b.Reserve(Request{ID: id, Holder: "a", NoWait: true, Probe: true}, b.now)
+		return d.Verdict == VerdictGranted
+	}
+	g.Expect(granted("1")).To(BeTrue())
+	g.Expect(granted("2")).To(BeFalse(), "one at a time")
+	b.Release("1", Outcome{Completed: true}, b.now)
+	b.now = b.now.Add(9 * time.Second)
+	g.Expect(granted("3")).To(BeFalse(), "too early after a bad one")
+	b.now = b.now.Add(time.Second)
+	g.Expect(granted("4")).To(BeTrue())
+	b.Release("4", Outcome{Completed: true, ProbeGood: true}, b.now)
+	g.Expect(granted("5")).To(BeTrue(), "at once after a good one")
+	b.now = b.now.Add(probeTimeout)
+	g.Expect(granted("6")).To(BeTrue(), "the end of the last one was not reported")
+}
+
 // Guards against a median that single long requests move, or that does not
 // follow a replica that has become slow.
 func TestSpeedIsAMedian(t *testing.T) {
 	g := NewWithT(t)
 	b := newBench(Limits{Slots: 1})
 	for i := range 9 {
-		b.Observe(time.Second*time.Duration(1+19*(i%5/4)), 0)
+		b.Observe(Speed{FirstToken: time.Second * time.Duration(1+19*(i%5/4))})
 	}
+	b.Observe(Speed{Waited: time.Millisecond})
 	g.Expect(b.Load().FirstToken).To(Equal(time.Second))
 	for range 5 {
-		b.Observe(5*time.Second, 0)
+		b.Observe(Speed{FirstToken: 5 * time.Second})
 	}
 	g.Expect(b.Load().FirstToken).To(Equal(5 * time.Second))
 }
--- a/internal/owner/limits.go
+++ b/internal/owner/limits.go
@@ -1,5 +1,7 @@
 package owner
 
+import "time"
+
 // Limits bounds the use of one replica.
 type Limits struct {
 	// Slots is the number of reservations granted at once.
@@ -8,6 +10,8 @@
 	QueueLimit int
 	// BatchHeadroom is the number of slots that batch leaves free.
 	BatchHeadroom int
+	// ProbeInterval is the time between test requests to a slow replica.
+	ProbeInterval time.Duration
 	// Closed refuses all requests: the replica is leaving or down.
 	Closed bool
 }
--- a/internal/owner/message.go
+++ b/internal/owner/message.go
@@ -13,6 +13,8 @@
 	KindReserve = "owner.reserve"
 	// KindRelease is a one-way message of a holder.
 	KindRelease = "owner.release"
+	// KindObserve is a one-way message of a holder.
+	KindObserve = "owner.observe"
 	// KindRegister is a one-way message of a holder with all its reservations
 	// on the replicas of one owner.
 	KindRegister = "owner.register"
@@ -33,6 +35,8 @@
 	// Due is in Unix milliseconds; 0 means none.
 	Due    int64 `msgpack:"u,omitempty"`
 	NoWait bool  `msgpack:"n,omitempty"`
+	// Probe marks a test request to a replica that the holder has ejected.
+	Probe bool `msgpack:"p,omitempty"`
 }
 
 // ReserveAnswer is the immediate answer to ReserveMessage.
@@ -48,9 +52,25 @@
 	ID      core.ReservationID `msgpack:"i"`
 	// Completed is set if the work ran to its end.
 	Completed bool `msgpack:"c,omitempty"`
-	// FirstToken and PerToken are what the holder observed; 0 means nothing.
+	// ProbeGood is set if the work was a test request and as fast as expected.
+	ProbeGood bool  `msgpack:"g,omitempty"`
+	Speed     Speed `msgpack:"s"`
+}
+
+// Speed is what a holder observed of a replica; 0 means nothing.
+type Speed struct {
 	FirstToken time.Duration `msgpack:"f,omitempty"`
 	PerToken   time.Duration `msgpack:"t,omitempty"`
+	// Waited is how long a holder waited for a first token that did not come
+	// before it cancelled the work.
+	Waited time.Duration `msgpack:"w,omitempty"`
+}
+
+// ObserveMessage reports a first token while the work goes on. Long work would
+// otherwise hide for its whole length that the replica is slow.
+type ObserveMessage struct {
+	Replica core.ReplicaID `msgpack:"r"`
+	Speed   Speed          `msgpack:"s"`
 }
 
 // RegisterItem is one reservation of a holder.
--- a/internal/owner/request.go
+++ b/internal/owner/request.go
@@ -22,4 +22,6 @@
 	Due time.Time
 	// NoWait refuses the request if no slot can be granted at once.
 	NoWait bool
+	// Probe marks a test request to a replica that the holder has ejected.
+	Probe bool
 }
--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -76,8 +76,16 @@
 func (s *Service) Release(m ReleaseMessage) {
 	now := s.options.Now()
 	s.apply(m.Replica, func(l *Ledger) []Event {
-		l.Observe(m.FirstToken, m.PerToken)
-		return l.Release(m.ID, m.Completed, now)
+		l.Observe(m.Speed)
+		return l.Release(m.ID, Outcome{Completed: m.Completed, ProbeGood: m.ProbeGood}, now)
+	})
+}
+
+// Observe records what a holder reports while its work goes on.
+func (s *Service) Observe(m ObserveMessage) {
+	s.apply(m.Replica, func(l *Ledger) []Event {
+		l.Observe(m.Speed)
+		return nil
 	})
 }
 
@@ -209,6 +217,7 @@
 	if service := snapshot.Service(r.Deployment); service != nil {
 		limits.QueueLimit = service.QueueLimit
 		limits.BatchHeadroom = service.BatchHeadroom
+		limits.ProbeInterval = service.EjectDuration
 		if service.Slots > 0 {
 			limits.Slots = service.Slots
 		}
--- a/internal/owner/speed.go
+++ b/internal/owner/speed.go
@@ -37,13 +37,17 @@
 	return known[len(known)/2]
 }
 
-// Observe adds a holder's observation; 0 means not observed.
-func (l *Ledger) Observe(firstToken, perToken time.Duration) {
-	if firstToken > 0 {
-		l.speed.firstToken.add(firstToken)
+// Observe adds a holder's observation. A wait without a first token shows only
+// that the time is longer, so it counts if it is above the median.
+func (l *Ledger) Observe(o Speed) {
+	first := &l.speed.firstToken
+	if o.FirstToken > 0 {
+		first.add(o.FirstToken)
+	} else if o.Waited > 0 && o.Waited > first.median() {
+		first.add(o.Waited)
 	}
-	if perToken > 0 {
-		l.speed.perToken.add(perToken)
+	if o.PerToken > 0 {
+		l.speed.perToken.add(o.PerToken)
 	}
 }
 
--- a/internal/route/eject.go
+++ b/internal/route/eject.go
@@ -2,39 +2,41 @@
 
 import "time"
 
-// observe judges a replica against the others of its deployment.
-func (r *Router) observe(replica *Replica, group []*Replica, o Observation) {
+// observe judges a replica against the others of its deployment. It returns
+// true for the end of a good test request.
+func (r *Router) observe(replica *Replica, group []*Replica, o Observation) bool {
 	h := &replica.state.health
 	first, per := median(group, firstTokenOf), median(group, perTokenOf)
 	limit := outlierFactor * o.EjectRatio
 	if value := o.firstTokenFor(h); value > 0 {
 		h.firstToken.add(value, limit*first)
 	}
-	if value := o.PerToken(); value > 0 {
+	if value := o.PerToken(); value > 0 && !o.Partial {
 		h.perToken.add(float64(value), limit*per)
 	}
 	switch {
 	case o.Failed:
 		h.failures++
-	case !o.Cancelled:
+	case !o.Cancelled && !o.Partial:
 		h.failures = 0
 	}
 	if replica.state.ejectedUntil.Load() != 0 {
-		if o.Probe {
-			replica.judgeProbe(first, per, o)
-		}
-		return
+		return o.Probe && !o.Partial && replica.judgeProbe(first, per, o)
 	}
 	slow := o.EjectRatio > 0 && (h.firstToken.slow(first, o.EjectRatio) || h.perToken.slow(per, o.EjectRatio))
 	if (slow || h.failures >= maxFailures) && mayEject(group) {
 		replica.eject(o.Now, o.EjectDuration)
 	}
+	return false
 }
 
 // firstTokenFor returns the observed time to the first token. A request that
 // was cancelled before it shows only that the time is longer; this counts if
 // it is above the average, or the losers of hedging would hide a slow replica.
 func (o Observation) firstTokenFor(h *health) float64 {
+	if o.Reported {
+		return 0
+	}
 	if o.FirstToken > 0 {
 		return float64(o.FirstToken)
 	}
@@ -67,8 +69,8 @@
 }
 
 // judgeProbe ends a test request: a good one brings the replica nearer to its
-// return, a bad one ejects it for longer.
-func (r *Replica) judgeProbe(first, per float64, o Observation) {
+// return, a bad one ejects it for longer. It returns true for a good one.
+func (r *Replica) judgeProbe(first, per float64, o Observation) bool {
 	slow := func(v, median float64) bool {
 		return o.EjectRatio > 0 && median > 0 && v > o.EjectRatio*median && v-median > float64(minExcess)
 	}
@@ -79,15 +81,16 @@
 	}
 	if o.Failed || slow(float64(late), first) || slow(float64(o.PerToken()), per) {
 		r.eject(o.Now, o.EjectDuration)
-		return
+		return false
 	}
 	r.EndProbe()
 	if o.Cancelled && o.FirstToken == 0 {
-		return
+		return false
 	}
 	if h.probes++; h.probes >= probesToReturn {
 		*h = health{backoff: 1}
 		r.state.shared.base = r.state.shared.latest
 		r.state.ejectedUntil.Store(0)
 	}
+	return true
 }
--- a/internal/route/observation.go
+++ b/internal/route/observation.go
@@ -13,6 +13,10 @@
 	Tokens     int
 	// Probe is set for a test request to an ejected replica.
 	Probe bool
+	// Partial is set for a first token that is reported while the request goes
+	// on, Reported for the end of a request whose first token was.
+	Partial  bool
+	Reported bool
 	// EjectRatio and EjectDuration come from the deployment's settings; a
 	// ratio of 0 turns off ejection by speed.
 	EjectRatio    float64
--- a/internal/route/replica.go
+++ b/internal/route/replica.go
@@ -77,6 +77,10 @@
 	return load < int64(r.Slots)
 }
 
+// HasQueue reports whether by estimate online requests wait at the replica. A
+// replica that is just full may have a free slot by now; one with a queue not.
+func (r *Replica) HasQueue() bool { return r.state.online.Load() > int64(r.Slots) }
+
 // Estimate returns the estimated numbers of online and batch requests.
 func (r *Replica) Estimate() (online, batch int) {
 	return int(r.state.online.Load()), int(r.state.batch.Load())
@@ -85,6 +89,15 @@
 // EndProbe allows the next test request.
 func (r *Replica) EndProbe() { r.state.probeUntil.Store(0) }
 
+// PostponeProbe ends a test request that was not sent and allows the next one
+// after the duration.
+func (r *Replica) PostponeProbe(now time.Time, duration time.Duration) {
+	if until := r.state.ejectedUntil.Load(); until != 0 {
+		r.state.ejectedUntil.CompareAndSwap(until, now.Add(duration).UnixNano())
+	}
+	r.EndProbe()
+}
+
 func (r *Replica) counter(class core.Class) *atomic.Int64 {
 	if class == core.ClassOnline {
 		return &r.state.online
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -113,13 +113,14 @@
 }
 
 // Observe records the outcome of a request and ejects or returns the replica.
-func (r *Router) Observe(id core.ReplicaID, o Observation) {
+// It returns true for the end of a good test request.
+func (r *Router) Observe(id core.ReplicaID, o Observation) (probeGood bool) {
 	t := r.table.Load()
 	replica := t.replicas[id]
 	if replica == nil {
-		return
+		return false
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.observe(replica, t.group(replica.Info.Deployment), o)
+	return r.observe(replica, t.group(replica.Info.Deployment), o)
 }
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -78,6 +78,7 @@
 	slots   int64
 	affine  *Replica
 	ejected bool // ejected replicas are usable
+	roomy   bool // only replicas with room are usable
 	hidden  bool // an ejected replica was passed over
 }
 
@@ -110,11 +111,15 @@
 }
 
 // pick returns the affine replica while its load is bounded, otherwise the
-// better of two random candidates.
+// better of two random candidates. If some replicas have room, only these are
+// candidates: two random ones are often both full at high load.
 func pick(replicas []*Replica, q *Query, s totals) *Replica {
 	if s.affine != nil && s.affine.HasRoom(q.Class) && withinBound(s.affine, q.Class, s) {
 		return s.affine
 	}
+	if s.room > 0 {
+		s.usable, s.roomy = s.room, true
+	}
 	random := q.Random
 	a := draw(replicas, q, s, &random)
 	if s.usable == 1 {
@@ -125,7 +130,7 @@
 		b = draw(replicas, q, s, &random)
 	}
 	if b == a {
-		b = another(replicas, q, s.ejected, a)
+		b = another(replicas, q, s, a)
 	}
 	if less(b, a, q.Class) {
 		return b
@@ -142,12 +147,12 @@
 	for range maxDraws {
 		*random += 0x9E3779B97F4A7C15
 		r := replicas[int(uint32(mix(*random)))%len(replicas)]
-		if usable(r, q, s.ejected) {
+		if usable(r, q, s) {
 			return r
 		}
 	}
 	*random += 0x9E3779B97F4A7C15
-	return nth(replicas, q, s.ejected, int(uint32(mix(*random)))%s.usable)
+	return nth(replicas, q, s, int(uint32(mix(*random)))%s.usable)
 }
 
 // withinBound compares the replica's load with the mean load for its slots,
@@ -176,13 +181,13 @@
 	return load
 }
 
-// nth returns the usable replica of that rank. Ejections may have changed since
-// the survey; then it returns the last usable one, or else an
-// ejected one.
-func nth(replicas []*Replica, q *Query, ejected bool, n int) *Replica {
+// nth returns the usable replica of that rank. Loads and ejections may have
+// changed since the survey; then it returns the last usable one, or else any
+// that is not excluded.
+func nth(replicas []*Replica, q *Query, s totals, n int) *Replica {
 	var last *Replica
 	for _, r := range replicas {
-		if !usable(r, q, ejected) {
+		if !usable(r, q, s) {
 			continue
 		}
 		if last = r; n == 0 {
@@ -191,23 +196,23 @@
 		n--
 	}
 	if last == nil {
-		return another(replicas, q, true, nil)
+		return another(replicas, q, totals{ejected: true}, nil)
 	}
 	return last
 }
 
 // another returns the first usable replica other than r, or r.
-func another(replicas []*Replica, q *Query, ejected bool, r *Replica) *Replica {
+func another(replicas []*Replica, q *Query, s totals, r *Replica) *Replica {
 	for _, other := range replicas {
-		if other != r && usable(other, q, ejected) {
+		if other != r && usable(other, q, s) {
 			return other
 		}
 	}
 	return r
 }
 
-func usable(r *Replica, q *Query, ejected bool) bool {
-	return (ejected || r.state.ejectedUntil.Load() == 0) && !excluded(r, q)
+func usable(r *Replica, q *Query, s totals) bool {
+	return (s.ejected || r.state.ejectedUntil.Load() == 0) && (!s.roomy || r.HasRoom(q.Class)) && !excluded(r, q)
 }
 
 func excluded(r *Replica, q *Query) bool {
@@ -221,7 +226,7 @@
 	now := q.Now.UnixNano()
 	for _, r := range replicas {
 		until := r.state.ejectedUntil.Load()
-		if until == 0 || now < until || !r.HasRoom(q.Class) || !usable(r, q, true) {
+		if until == 0 || now < until || !r.HasRoom(q.Class) || excluded(r, q) {
 			continue
 		}
 		if q.Class == core.ClassOnline && now < until+int64(onlineProbeDelay) {
