Wait at two replicas while queues are short

Change: online work that must wait does so at two replicas if their queues are shorter than half the slots, and takes the first slot.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -80,7 +80,7 @@
 		}
 		step := ask
 		step.NoWait = ask.NoWait || (free < freeAttempts && !choice.Replica.HasQueue())
-		slot, refused := d.try(ctx, step, choice)
+		slot, refused := d.place(ctx, step, choice, excluded)
 		if slot != nil {
 			d.counters.acquired[ask.Class].Add(1)
 			return slot, nil
--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -80,3 +80,49 @@
 		got.slot.Release(Observation{})
 	})
 }
+
+// Guards against a request that waits at one replica while another becomes
+// free, and against the second place in a queue that is not given back.
+func TestWaitsAtTwoReplicas(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		x, y := ownedBy("a", "a", "b"), ownedBy("b", "a", "b")
+		n := start(t, service, []directory.Replica{x, y}, "a", "b")
+		held := map[core.ReplicaID]Slot{}
+		for range 2 {
+			got := <-acquire(t, n.nodes["a"], online(time.Second))
+			g.Expect(got.refusal).To(BeNil())
+			held[got.slot.Replica()] = got.slot
+		}
+		for _, free := range []core.ReplicaID{x.ID, y.ID} {
+			waiter := acquire(t, n.nodes["a"], online(time.Minute))
+			time.Sleep(100 * time.Millisecond)
+			held[free].Release(Observation{})
+			got := <-waiter
+			g.Expect(got.refusal).To(BeNil())
+			g.Expect(got.slot.Replica()).To(Equal(free))
+			held[free] = got.slot
+			time.Sleep(2 * latency) // the message that gives back the second place
+			g.Expect(n.nodes["a"].load(x.ID)).To(And(HaveField("InUse", 1), HaveField("Queued", 0)))
+			g.Expect(n.nodes["b"].load(y.ID)).To(And(HaveField("InUse", 1), HaveField("Queued", 0)))
+		}
+	})
+}
+
+// Guards against a slow replica that long work hides until it ends, and
+// against counting its first token twice.
+func TestFirstTokenIsReportedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		r := ownedBy("a", "a", "b")
+		n := start(t, service, []directory.Replica{r}, "a", "b")
+		got := <-acquire(t, n.nodes["b"], online(time.Second))
+		got.slot.(FirstTokenReporter).ReportFirstToken(time.Second)
+		time.Sleep(2 * latency)
+		want := And(HaveField("FirstToken", time.Second), HaveField("Observations", 1))
+		g.Expect(n.nodes["a"].load(r.ID)).To(want)
+		got.slot.Release(Observation{FirstToken: time.Second, Total: time.Minute, Tokens: 60})
+		time.Sleep(2 * latency)
+		g.Expect(n.nodes["a"].load(r.ID)).To(want)
+	})
+}
