--- a/internal/route/replica.go
+++ b/internal/route/replica.go
@@ -18,7 +18,9 @@
 	Info directory.Replica
 	// Slots is the number of slots by the settings, else by the directory.
 	Slots int
-	state *state
+	// BatchSlots is the number of slots up to which batch may fill the replica.
+	BatchSlots int
+	state      *state
 	// hash is the hash of the replica's id for rendezvous hashing.
 	hash uint64
 }
@@ -70,11 +72,10 @@
 // HasRoom reports whether by estimate a slot is free for the class. For online
 // work the slots of batch work count as free, because batch is preempted.
 func (r *Replica) HasRoom(class core.Class) bool {
-	load := r.state.online.Load()
-	if class != core.ClassOnline {
-		load += r.state.batch.Load()
+	if class == core.ClassOnline {
+		return r.load(class) < int64(r.Slots)
 	}
-	return load < int64(r.Slots)
+	return r.load(class) < int64(r.BatchSlots)
 }
 
 // HasQueue reports whether by estimate online requests wait at the replica. A
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -74,7 +74,8 @@
 		s = &state{}
 		r.states[info.ID] = s
 	}
-	replica := &Replica{Info: *info, Slots: slots(info, snapshot), state: s, hash: hashID(info.ID)}
+	replica := &Replica{Info: *info, state: s, hash: hashID(info.ID)}
+	replica.Slots, replica.BatchSlots = slots(info, snapshot)
 	replica.takePublished()
 	t.replicas[info.ID] = replica
 	usable := info.State == directory.StateUp && replica.Slots > 0 && !snapshot.Backend(info.ID).Drain
@@ -105,11 +106,18 @@
 	r.SetLoad(p.inUse-p.batch+p.queued, p.batch)
 }
 
-func slots(info *directory.Replica, snapshot *settings.Snapshot) int {
-	if service := snapshot.Service(info.Deployment); service != nil && service.Slots > 0 {
-		return service.Slots
+// slots returns the numbers of slots for all work and for batch.
+func slots(info *directory.Replica, snapshot *settings.Snapshot) (all, batch int) {
+	service := snapshot.Service(info.Deployment)
+	if service == nil {
+		return info.Slots, info.Slots
 	}
-	return info.Slots
+	all = info.Slots
+	if service.Slots > 0 {
+		all = service.Slots
+	}
+	// As in owner.Limits: batch may use one slot even if the headroom is all.
+	return all, max(min(1, all), all-max(0, service.BatchHeadroom))
 }
 
 // Observe records the outcome of a request and ejects or returns the replica.
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -97,7 +97,7 @@
 		s.usable++
 		s.slots += int64(r.Slots)
 		s.load += load
-		if load < int64(r.Slots) {
+		if r.HasRoom(q.Class) {
 			s.room++
 		}
 		if q.PrefixHash == 0 {
