Add the settings tree, its distribution, the node file and the operators' API

Cause: the other packages read effective settings, and operators need a way to change them that survives lost answers and racing edits. Change: the schema table, strict documents with positions, the pure tree, the store with conditional transactions and read-back, the manager that polls, follows peers and fetches whole trees, the node settings file and the operators' endpoints. Measured: go test -race ./internal/settings passes (rapid test of four nodes with outages, lost, late and stale answers, races and restarts).

--- /dev/null
+++ b/internal/config/strictjson/parse.go
@@ -0,0 +1,183 @@
+package strictjson
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"unicode/utf8"
+
+	"github.com/tailscale/hujson"
+)
+
+const (
+	// MaxDocument is the largest accepted document in bytes.
+	MaxDocument = 4 << 20
+	// maxDepth bounds nesting, so that a hostile document cannot exhaust the
+	// stack of the recursive parser.
+	maxDepth = 32
+)
+
+// Parse reads a document. On a syntax error the node is nil; a duplicate name
+// is a problem and its first value is kept.
+func Parse(file string, data []byte) (*Node, Problems) {
+	index := newLineIndex(data)
+	if problem, ok := precheck(data, index); !ok {
+		problem.File = file
+		return nil, Problems{problem}
+	}
+	value, err := hujson.Parse(data)
+	if err != nil {
+		return nil, Problems{syntaxProblem(file, err)}
+	}
+	c := converter{file: file, index: index}
+	node := c.convert("", &value)
+	return node, c.problems
+}
+
+func precheck(data []byte, index *lineIndex) (Problem, bool) {
+	if len(data) > MaxDocument {
+		return Problem{Position: Position{1, 1}, Message: "document is too large",
+			Expected: fmt.Sprintf("at most %d bytes", MaxDocument)}, false
+	}
+	if !utf8.Valid(data) {
+		offset := 0
+		for offset < len(data) {
+			r, size := utf8.DecodeRune(data[offset:])
+			if r == utf8.RuneError && size == 1 {
+				break
+			}
+			offset += size
+		}
+		return Problem{Position: index.position(offset), Message: "invalid UTF-8"}, false
+	}
+	if offset := tooDeep(data); offset >= 0 {
+		return Problem{Position: index.position(offset), Message: "values are nested too deeply",
+			Expected: fmt.Sprintf("at most %d levels", maxDepth)}, false
+	}
+	return Problem{}, true
+}
+
+// tooDeep returns the offset of the first bracket below maxDepth levels, or -1.
+func tooDeep(data []byte) int {
+	depth := 0
+	for i := 0; i < len(data); i++ {
+		switch data[i] {
+		case '"':
+			for i++; i < len(data) && data[i] != '"'; i++ {
+				if data[i] == '\\' {
+					i++
+				}
+			}
+		case '/':
+			i = skipComment(data, i)
+		case '{', '[':
+			if depth++; depth > maxDepth {
+				return i
+			}
+		case '}', ']':
+			depth--
+		}
+	}
+	return -1
+}
+
+// skipComment returns the offset of the last byte of the comment at offset i,
+// or i if no comment begins there.
+func skipComment(data []byte, i int) int {
+	end := ""
+	switch string(data[i:min(i+2, len(data))]) {
+	case "//":
+		end = "\n"
+	case "/*":
+		end = "*/"
+	default:
+		return i
+	}
+	n := bytes.Index(data[i+2:], []byte(end))
+	if n < 0 {
+		return len(data)
+	}
+	return i + 2 + n + len(end) - 1
+}
+
+// syntaxProblem takes the position out of the parser's error, whose form is
+// "hujson: line %d, column %d: reason".
+func syntaxProblem(file string, err error) Problem {
+	p := Problem{File: file, Message: err.Error()}
+	text, ok := strings.CutPrefix(err.Error(), "hujson: ")
+	if !ok {
+		return p
+	}
+	place, reason, ok := strings.Cut(text, ": ")
+	if !ok {
+		return p
+	}
+	var line, column int
+	if n, _ := fmt.Sscanf(place, "line %d, column %d", &line, &column); n != 2 {
+		return p
+	}
+	p.Position, p.Message = Position{line, column}, "syntax error: "+reason
+	return p
+}
+
+type converter struct {
+	file     string
+	index    *lineIndex
+	problems Problems
+}
+
+func (c *converter) convert(path string, v *hujson.Value) *Node {
+	n := &Node{File: c.file, Pos: c.index.position(v.StartOffset)}
+	switch t := v.Value.(type) {
+	case hujson.Literal:
+		n.Kind, n.Text = literalKind(t.Kind()), t.String()
+	case *hujson.Array:
+		n.Kind = Array
+		for i := range t.Elements {
+			n.Elements = append(n.Elements, c.convert(fmt.Sprintf("%s[%d]", path, i), &t.Elements[i]))
+		}
+	case *hujson.Object:
+		n.Kind = Object
+		c.convertMembers(path, n, t)
+	}
+	return n
+}
+
+func (c *converter) convertMembers(path string, n *Node, object *hujson.Object) {
+	first := make(map[string]Position)
+	for i := range object.Members {
+		m := &object.Members[i]
+		name := m.Name.Value.(hujson.Literal).String()
+		pos := c.index.position(m.Name.StartOffset)
+		memberPath := Join(path, name)
+		value := c.convert(memberPath, &m.Value)
+		if at, ok := first[name]; ok {
+			c.problems = append(c.problems, Problem{File: c.file, Position: pos, Path: memberPath,
+				Message: fmt.Sprintf("duplicate key %q, first given at line %d, column %d", name, at.Line, at.Column)})
+			continue
+		}
+		first[name] = pos
+		n.Members = append(n.Members, Member{Name: name, Pos: pos, Value: value})
+	}
+}
+
+func literalKind(kind hujson.Kind) Kind {
+	switch kind {
+	case 'n':
+		return Null
+	case 't', 'f':
+		return Bool
+	case '"':
+		return String
+	default:
+		return Number
+	}
+}
+
+// Join appends a name to a path.
+func Join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
--- /dev/null
+++ b/internal/httpapi/operators/server.go
@@ -0,0 +1,51 @@
+package operators
+
+import (
+	"context"
+	"net/http"
+
+	"gentiantide.example/gentiantide/internal/core"
+	"gentiantide.example/gentiantide/internal/settings"
+)
+
+// Editor reads and changes the settings tree.
+type Editor interface {
+	Explain(ctx context.Context, path string) (settings.Explanation, *core.Refusal)
+	Apply(ctx context.Context, c settings.Change) (settings.Result, *core.Refusal)
+	DryRun(ctx context.Context, c settings.Change) (settings.Result, *core.Refusal)
+	History(ctx context.Context, path string, limit int) ([]settings.Entry, *core.Refusal)
+}
+
+// Server has what the endpoints need.
+type Server struct {
+	Editor Editor
+	// Fleet lists nodes and backend servers with state and reason.
+	Fleet func() any
+	// Dump returns the state of the process.
+	Dump func() any
+	// Metrics serves the metrics as text.
+	Metrics http.Handler
+	// Version is the version of the program.
+	Version string
+}
+
+// Register adds the endpoints to a mux.
+func (s *Server) Register(mux *http.ServeMux) {
+	mux.HandleFunc("GET /admin/v1/settings", s.getSettings)
+	mux.HandleFunc("POST /admin/v1/settings", s.changeSettings)
+	mux.HandleFunc("GET /admin/v1/settings/history", s.history)
+	mux.HandleFunc("POST /admin/v1/drain", s.drain)
+	mux.HandleFunc("GET /admin/v1/fleet", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, s.Fleet()) })
+	mux.HandleFunc("GET /admin/v1/dump", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, s.Dump()) })
+	mux.HandleFunc("GET /admin/v1/version", s.version)
+	if s.Metrics != nil {
+		mux.Handle("GET /admin/v1/metrics", s.Metrics)
+	}
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		writeRefusal(w, core.Refuse(core.CodeNotFound, "no endpoint "+r.Method+" "+r.URL.Path))
+	})
+}
+
+func (s *Server) version(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, map[string]string{"version": s.Version})
+}
--- /dev/null
+++ b/internal/httpapi/operators/settings.go
@@ -0,0 +1,148 @@
+package operators
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"slices"
+	"strconv"
+
+	"github.com/pkg/errors"
+
+	"gentiantide.example/gentiantide/internal/core"
+	"gentiantide.example/gentiantide/internal/settings"
+)
+
+const (
+	// maxBody bounds the body of a request.
+	maxBody = 1 << 20
+	// bodyName stands for the file name in the problems of a body.
+	bodyName        = "body"
+	defaultHistory  = 20
+	maxHistoryLimit = 1000
+)
+
+func (s *Server) getSettings(w http.ResponseWriter, r *http.Request) {
+	query, err := readQuery(r, "path", "explain")
+	if err != nil {
+		writeProblems(w, err)
+		return
+	}
+	path := query.Get("path")
+	if path == "" {
+		path = settings.RootPath
+	}
+	explain, err := boolQuery(query, "explain")
+	if err != nil {
+		writeProblems(w, err)
+		return
+	}
+	out, refusal := s.Editor.Explain(r.Context(), path)
+	if refusal != nil {
+		writeRefusal(w, refusal)
+		return
+	}
+	if !explain {
+		out.Effective = nil
+	}
+	writeJSON(w, http.StatusOK, out)
+}
+
+func (s *Server) changeSettings(w http.ResponseWriter, r *http.Request) {
+	data, ok := readBody(w, r)
+	if !ok {
+		return
+	}
+	request, err := settings.ParseChange(bodyName, data)
+	if err != nil {
+		writeProblems(w, err)
+		return
+	}
+	request.Author = authorOf(request.Author, r)
+	apply := s.Editor.Apply
+	if request.DryRun {
+		apply = s.Editor.DryRun
+	}
+	result, refusal := apply(r.Context(), request.Change)
+	if refusal != nil {
+		writeRefusal(w, refusal)
+		return
+	}
+	if result.Effects == nil {
+		result.Effects = []settings.Effect{}
+	}
+	writeJSON(w, http.StatusOK, result)
+}
+
+func (s *Server) history(w http.ResponseWriter, r *http.Request) {
+	query, err := readQuery(r, "path", "limit")
+	if err != nil {
+		writeProblems(w, err)
+		return
+	}
+	limit := defaultHistory
+	if text := query.Get("limit"); text != "" {
+		limit, err = strconv.Atoi(text)
+		if err != nil || limit < 1 || limit > maxHistoryLimit {
+			writeProblems(w, errors.Errorf("limit %q is not accepted; expected an integer from 1 to %d", text, maxHistoryLimit))
+			return
+		}
+	}
+	entries, refusal := s.Editor.History(r.Context(), query.Get("path"), limit)
+	if refusal != nil {
+		writeRefusal(w, refusal)
+		return
+	}
+	if entries == nil {
+		entries = []settings.Entry{}
+	}
+	writeJSON(w, http.StatusOK, map[string]any{"entries": entries})
+}
+
+// readBody reads a bounded body; on failure it has answered.
+func readBody(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	if err != nil {
+		writeRefusal(w, core.Refuse(core.CodeInvalidRequest, "the body cannot be read: "+err.Error()))
+		return nil, false
+	}
+	return data, true
+}
+
+// readQuery parses the query and refuses unknown parameters.
+func readQuery(r *http.Request, known ...string) (url.Values, error) {
+	query, err := url.ParseQuery(r.URL.RawQuery)
+	if err != nil {
+		return nil, errors.Wrap(err, "query")
+	}
+	for name := range query {
+		if !slices.Contains(known, name) {
+			return nil, errors.Errorf("unknown query parameter %q; expected one of %v", name, known)
+		}
+	}
+	return query, nil
+}
+
+func boolQuery(query url.Values, name string) (bool, error) {
+	if !query.Has(name) {
+		return false, nil
+	}
+	v, err := strconv.ParseBool(query.Get(name))
+	if err != nil {
+		return false, errors.Errorf("query parameter %s=%q is not accepted; expected true or false", name, query.Get(name))
+	}
+	return v, nil
+}
+
+// authorOf returns the given author, or the operator's address.
+func authorOf(given string, r *http.Request) string {
+	if given != "" {
+		return given
+	}
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		return r.RemoteAddr
+	}
+	return host
+}
--- /dev/null
+++ b/internal/settings/cluster_test.go
@@ -0,0 +1,221 @@
+package settings
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"gentiantide.example/gentiantide/internal/core"
+	"gentiantide.example/gentiantide/internal/membership"
+	"gentiantide.example/gentiantide/internal/peer"
+	"gentiantide.example/gentiantide/internal/platform"
+	"gentiantide.example/gentiantide/internal/platform/platformtest"
+)
+
+// faultyTable adds to the in-memory table reads that answer with an earlier
+// row and writes that are reported lost and take effect later.
+type faultyTable struct {
+	*platformtest.Table
+	mu    sync.Mutex
+	rnd   *rand.Rand
+	stale bool
+	late  bool
+	rows  map[string]platform.Row
+	wait  sync.WaitGroup
+}
+
+func newFaultyTable() *faultyTable {
+	t := &faultyTable{Table: platformtest.NewTable(), rnd: rand.New(rand.NewPCG(1, 2)), rows: make(map[string]platform.Row)}
+	t.Seed(7)
+	return t
+}
+
+func (t *faultyTable) set(stale, late bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stale, t.late = stale, late
+}
+
+func (t *faultyTable) Get(ctx context.Context, key string) (platform.Row, error) {
+	row, err := t.Table.Get(ctx, key)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if old, ok := t.rows[key]; ok && t.stale && t.rnd.IntN(2) == 0 {
+		return old, nil
+	}
+	if err == nil {
+		t.rows[key] = row
+	}
+	return row, err
+}
+
+func (t *faultyTable) Commit(ctx context.Context, txn platform.Txn) ([]uint64, error) {
+	t.mu.Lock()
+	late := t.late && t.rnd.IntN(2) == 0
+	t.mu.Unlock()
+	if !late {
+		return t.Table.Commit(ctx, txn)
+	}
+	t.wait.Go(func() {
+		time.Sleep(700 * time.Millisecond)
+		_, _ = t.Table.Commit(context.Background(), txn)
+	})
+	return nil, platform.ErrUnknown
+}
+
+// cluster is several managers that share a table and exchange messages and
+// heartbeats in memory.
+type cluster struct {
+	table  *faultyTable
+	mu     sync.Mutex
+	nodes  map[core.NodeID]*testNode
+	order  []core.NodeID
+	cut    map[core.NodeID]bool
+	faults []string
+	wait   sync.WaitGroup
+}
+
+type testNode struct {
+	cluster  *cluster
+	id       core.NodeID
+	handlers map[string]peer.Handler
+	manager  *Manager
+	stop     context.CancelFunc
+	done     chan struct{}
+}
+
+func newCluster(n int) *cluster {
+	c := &cluster{table: newFaultyTable(), nodes: make(map[core.NodeID]*testNode), cut: make(map[core.NodeID]bool)}
+	for i := range n {
+		id := core.NodeID(fmt.Sprintf("node-%d", i))
+		c.order = append(c.order, id)
+	}
+	for _, id := range c.order {
+		c.start(id)
+	}
+	return c
+}
+
+func (c *cluster) start(id core.NodeID) {
+	n := &testNode{cluster: c, id: id, handlers: make(map[string]peer.Handler), done: make(chan struct{})}
+	n.manager = NewManager(Options{Table: c.table, Messenger: n, View: n.view, DataCentre: "dc-1",
+		Logger: slog.New(slog.NewTextHandler(io.Discard, nil))})
+	last := uint64(0)
+	n.manager.Subscribe(func(s *Snapshot) {
+		if s.Version() < last || s.Version() == last && last != 0 {
+			c.fault("%s went from version %d to %d", id, last, s.Version())
+		}
+		last = s.Version()
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	n.stop = cancel
+	c.mu.Lock()
+	c.nodes[id] = n
+	c.mu.Unlock()
+	go func() { defer close(n.done); n.manager.Run(ctx) }()
+	c.wait.Go(func() { n.heartbeats(ctx) })
+}
+
+func (c *cluster) fault(format string, args ...any) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.faults = append(c.faults, fmt.Sprintf(format, args...))
+}
+
+func (c *cluster) node(id core.NodeID) *testNode {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.nodes[id]
+}
+
+func (c *cluster) restart(id core.NodeID) {
+	n := c.node(id)
+	n.stop()
+	<-n.done
+	c.start(id)
+}
+
+func (c *cluster) close() {
+	for _, id := range c.order {
+		c.node(id).stop()
+		<-c.node(id).done
+	}
+	c.wait.Wait()
+	c.table.wait.Wait()
+}
+
+func (c *cluster) isolate(id core.NodeID, cut bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cut[id] = cut
+}
+
+func (c *cluster) connected(a, b core.NodeID) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return a == b || !c.cut[a] && !c.cut[b]
+}
+
+func (n *testNode) heartbeats(ctx context.Context) {
+	for sleep(ctx, time.Second) {
+		for _, other := range n.cluster.order {
+			if other != n.id && n.cluster.connected(n.id, other) {
+				n.cluster.node(other).manager.OnPeerVersion(n.id, n.manager.Current().Version())
+			}
+		}
+	}
+}
+
+func (n *testNode) view() *membership.View {
+	var members []membership.Member
+	for _, id := range n.cluster.order {
+		if n.cluster.connected(n.id, id) {
+			members = append(members, membership.Member{ID: id, DataCentre: "dc-1", State: membership.StateLive})
+		}
+	}
+	return membership.NewView(n.id, members)
+}
+
+// Self implements peer.Messenger.
+func (n *testNode) Self() core.NodeID { return n.id }
+
+// Handle implements peer.Messenger.
+func (n *testNode) Handle(kind string, handler peer.Handler) { n.handlers[kind] = handler }
+
+// Call implements peer.Messenger.
+func (n *testNode) Call(ctx context.Context, to core.NodeID, kind string, req, resp any) error {
+	if !n.cluster.connected(n.id, to) {
+		return peer.ErrUnavailable
+	}
+	body, err := msgpack.Marshal(req)
+	if err != nil {
+		return err
+	}
+	answer, err := n.cluster.node(to).handlers[kind](ctx, n.id, body)
+	if err != nil {
+		return &peer.RemoteError{Message: err.Error()}
+	}
+	if len(answer) > 1<<20 {
+		n.cluster.fault("a message of %d bytes", len(answer))
+	}
+	return msgpack.Unmarshal(answer, resp)
+}
+
+// Send implements peer.Messenger.
+func (n *testNode) Send(to core.NodeID, kind string, msg any) error {
+	body, err := msgpack.Marshal(msg)
+	if err != nil || !n.cluster.connected(n.id, to) {
+		return peer.ErrUnavailable
+	}
+	n.cluster.wait.Go(func() {
+		time.Sleep(time.Millisecond)
+		_, _ = n.cluster.node(to).handlers[kind](context.Background(), n.id, body)
+	})
+	return nil
+}
--- /dev/null
+++ b/internal/settings/history.go
@@ -0,0 +1,40 @@
+package settings
+
+import (
+	"context"
+
+	"gentiantide.example/gentiantide/internal/core"
+)
+
+// historyPages bounds the log pages that one search reads.
+const historyPages = 50
+
+// History returns up to limit log entries, newest first. With a path only the
+// entries of that node are returned, out of the newest 10,000 changes.
+func (m *Manager) History(ctx context.Context, path string, limit int) ([]Entry, *core.Refusal) {
+	if path != "" {
+		if _, err := PathKind(path); err != nil {
+			return nil, core.Refuse(core.CodeInvalidRequest, err.Error())
+		}
+	}
+	h, _, err := m.store.head(ctx)
+	if err != nil {
+		return nil, unavailable(err)
+	}
+	var out []Entry
+	to := h.Version
+	for page := 0; page < historyPages && to > 0 && len(out) < limit; page++ {
+		from := to - min(to, scanPage)
+		entries, err := m.store.entries(ctx, from, int(to-from))
+		if err != nil {
+			return nil, unavailable(err)
+		}
+		for i := len(entries) - 1; i >= 0 && len(out) < limit; i-- {
+			if path == "" || entries[i].Path == path {
+				out = append(out, entries[i])
+			}
+		}
+		to = from
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/settings/manager_test.go
@@ -0,0 +1,258 @@
+package settings
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"gentiantide.example/gentiantide/internal/core"
+	"gentiantide.example/gentiantide/internal/platform/platformtest"
+)
+
+// step is one action on the cluster.
+type step struct {
+	Kind  string
+	Node  int
+	Path  string
+	Value int
+	Stale bool // the edit is based on a version that is not the current one
+}
+
+var stepPaths = []string{"/", "/services", "/services/group", "/services/group/verse", "/services/shop", "/organisations/tulaan", "/fleet/b-1"}
+
+func drawSteps(t *rapid.T) []step {
+	kinds := []string{"edit", "edit", "edit", "race", "race", "delete", "down", "slow", "lose", "late", "stale", "heal", "isolate", "restart", "wait"}
+	one := rapid.Custom(func(t *rapid.T) step {
+		return step{
+			Kind: rapid.SampledFrom(kinds).Draw(t, "kind"), Node: rapid.IntRange(0, 3).Draw(t, "node"),
+			Path: rapid.SampledFrom(stepPaths).Draw(t, "path"), Value: rapid.IntRange(1, 9).Draw(t, "value"),
+			Stale: rapid.IntRange(0, 9).Draw(t, "stale") == 0,
+		}
+	})
+	return rapid.SliceOfN(one, 1, 40).Draw(t, "steps")
+}
+
+// trial runs steps and keeps what operators were told of each change.
+type trial struct {
+	*cluster
+	mu       sync.Mutex
+	edits    sync.WaitGroup
+	next     int
+	told     map[string]*core.Refusal // by author, which is unique here
+	accepted map[string]uint64
+	changes  map[string]Change
+}
+
+// edit sends a change in the background, as an operator that read the tree of
+// the same node just before.
+func (r *trial) edit(s step) {
+	m := r.node(r.order[s.Node]).manager
+	tree, _ := m.state()
+	change := Change{Path: s.Path, Delete: s.Kind == "delete"}
+	if n, ok := tree.Node(s.Path); ok {
+		change.BaseVersion = n.Version
+	}
+	if s.Stale {
+		change.BaseVersion++
+	}
+	if !change.Delete {
+		change.Set = stepValues(s)
+	}
+	r.mu.Lock()
+	r.next++
+	change.Author = fmt.Sprintf("operator-%d", r.next)
+	r.changes[change.Author] = change
+	r.mu.Unlock()
+	r.edits.Go(func() {
+		result, refusal := m.Apply(context.Background(), change)
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if refusal != nil {
+			r.told[change.Author] = refusal
+		} else {
+			r.accepted[change.Author] = result.Version
+		}
+	})
+}
+
+func stepValues(s step) Values {
+	number := json.RawMessage(fmt.Sprint(s.Value))
+	switch kind, _ := PathKind(s.Path); kind {
+	case NodeOrganisation:
+		return Values{"org.weight": number}
+	case NodeFleet:
+		return Values{"drain": json.RawMessage("true")}
+	default:
+		if s.Path == "/services/shop" || s.Path == "/services/group/verse" {
+			return Values{"kind": json.RawMessage(`"model"`), "model": json.RawMessage(fmt.Sprintf(`"m%d"`, s.Value%3))}
+		}
+		return Values{"retry.max_attempts": number}
+	}
+}
+
+func (r *trial) run(steps []step) {
+	for _, s := range steps {
+		id := r.order[s.Node]
+		switch s.Kind {
+		case "edit", "delete":
+			r.edit(s)
+		case "race":
+			r.edit(s)
+			s.Node, s.Value = (s.Node+1)%len(r.order), s.Value+1
+			r.edit(s)
+		case "down":
+			r.table.Set(platformtest.FaultPlan{Down: true})
+		case "slow":
+			r.table.Set(platformtest.FaultPlan{Delay: 300 * time.Millisecond * time.Duration(s.Value)})
+		case "lose":
+			r.table.Set(platformtest.FaultPlan{LoseAnswers: 0.7, RefuseWrites: 0.1})
+		case "late":
+			r.table.set(false, true)
+		case "stale":
+			r.table.set(true, false)
+		case "heal":
+			r.heal()
+		case "isolate":
+			r.isolate(id, s.Value%2 == 0)
+		case "restart":
+			r.restart(id)
+		case "wait":
+			time.Sleep(time.Duration(s.Value) * 400 * time.Millisecond)
+		}
+		time.Sleep(time.Duration(s.Value%4) * 5 * time.Millisecond)
+	}
+}
+
+func (r *trial) heal() {
+	r.table.Set(platformtest.FaultPlan{})
+	r.table.set(false, false)
+	for _, id := range r.order {
+		r.isolate(id, false)
+	}
+}
+
+// check compares the table and all nodes with what operators were told. The
+// oracle is a map of values that the log's changes are applied to one by one.
+func (r *trial) check() {
+	ctx := context.Background()
+	s := store{r.table}
+	h, _, err := s.head(ctx)
+	if err != nil {
+		r.fault("head: %v", err)
+		return
+	}
+	entries, _ := s.entries(ctx, 0, 100000)
+	if uint64(len(entries)) != h.Version {
+		r.fault("%d log entries at version %d", len(entries), h.Version)
+	}
+	oracle := map[string]map[string]string{}
+	seen := map[string]uint64{}
+	for i, e := range entries {
+		if e.Version != uint64(i+1) || seen[e.Author] != 0 {
+			r.fault("entry %d has version %d and author %s (seen at %d)", i, e.Version, e.Author, seen[e.Author])
+		}
+		seen[e.Author] = e.Version
+		applyToOracle(oracle, r.changes[e.Author])
+	}
+	for author, version := range r.accepted {
+		if seen[author] != version {
+			r.fault("%s was told version %d, the log has it at %d", author, version, seen[author])
+		}
+	}
+	for author, refusal := range r.told {
+		if refusal.Execution == core.NotRun && seen[author] != 0 {
+			r.fault("%s was told %q, but the change is in the log at %d", author, refusal.Message, seen[author])
+		}
+	}
+	for _, id := range r.order {
+		r.compare(id, h.Version, oracle)
+	}
+}
+
+func applyToOracle(oracle map[string]map[string]string, c Change) {
+	if c.Delete {
+		delete(oracle, c.Path)
+		return
+	}
+	if oracle[c.Path] == nil {
+		oracle[c.Path] = map[string]string{}
+	}
+	for key, raw := range c.Set {
+		oracle[c.Path][key] = string(raw)
+	}
+}
+
+func (r *trial) compare(id core.NodeID, version uint64, oracle map[string]map[string]string) {
+	tree, loaded := r.node(id).manager.state()
+	if !loaded || tree.version != version || r.node(id).manager.Current().Version() != version {
+		r.fault("%s is at version %d (loaded %v), the table at %d", id, tree.version, loaded, version)
+		return
+	}
+	got := map[string]map[string]string{}
+	for path, n := range tree.nodes {
+		got[path] = map[string]string{}
+		for key, raw := range n.Values {
+			got[path][key] = string(raw)
+		}
+	}
+	if a, b := fmt.Sprint(got), fmt.Sprint(oracle); a != b {
+		r.fault("%s has %s, expected %s", id, a, b)
+	}
+}
+
+// Guards against accepted changes that are lost, reverted or applied twice,
+// refusals that are not true, versions that fall and nodes that do not
+// converge within 5 s of the end of outages, lost and late answers, stale
+// reads, racing operators, partitions and restarts.
+func TestManagersAgainstOracle(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		steps := drawSteps(rt)
+		var faults []string
+		synctest.Test(t, func(*testing.T) {
+			r := &trial{cluster: newCluster(4), told: map[string]*core.Refusal{}, accepted: map[string]uint64{}, changes: map[string]Change{}}
+			r.run(steps)
+			r.heal()
+			r.edits.Wait()
+			r.table.wait.Wait()
+			time.Sleep(5 * time.Second)
+			r.check()
+			r.close()
+			faults = r.faults
+		})
+		if len(faults) > 0 {
+			rt.Fatalf("%d faults: %s", len(faults), faults)
+		}
+	})
+}
+
+// Guards against a node that starts while the platform is away and stays
+// without settings, and against a whole tree that does not fit one message.
+func TestStartFromNeighbour(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		c := newCluster(2)
+		defer c.close()
+		first := c.node("node-0").manager
+		time.Sleep(time.Second)
+		for i := range 300 {
+			digests := make([]string, 0, 32)
+			for j := range 32 {
+				digests = append(digests, fmt.Sprintf("%064x", i*32+j))
+			}
+			_, refusal := first.Apply(t.Context(), Change{Path: fmt.Sprintf("/organisations/org-%d", i), Set: Values{"org.key_sha256": encode(digests)}})
+			g.Expect(refusal).To(gomega.BeNil())
+		}
+		c.table.Set(platformtest.FaultPlan{Down: true})
+		c.restart("node-1")
+		time.Sleep(5 * time.Second)
+		g.Expect(c.node("node-1").manager.Current().Version()).To(gomega.BeEquivalentTo(300))
+		g.Expect(c.faults).To(gomega.BeEmpty())
+	})
+}
