Mend lint findings in the frame encoding

Cause: staticcheck took the encoding marker for an unused field. Change: an ignore directive with its reason; a comparison that was always true is gone.

--- a/internal/directory/status.go
+++ b/internal/directory/status.go
@@ -8,14 +8,16 @@
 
 // Status is what the owner of a replica publishes about it.
 type Status struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
-	Replica  core.ReplicaID
-	State    State
-	Reason   string
-	Slots    int
-	InUse    int
-	Batch    int
-	Queued   int
+	//lint:ignore U1000 read by msgpack
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Replica core.ReplicaID
+	State   State
+	Reason  string
+	Slots   int
+	InUse   int
+	Batch   int
+	Queued  int
 }
 
 func encodeStatus(list []Status) []byte {
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -30,11 +30,13 @@
 // frame is the unit on the wire. Kind is set on requests and one-way messages;
 // on a hello it carries the sender's node id.
 type frame struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
-	Type     frameType
-	ID       uint64
-	Kind     string
-	Body     []byte
+	//lint:ignore U1000 read by msgpack
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Type frameType
+	ID   uint64
+	Kind string
+	Body []byte
 }
 
 // encodeFrame returns the frame with its length prefix.
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -66,7 +66,7 @@
 	session := &session{transport: t, conn: conn, from: core.NodeID(hello.Kind), slots: make(chan struct{}, maxConcurrentHandlers)}
 	err = session.run(reader)
 	session.wait.Wait()
-	if err != nil && !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
+	if !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
 		t.log.Info("peer connection ended", "peer", session.from, "error", err)
 	}
 }
@@ -81,6 +81,7 @@
 	writeMu   sync.Mutex
 }
 
+// run serves frames until the connection ends and returns why it ended.
 func (s *session) run(reader *bufio.Reader) error {
 	for {
 		f, err := readFrame(reader)
