--- /dev/null
+++ b/bench/integration/cluster_test.go
@@ -0,0 +1,226 @@
+package integration
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"gentiantide.example/gentiantide/bench/client"
+	"gentiantide.example/gentiantide/bench/harness"
+	"gentiantide.example/gentiantide/bench/standin/engine"
+	"gentiantide.example/gentiantide/bench/standin/fleet"
+	"gentiantide.example/gentiantide/bench/standin/objects"
+	"gentiantide.example/gentiantide/bench/standin/plain"
+	"gentiantide.example/gentiantide/bench/standin/table"
+	"gentiantide.example/gentiantide/internal/config"
+	"gentiantide.example/gentiantide/internal/core"
+	"gentiantide.example/gentiantide/internal/node"
+	"gentiantide.example/gentiantide/internal/platform"
+)
+
+// eventually bounds waits for a state; it is no assertion about speed.
+const eventually = 30 * time.Second
+
+var dataCentres = []string{"dc-a", "dc-b", "dc-c"}
+
+// testNode is one node of a cluster.
+type testNode struct {
+	*node.Node
+	id, callers, operators string
+	config                 *config.Node
+	stop                   chan struct{}
+	done                   chan error
+}
+
+func (n *testNode) url() string { return "http://" + n.callers }
+
+// cluster is one node, two engines and one plain service in each of three data
+// centres of one region.
+type cluster struct {
+	t       *testing.T
+	g       *gomega.WithT
+	client  *client.Client
+	table   *table.Server
+	objects *objects.Server
+	fleet   *fleet.Server
+	engines []*engine.Server
+	plain   []*plain.Server
+	nodes   []*testNode
+}
+
+func newCluster(t *testing.T) *cluster {
+	c := &cluster{t: t, g: gomega.NewWithT(t), client: client.New(),
+		table: table.New(table.DefaultParams()), objects: objects.New(objects.DefaultParams()), fleet: fleet.New(fleet.Params{})}
+	tableURL, objectsURL, fleetURL := c.serve(c.table), c.serve(c.objects), c.serve(c.fleet)
+	var vms []platform.VM
+	for _, dc := range dataCentres {
+		vms = append(vms, c.backends(dc)...)
+	}
+	var files []string
+	var seeds []string
+	for _, dc := range dataCentres {
+		addresses, err := harness.FreeAddresses(3)
+		c.g.Expect(err).NotTo(gomega.HaveOccurred())
+		id := dc + "-node"
+		vms = append(vms, platform.VM{ID: id, Kind: platform.KindNode, DataCentre: dc, Region: "r", Address: addresses[2]})
+		seeds = append(seeds, addresses[2])
+		files = append(files, fmt.Sprintf(`{"id": %q, "data_centre": %q, "region": "r",
+			"listen": {"callers": %q, "operators": %q, "peers": %q},
+			"platform": {"table": %q, "objects": %q, "weights": %q, "fleet": %q},
+			"timeouts": {"stop_grace": "10ms"}, "seeds": `, id, dc, addresses[0], addresses[1], addresses[2],
+			tableURL, objectsURL, fleetURL, fleetURL))
+	}
+	c.fleet.Set(vms)
+	list, _ := json.Marshal(seeds)
+	for i, file := range files {
+		cfg, err := config.Parse("node.json", []byte(file+string(list)+"}"))
+		c.g.Expect(err).NotTo(gomega.HaveOccurred())
+		n := &testNode{id: string(cfg.ID), callers: cfg.Listen.Callers, operators: cfg.Listen.Operators, config: cfg}
+		c.nodes = append(c.nodes, n)
+		c.start(n)
+		if i == 0 {
+			c.awaitReady(n)
+			c.deploy()
+		}
+	}
+	t.Cleanup(func() {
+		for _, n := range c.nodes {
+			c.stop(n)
+		}
+	})
+	for _, n := range c.nodes {
+		c.awaitReady(n)
+	}
+	return c
+}
+
+func (c *cluster) serve(handler http.Handler) string {
+	server := httptest.NewServer(handler)
+	c.t.Cleanup(server.CloseClientConnections)
+	c.t.Cleanup(server.Close)
+	return server.URL
+}
+
+func (c *cluster) backends(dc string) []platform.VM {
+	var vms []platform.VM
+	add := func(id, deployment string, handler http.Handler) {
+		vms = append(vms, platform.VM{ID: id, Kind: platform.KindBackend, DataCentre: dc, Region: "r",
+			Address: strings.TrimPrefix(c.serve(handler), "http://"), Deployment: deployment})
+	}
+	for i := range 2 {
+		p := engine.DefaultParams()
+		p.StepBase, p.StepPerSequence, p.Slots = 2*time.Millisecond, 0, 8
+		e := engine.NewServer(p)
+		c.t.Cleanup(e.Close)
+		c.engines = append(c.engines, e)
+		add(fmt.Sprintf("%s-engine-%d", dc, i), "models", e)
+	}
+	p := plain.New(plain.DefaultParams())
+	c.plain = append(c.plain, p)
+	add(dc+"-desk", "desk", p)
+	return vms
+}
+
+func (c *cluster) start(n *testNode) {
+	n.Node = node.New(n.config, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	n.stop, n.done = make(chan struct{}), make(chan error, 1)
+	go func(n *testNode, stop chan struct{}, done chan error) { done <- n.Run(stop) }(n, n.stop, n.done)
+}
+
+// stop stops a node gracefully, once.
+func (c *cluster) stop(n *testNode) {
+	if n.stop == nil {
+		return
+	}
+	close(n.stop)
+	n.stop = nil
+	c.g.Expect(<-n.done).To(gomega.Succeed())
+}
+
+func (c *cluster) awaitReady(n *testNode) {
+	c.g.Eventually(func() (int, error) {
+		response, err := http.Get(n.url() + "/readyz")
+		if err != nil {
+			return 0, err
+		}
+		return response.StatusCode, response.Body.Close()
+	}, eventually, 20*time.Millisecond).Should(gomega.Equal(http.StatusOK), "node %s is ready", n.id)
+}
+
+func (c *cluster) deploy() {
+	c.g.Expect(c.change(c.nodes[0], "/services", 0, map[string]any{"retry.max_attempts": 4})).To(gomega.Equal(http.StatusOK))
+	c.g.Expect(c.change(c.nodes[0], "/services/models", 0, map[string]any{"kind": "model", "model": "m"})).To(gomega.Equal(http.StatusOK))
+	c.g.Expect(c.change(c.nodes[0], "/services/desk", 0, map[string]any{"kind": "plain", "route": "/permit-desk/",
+		"route.non_idempotent": []string{"POST /permit-desk/issue"}})).To(gomega.Equal(http.StatusOK))
+}
+
+// change edits the settings through a node and returns the HTTP status.
+func (c *cluster) change(n *testNode, path string, base uint64, set map[string]any) int {
+	body, _ := json.Marshal(map[string]any{"path": path, "base_version": base, "set": set, "author": "test"})
+	response, err := http.Post("http://"+n.operators+"/admin/v1/settings", "application/json", bytes.NewReader(body))
+	c.g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer func() { _ = response.Body.Close() }()
+	return response.StatusCode
+}
+
+// generate streams one answer through a node.
+func (c *cluster) generate(n *testNode, prompt string, tokens int) client.Result {
+	return c.client.Do(c.t.Context(), client.Call{Base: n.url(), Path: "/v1/completions", Stream: true,
+		Body: map[string]any{"model": "m", "prompt": prompt, "max_tokens": tokens}})
+}
+
+// expectWhole fails the test unless the node gives the right whole answer.
+func (c *cluster) expectWhole(n *testNode, prompt string, tokens int) {
+	c.t.Helper()
+	r := c.generate(n, prompt, tokens)
+	c.g.Expect(r.OK()).To(gomega.BeTrue(), "node %s: %s", n.id, r.String())
+	c.g.Expect(r.Text).To(gomega.Equal(engine.Answer(prompt, tokens)))
+}
+
+// issue sends one non-idempotent call with a key.
+func (c *cluster) issue(n *testNode, permit string) client.Result {
+	return c.client.Do(c.t.Context(), client.Call{Base: n.url(), Path: "/permit-desk/issue",
+		Header: map[string]string{"Idempotency-Key": permit}, Body: map[string]any{"permit": permit}})
+}
+
+// executions returns how often a permit was issued by all desks.
+func (c *cluster) executions(permit string) int {
+	total := 0
+	for _, p := range c.plain {
+		total += p.Stats().Permits[permit]
+	}
+	return total
+}
+
+// seesLive reports whether a node takes another for live.
+func (c *cluster) seesLive(n *testNode, id string) bool {
+	response, err := http.Get("http://" + n.operators + "/admin/v1/fleet")
+	if err != nil {
+		return false
+	}
+	defer func() { _ = response.Body.Close() }()
+	var status node.FleetStatus
+	if json.NewDecoder(response.Body).Decode(&status) != nil {
+		return false
+	}
+	for _, m := range status.Nodes {
+		if m.ID == id {
+			return m.State == "live"
+		}
+	}
+	return false
+}
+
+// cut blocks messages from one node to another.
+func (c *cluster) cut(from, to *testNode) {
+	from.BlockPeers(func(id core.NodeID) bool { return string(id) == to.id })
+}
--- /dev/null
+++ b/bench/integration/partition_test.go
@@ -0,0 +1,52 @@
+package integration
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/onsi/gomega"
+
+	"gentiantide.example/gentiantide/internal/core"
+)
+
+// Guards against a data centre that stops serving when it is cut off from the
+// others, and against cuts that leave a node out after they heal.
+func TestDataCentresCutOff(t *testing.T) {
+	c := newCluster(t)
+	for _, from := range c.nodes {
+		from.BlockPeers(isOther(from))
+	}
+	for i, n := range c.nodes {
+		c.g.Eventually(func() bool {
+			return c.seesLive(n, c.nodes[(i+1)%3].id) || c.seesLive(n, c.nodes[(i+2)%3].id)
+		}, eventually).Should(gomega.BeFalse())
+		for j := range 10 {
+			c.expectWhole(n, fmt.Sprintf("cut off %d %d", i, j), 8)
+		}
+		c.g.Expect(c.issue(n, fmt.Sprint("cut-", i)).Status).To(gomega.Equal(200))
+		c.g.Expect(c.executions(fmt.Sprint("cut-", i))).To(gomega.Equal(1))
+	}
+	for _, n := range c.nodes {
+		n.BlockPeers(nil)
+	}
+	for i, n := range c.nodes {
+		c.g.Eventually(func() bool { return c.seesLive(n, c.nodes[(i+1)%3].id) }, eventually).Should(gomega.BeTrue())
+	}
+}
+
+// Guards against requests that fail while a cut lasts in one direction only,
+// between the entry node and the owner of the replicas that it would use.
+func TestOneWayCut(t *testing.T) {
+	c := newCluster(t)
+	c.cut(c.nodes[0], c.nodes[1])
+	for i := range 30 {
+		c.expectWhole(c.nodes[i%2], fmt.Sprint("one way ", i), 8)
+	}
+	c.nodes[0].BlockPeers(nil)
+	c.expectWhole(c.nodes[0], "healed", 8)
+}
+
+// isOther returns a cut to every node but n itself.
+func isOther(n *testNode) func(core.NodeID) bool {
+	return func(id core.NodeID) bool { return string(id) != n.id }
+}
