Let batch items wait for slots with the owners

Cause: one item per deployment and node asked for a free slot and paused 10 to 250 ms after each refusal, so slots stayed idle between the looks: the demo's job ran at about 70 items/s on engines that give about 170.

--- a/internal/relay/runslot.go
+++ b/internal/relay/runslot.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"gentiantide.example/gentiantide/internal/core"
 	"gentiantide.example/gentiantide/internal/dispatch"
@@ -13,6 +14,9 @@
 	if u.sends == 0 && !u.startBy.IsZero() && (deadline.IsZero() || u.startBy.Before(deadline)) {
 		deadline = u.startBy
 	}
+	if replace := time.Now().Add(batchWait); u.class == core.ClassBatch && (deadline.IsZero() || replace.Before(deadline)) {
+		deadline = replace
+	}
 	return dispatch.Ask{
 		Deployment:     u.service.ID,
 		Class:          u.class,
@@ -22,7 +26,6 @@
 		Deadline:       deadline,
 		Due:            u.due,
 		Exclude:        append([]core.ReplicaID(nil), u.tried...),
-		NoWait:         u.class == core.ClassBatch,
 	}
 }
 
