Bound the wait for a first token by the deployment's target

Change: the bound is at least 4 times the first-token target; plain calls have none. Tests cover slow plain calls, flushed streams, keyed streams whose caller is gone; the test of leaving callers runs in a synctest bubble, since it hung instead of failing when a handler ignored its caller.

--- a/internal/httpapi/callers/api_test.go
+++ b/internal/httpapi/callers/api_test.go
@@ -5,12 +5,14 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/onsi/gomega"
@@ -140,6 +142,7 @@
 
 	w = f.do("POST", pathCompletions, `{"model":"verse","prompt":"tides","stream":true,"stream_options":{"include_usage":true}}`, headerTimeout, "1h")
 	g.Expect(time.Until(f.gen.Deadline)).To(gomega.BeNumerically("<=", time.Minute), "the caller's timeout only shortens")
+	g.Expect(w.Flushed).To(gomega.BeTrue())
 	events := strings.Split(strings.TrimSpace(w.Body.String()), "\n\n")
 	g.Expect(w.Header().Get("Content-Type")).To(gomega.Equal("text/event-stream"))
 	g.Expect(events).To(gomega.HaveLen(5))
@@ -220,6 +223,11 @@
 	}
 }
 
+// brokenWriter is the response to a caller whose connection broke.
+type brokenWriter struct{ *httptest.ResponseRecorder }
+
+func (brokenWriter) Write([]byte) (int, error) { return 0, net.ErrClosed }
+
 // Guards against a second execution of a non-idempotent call with a key, and
 // against resends that are refused though the call did not run.
 func TestKeyedCall(t *testing.T) {
@@ -262,7 +270,12 @@
 		g.Expect(f.sends).To(gomega.Equal(3))
 	}
 	f.refusal, f.tokens = nil, []string{"a", "b"}
+	r := httptest.NewRequest("POST", pathChat, strings.NewReader(streamed(chatBody)))
+	r.Header.Set(headerKey, "k3")
+	r.Header.Set(headerNonIdempotent, "true")
+	f.mux.ServeHTTP(brokenWriter{httptest.NewRecorder()}, r)
 	first := f.do("POST", pathChat, streamed(chatBody), headerKey, "k3", headerNonIdempotent, "true")
+	g.Expect(first.Body.String()).To(gomega.ContainSubstring("[DONE]"), "stored although the caller was gone")
 	again := f.do("POST", pathChat, streamed(chatBody), headerKey, "k3", headerNonIdempotent, "true")
 	g.Expect(again.Body.String()).To(gomega.Equal(first.Body.String()))
 	g.Expect(f.sends).To(gomega.Equal(4))
@@ -274,39 +287,41 @@
 func TestCallerGoneAndInFlight(t *testing.T) {
 	for name, path := range map[string]string{"generation": pathChat, "plain": "/permit-desk/issue", "keyed": "/permit-desk/issue"} {
 		t.Run(name, func(t *testing.T) {
-			keyed := name == "keyed"
-			g := gomega.NewWithT(t)
-			f := newFixture(t, true)
-			f.hold, f.entered = make(chan struct{}), make(chan struct{}, 1)
-			f.answer = backend.Answer{Status: 200}
-			ctx, cancel := context.WithCancel(t.Context())
-			r := httptest.NewRequestWithContext(ctx, "POST", path, strings.NewReader(chatBody))
-			r.Header.Set("Authorization", "Bearer secret")
-			if keyed {
-				r.Header.Set(headerKey, "k")
-			}
-			done := make(chan struct{})
-			go func() {
-				defer close(done)
-				f.mux.ServeHTTP(httptest.NewRecorder(), r)
-			}()
-			<-f.entered
-			second := f.do("GET", "/permit-desk/a", "", "Authorization", "Bearer secret")
-			g.Expect(second.Code).To(gomega.Equal(429))
-			g.Expect(second.Body.String()).To(gomega.ContainSubstring(`"not_run":true`))
-			cancel()
-			if keyed {
-				close(f.hold)
-			}
-			<-done
-			g.Expect(f.ctxErr == nil).To(gomega.Equal(keyed))
-			g.Expect(f.sends).To(gomega.Equal(1))
-			if !keyed {
-				close(f.hold)
-			}
-			third := f.do("POST", path, chatBody, "Authorization", "Bearer secret", headerKey, "k")
-			g.Expect(third.Code).To(gomega.Equal(200), "the limit is free again")
-			g.Expect(third.Header().Get(headerReplayed) == "true").To(gomega.Equal(keyed))
+			synctest.Test(t, func(t *testing.T) {
+				keyed := name == "keyed"
+				g := gomega.NewWithT(t)
+				f := newFixture(t, true)
+				f.hold, f.entered = make(chan struct{}), make(chan struct{}, 1)
+				f.answer = backend.Answer{Status: 200}
+				ctx, cancel := context.WithCancel(t.Context())
+				r := httptest.NewRequestWithContext(ctx, "POST", path, strings.NewReader(chatBody))
+				r.Header.Set("Authorization", "Bearer secret")
+				if keyed {
+					r.Header.Set(headerKey, "k")
+				}
+				done := make(chan struct{})
+				go func() {
+					defer close(done)
+					f.mux.ServeHTTP(httptest.NewRecorder(), r)
+				}()
+				<-f.entered
+				second := f.do("GET", "/permit-desk/a", "", "Authorization", "Bearer secret")
+				g.Expect(second.Code).To(gomega.Equal(429))
+				g.Expect(second.Body.String()).To(gomega.ContainSubstring(`"not_run":true`))
+				cancel()
+				if keyed {
+					close(f.hold)
+				}
+				<-done
+				g.Expect(f.ctxErr == nil).To(gomega.Equal(keyed))
+				g.Expect(f.sends).To(gomega.Equal(1))
+				if !keyed {
+					close(f.hold)
+				}
+				third := f.do("POST", path, chatBody, "Authorization", "Bearer secret", headerKey, "k")
+				g.Expect(third.Code).To(gomega.Equal(200), "the limit is free again")
+				g.Expect(third.Header().Get(headerReplayed) == "true").To(gomega.Equal(keyed))
+			})
 		})
 	}
 }
--- a/internal/relay/policy.go
+++ b/internal/relay/policy.go
@@ -67,16 +67,21 @@
 	stallFirstBatch    = 60 * time.Second
 )
 
-// firstStall returns how long an attempt may take until its first token, or 0
-// for no bound: non-idempotent work cannot be sent again, so it waits.
-func firstStall(idempotent bool, class core.Class) time.Duration {
+// stallTargets is how many times the first-token target an attempt may take
+// where that is more than the bounds above.
+const stallTargets = 4
+
+// firstStall returns how long an attempt of a generation may take until its
+// first token, or 0 for no bound: non-idempotent work cannot be sent again, so
+// it waits.
+func firstStall(idempotent bool, class core.Class, target time.Duration) time.Duration {
 	switch {
 	case !idempotent:
 		return 0
 	case class == core.ClassBatch:
-		return stallFirstBatch
+		return max(stallFirstBatch, stallTargets*target)
 	default:
-		return stallFirstOnline
+		return max(stallFirstOnline, stallTargets*target)
 	}
 }
 
--- a/internal/relay/policy_test.go
+++ b/internal/relay/policy_test.go
@@ -51,6 +51,16 @@
 	}
 }
 
+// Guards against a bound on silence that a slow deployment or a call that
+// cannot be sent again would run into.
+func TestFirstStall(t *testing.T) {
+	g := gomega.NewWithT(t)
+	g.Expect(firstStall(false, core.ClassOnline, time.Second)).To(gomega.BeZero())
+	g.Expect(firstStall(true, core.ClassOnline, time.Second)).To(gomega.Equal(stallFirstOnline))
+	g.Expect(firstStall(true, core.ClassOnline, time.Minute)).To(gomega.Equal(4 * time.Minute))
+	g.Expect(firstStall(true, core.ClassBatch, time.Second)).To(gomega.Equal(stallFirstBatch))
+}
+
 // Guards against taking a truncated stream for a whole one.
 func TestComplete(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/internal/relay/race.go
+++ b/internal/relay/race.go
@@ -33,7 +33,7 @@
 func (r *race) wait() *attempt {
 	hedge := newOptionalTimer(hedgeDelay(r.run.situation(failureNone), r.run.class, r.run.service.HedgeAfter))
 	defer hedge.stop()
-	stall := newOptionalTimer(firstStall(r.run.idempotent, r.run.class))
+	stall := newOptionalTimer(r.run.firstStall)
 	defer stall.stop()
 	for {
 		select {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -37,7 +37,7 @@
 	u := &run{
 		relay: r, service: service, work: w, class: g.Class, org: g.Org, due: g.Due, gate: g.Gate,
 		idempotent: !g.NonIdempotent, expectedTokens: g.ExpectedTokens, prefixHash: g.PrefixHash,
-		startBy: w.startBy(service),
+		startBy: w.startBy(service), firstStall: firstStall(!g.NonIdempotent, g.Class, service.FirstToken),
 	}
 	refusal := u.execute(ctx, g.Deadline)
 	return Result{
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -23,6 +23,9 @@
 	expectedTokens int
 	prefixHash     uint64
 	startBy        time.Time // zero: the deadline
+	// firstStall bounds the time to the beginning of an answer; 0 for plain
+	// calls, whose usual time is not known.
+	firstStall time.Duration
 
 	sends int
 	free  int  // sends that were preempted, which cost no attempt
