Claim one range at a time and share a node's items between jobs

Cause: a worker asked for as many ranges as it might open, so in the demo one node took 1,536 of 2,400 items at once; when it was killed, they waited for its lease and were then taken over one after the other, 18 to 24 s after the kill. A second job waited until a large range of the first had been started whole. Change: the next range is claimed when the items of the last are known; a worker with enough work still takes one range of another job; items start by due time, then fair share, then length; after a take-over the other ranges of the same session are free at once.

--- a/internal/batch/coordinator/ask.go
+++ b/internal/batch/coordinator/ask.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"gentiantide.example/gentiantide/internal/batch/lease"
 	"gentiantide.example/gentiantide/internal/batch/ranges"
 	"gentiantide.example/gentiantide/internal/batch/records"
 	"gentiantide.example/gentiantide/internal/core"
@@ -20,10 +22,10 @@
 	}
 	now := time.Now()
 	c.mu.Lock()
-	offers := c.choose(ask.Ranges, now)
+	offers := c.choose(ask, now)
 	var holder core.NodeID
 	var behind Behind
-	if len(offers) == 0 {
+	if len(offers) == 0 && len(ask.Except) == 0 {
 		holder, behind = c.divide(from, now)
 	}
 	c.mu.Unlock()
@@ -34,10 +36,15 @@
 	return msgpack.Marshal(Answer{Offers: offers})
 }
 
-func (c *Coordinator) choose(n int, now time.Time) []Offer {
+func (c *Coordinator) choose(ask Ask, now time.Time) []Offer {
 	jobs, infos, held := c.candidates(now)
+	for i := range jobs {
+		if slices.Contains(ask.Except, jobs[i].Job) {
+			jobs[i].Free = 0
+		}
+	}
 	var offers []Offer
-	for len(offers) < n {
+	for len(offers) < ask.Ranges {
 		i := ranges.Choose(jobs, held, c.p.Weight, c.p.Config.DueGrain)
 		if i < 0 {
 			break
@@ -132,6 +139,7 @@
 	j := c.jobs[report.Job]
 	wake := false
 	if j != nil {
+		c.noteTakeOver(j, report.Range, row)
 		j.update(report.Range, report.Version, report.Row, row, now)
 		wake = j.complete() || row.State == records.RangeReleased
 	}
@@ -142,6 +150,25 @@
 	return nil, nil
 }
 
+// noteTakeOver marks the other ranges of a session as free once one of them was
+// taken over: the take-over deleted the session's lease row. Without it they
+// would wait for the next scan that reads their rows. The lock is held.
+func (c *Coordinator) noteTakeOver(j *jobInfo, id string, row records.Range) {
+	r, ok := j.ranges[id]
+	if !ok || !r.holder.Gone || r.row.State != records.RangeClaimed || r.row.Session == row.Session || row.Epoch != r.row.Epoch+1 {
+		return
+	}
+	session := r.row.Session
+	for _, other := range c.jobs {
+		for _, otherID := range other.ids[other.firstOpen:] {
+			o := other.ranges[otherID]
+			if o.row.State == records.RangeClaimed && o.row.Session == session {
+				o.holder = lease.Holder{Gone: true}
+			}
+		}
+	}
+}
+
 func (c *Coordinator) handleJob(_ context.Context, _ core.NodeID, body []byte) ([]byte, error) {
 	var notice JobNotice
 	if err := msgpack.Unmarshal(body, &notice); err != nil {
--- a/internal/batch/coordinator/messages.go
+++ b/internal/batch/coordinator/messages.go
@@ -17,6 +17,8 @@
 // Ask asks for ranges.
 type Ask struct {
 	Ranges int `msgpack:"n"`
+	// Except lists the jobs of which the worker wants no more ranges now.
+	Except []core.JobID `msgpack:"x,omitempty"`
 }
 
 // Answer offers ranges.
--- a/internal/batch/service/service.go
+++ b/internal/batch/service/service.go
@@ -79,7 +79,7 @@
 	s.worker = worker.New(worker.Params{
 		Store: st, Config: p.Config, Log: p.Log, Scope: p.Scope, Messenger: p.Messenger,
 		Keeper: lease.NewKeeper(st, p.Config, p.Messenger.Self(), p.Incarnation, p.Log),
-		Runner: p.Runner, Report: s.report, MaxTries: p.MaxTries,
+		Runner: p.Runner, Report: s.report, MaxTries: p.MaxTries, Weight: p.Weight,
 	})
 	s.intake = intake.New(intake.Params{
 		Store: st, Config: p.Config, Log: p.Log, Scope: p.Scope,
--- a/internal/batch/worker/claim.go
+++ b/internal/batch/worker/claim.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -11,28 +12,44 @@
 	"gentiantide.example/gentiantide/internal/batch"
 	"gentiantide.example/gentiantide/internal/batch/coordinator"
 	"gentiantide.example/gentiantide/internal/batch/intake"
+	"gentiantide.example/gentiantide/internal/batch/ranges"
 	"gentiantide.example/gentiantide/internal/batch/records"
 	"gentiantide.example/gentiantide/internal/core"
 	"gentiantide.example/gentiantide/internal/platform"
 )
 
-// ask asks the next coordinator for ranges if there is room. The lock is held.
+// ask asks the next coordinator for a range if there is room. The lock is held.
 func (w *Worker) ask() {
-	room := w.node().Room(w.p.Config)
-	if room == 0 || w.asking || len(w.sources) == 0 {
+	want := w.node().Want(w.p.Config)
+	if want == ranges.WantNone || w.asking || len(w.sources) == 0 {
 		return
 	}
+	ask := coordinator.Ask{Ranges: 1}
+	if want == ranges.WantOther {
+		ask.Except = w.jobs()
+	}
 	w.asking = true
 	source := w.sources[0]
 	w.sources = w.sources[1:]
-	w.wg.Go(func() { w.askSource(source, room) })
+	w.wg.Go(func() { w.askSource(source, ask) })
+}
+
+// jobs lists the jobs of the open ranges. The lock is held.
+func (w *Worker) jobs() []core.JobID {
+	var out []core.JobID
+	for _, r := range w.ranges {
+		if !slices.Contains(out, r.job.ID) {
+			out = append(out, r.job.ID)
+		}
+	}
+	return out
 }
 
-func (w *Worker) askSource(source core.NodeID, room int) {
+func (w *Worker) askSource(source core.NodeID, ask coordinator.Ask) {
 	ctx, cancel := context.WithTimeout(w.ctx, w.p.Config.CallTimeout)
 	defer cancel()
 	var answer coordinator.Answer
-	err := w.p.Messenger.Call(ctx, source, coordinator.KindAsk, coordinator.Ask{Ranges: room}, &answer)
+	err := w.p.Messenger.Call(ctx, source, coordinator.KindAsk, ask, &answer)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.asking = false
--- a/internal/batch/worker/step.go
+++ b/internal/batch/worker/step.go
@@ -6,6 +6,7 @@
 
 	"gentiantide.example/gentiantide/internal/batch/lease"
 	"gentiantide.example/gentiantide/internal/batch/ranges"
+	"gentiantide.example/gentiantide/internal/core"
 )
 
 // step looks at all ranges and does what the decisions say.
@@ -61,8 +62,12 @@
 // node returns the state that decides about starts and claims.
 func (w *Worker) node() ranges.Node {
 	n := ranges.Node{Running: w.running, Buffered: w.buffered, Open: len(w.ranges) + w.claiming, Stopping: w.stopping}
+	n.Loading = w.claiming
 	for _, r := range w.ranges {
 		n.Unstarted += len(r.unstarted)
+		if !r.loaded {
+			n.Loading++
+		}
 	}
 	return n
 }
@@ -108,14 +113,7 @@
 // start starts items while there is room.
 func (w *Worker) start(now time.Time) {
 	for w.node().MayStart(w.p.Config) {
-		var heads []ranges.Head
-		var from []*openRange
-		for _, r := range w.ranges {
-			if r.armed > 0 && r.session.State() == lease.Fresh {
-				heads = append(heads, ranges.Head{Expected: r.expected[r.unstarted[0]], Since: r.since})
-				from = append(from, r)
-			}
-		}
+		heads, from := w.heads()
 		best := ranges.PickStart(heads, now, w.p.Config)
 		if best < 0 {
 			return
@@ -124,6 +122,25 @@
 	}
 }
 
+// heads lists the ranges with startable items.
+func (w *Worker) heads() (heads []ranges.Head, from []*openRange) {
+	running := make(map[core.Org]int)
+	for _, r := range w.ranges {
+		running[r.job.Org] += r.running
+	}
+	for _, r := range w.ranges {
+		if r.armed == 0 || r.session.State() != lease.Fresh {
+			continue
+		}
+		heads = append(heads, ranges.Head{
+			Expected: r.expected[r.unstarted[0]], Since: r.since, Due: r.job.Due,
+			Running: running[r.job.Org], Weight: w.p.Weight(r.job.Org),
+		})
+		from = append(from, r)
+	}
+	return heads, from
+}
+
 // closeIdle ends a session that has held nothing for the lease length, so
 // that an idle node renews nothing.
 func (w *Worker) closeIdle(now time.Time) {
--- a/internal/batch/worker/worker.go
+++ b/internal/batch/worker/worker.go
@@ -27,6 +27,8 @@
 	Runner    batch.Runner
 	// Report tells the coordinator of a job about a range; it does not wait.
 	Report func(core.JobID, coordinator.Report)
+	// Weight returns the fair-share weight of an organisation.
+	Weight func(core.Org) int
 	// MaxTries returns the number of tries of an idempotent item, 1 or more.
 	MaxTries func(batch.Item) int
 }
