Let a resend wait for the running attempt and report first tokens early

The owner learnt of a slow replica only when a request had ended. Change: Begin waits up to 3 s for the answer of a running attempt; the relay reports the first token to the owner when it comes; the demo cancels its second job only once items of it run.

--- a/bench/cmd/demo/demo.go
+++ b/bench/cmd/demo/demo.go
@@ -143,7 +143,9 @@
 	if err := j.start(); err != nil {
 		return err
 	}
-	time.Sleep(700 * time.Millisecond)
+	if err := d.awaitStarts(j.id); err != nil {
+		return err
+	}
 	if err := j.cancel(); err != nil {
 		return err
 	}
@@ -173,6 +175,17 @@
 	return nil
 }
 
+// awaitStarts waits until items of a job run.
+func (d *demo) awaitStarts(jobID string) error {
+	for deadline := time.Now().Add(10 * time.Second); time.Now().Before(deadline); time.Sleep(100 * time.Millisecond) {
+		n, err := d.startsOf(jobID)
+		if err != nil || n > 0 {
+			return err
+		}
+	}
+	return errors.Errorf("no item of job %s started within 10 s", jobID)
+}
+
 // startsOf counts the starts on all engines of requests whose id names a job.
 func (d *demo) startsOf(jobID string) (int, error) {
 	total := 0
--- a/internal/intent/begin.go
+++ b/internal/intent/begin.go
@@ -11,8 +11,20 @@
 )
 
 // Begin records the intent to send a call, or says why it must not be sent.
-// A refusal is true to its NotRun: the call is not sent.
+// A refusal is true to its NotRun: the call is not sent. While another attempt
+// of the same call runs, Begin waits for its answer as long as the
+// configuration allows.
 func (s *Store) Begin(ctx context.Context, org core.Org, key string, digest Digest) (Decision, *core.Refusal) {
+	until := time.Now().Add(s.cfg.AwaitAnswer)
+	for {
+		decision, refusal := s.beginOnce(ctx, org, key, digest)
+		if refusal != nil || decision.Outcome != InProgressOrUnknown || !s.awaitEnd(ctx, rowKey(org, key), until) {
+			return decision, refusal
+		}
+	}
+}
+
+func (s *Store) beginOnce(ctx context.Context, org core.Org, key string, digest Digest) (Decision, *core.Refusal) {
 	bounded, cancel := context.WithTimeout(ctx, beginTimeout)
 	defer cancel()
 	a := &Attempt{key: rowKey(org, key), id: s.cfg.NewID(), digest: digest, began: time.Now()}
--- a/internal/intent/config.go
+++ b/internal/intent/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"time"
 
 	"github.com/uber-go/tally/v4"
 
@@ -12,7 +13,10 @@
 type Config struct {
 	Table platform.Table
 	// NewID returns an id that is unique in the fleet and over restarts.
-	NewID  func() string
-	Scope  tally.Scope  // nil: no metrics
-	Logger *slog.Logger // nil: no log
+	NewID func() string
+	// AwaitAnswer is how long a resend waits for the answer of an attempt that
+	// is still running; 0: it is told at once that the outcome is unknown.
+	AwaitAnswer time.Duration
+	Scope       tally.Scope  // nil: no metrics
+	Logger      *slog.Logger // nil: no log
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -128,7 +128,7 @@
 		Settings: n.settings.Current, Budget: n.budgets, Scope: n.scope,
 	})
 	n.intents = intent.New(intent.Config{
-		Table: n.table, NewID: n.ids.new, Scope: n.scope, Logger: n.log.With("role", "intent"),
+		Table: n.table, NewID: n.ids.new, AwaitAnswer: resendWait, Scope: n.scope, Logger: n.log.With("role", "intent"),
 	})
 }
 
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -12,6 +12,9 @@
 const (
 	// headerTimeout ends connections that send no request header.
 	headerTimeout = 10 * time.Second
+	// resendWait is how long the resend of a non-idempotent call waits for the
+	// answer of the attempt that is running; most calls end sooner.
+	resendWait = 3 * time.Second
 	// leaveTimeout bounds telling the other nodes of a stop.
 	leaveTimeout = 1 * time.Second
 	// batchStopTimeout bounds the items in progress at a planned stop. Items
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -39,6 +39,9 @@
 	a.err = w.send(a.ctx, a)
 	if a.err == nil {
 		a.began = max(1, time.Since(a.sent))
+		if reporter, ok := a.slot.(dispatch.FirstTokenReporter); ok {
+			reporter.ReportFirstToken(a.began)
+		}
 	} else {
 		a.failure = a.classify(a.err)
 	}
