--- a/internal/config/strictjson/parse.go
+++ b/internal/config/strictjson/parse.go
@@ -174,10 +174,14 @@
 	}
 }
 
-// Join appends a name to a path.
+// Join appends a name to a path: "a.b", or "/a: b" below a path of the
+// settings tree.
 func Join(path, name string) string {
-	if path == "" {
+	switch {
+	case path == "":
 		return name
+	case path[0] == '/' && !strings.Contains(path, ": "):
+		return path + ": " + name
 	}
 	return path + "." + name
 }
--- a/internal/httpapi/operators/answer.go
+++ b/internal/httpapi/operators/answer.go
@@ -27,7 +27,7 @@
 }
 
 func writeJSON(w http.ResponseWriter, status int, body any) {
-	data, err := json.MarshalIndent(body, "", "  ")
+	data, err := json.Marshal(body)
 	if err != nil {
 		writeRefusal(w, core.Fail(core.CodeInternal, "the answer cannot be encoded: "+err.Error()))
 		return
--- a/internal/settings/cluster_test.go
+++ b/internal/settings/cluster_test.go
@@ -73,6 +73,7 @@
 // heartbeats in memory.
 type cluster struct {
 	table  *faultyTable
+	limits limits
 	mu     sync.Mutex
 	nodes  map[core.NodeID]*testNode
 	order  []core.NodeID
@@ -90,8 +91,8 @@
 	done     chan struct{}
 }
 
-func newCluster(n int) *cluster {
-	c := &cluster{table: newFaultyTable(), nodes: make(map[core.NodeID]*testNode), cut: make(map[core.NodeID]bool)}
+func newCluster(n int, l limits) *cluster {
+	c := &cluster{limits: l, table: newFaultyTable(), nodes: make(map[core.NodeID]*testNode), cut: make(map[core.NodeID]bool)}
 	for i := range n {
 		id := core.NodeID(fmt.Sprintf("node-%d", i))
 		c.order = append(c.order, id)
@@ -106,6 +107,7 @@
 	n := &testNode{cluster: c, id: id, handlers: make(map[string]peer.Handler), done: make(chan struct{})}
 	n.manager = NewManager(Options{Table: c.table, Messenger: n, View: n.view, DataCentre: "dc-1",
 		Logger: slog.New(slog.NewTextHandler(io.Discard, nil))})
+	n.manager.limits, n.manager.store.scanPage = c.limits, c.limits.scanPage
 	last := uint64(0)
 	n.manager.Subscribe(func(s *Snapshot) {
 		if s.Version() < last || s.Version() == last && last != 0 {
--- a/internal/settings/fetch.go
+++ b/internal/settings/fetch.go
@@ -52,18 +52,18 @@
 	case request.Pinned != 0 && request.Pinned != tree.version:
 		// The tree changed between two parts; the asker begins again.
 	case request.Pinned == 0 && len(recent) > 0 && recent[0].Version <= request.From+1:
-		answer.Entries, answer.More = entriesChunk(recent[request.From+1-recent[0].Version:])
+		answer.Entries, answer.More = entriesChunk(recent[request.From+1-recent[0].Version:], m.limits.chunkBytes)
 	default:
 		answer.Whole = true
-		answer.Nodes, answer.More = tree.chunk(request.After)
+		answer.Nodes, answer.More = tree.chunk(request.After, m.limits.chunkBytes)
 	}
 	return answer
 }
 
-func entriesChunk(entries []Entry) ([]Entry, bool) {
+func entriesChunk(entries []Entry, limit int) ([]Entry, bool) {
 	size := 0
 	for i := range entries {
-		if size += entries[i].size(); size > chunkBytes && i > 0 {
+		if size += entries[i].size(); size > limit && i > 0 {
 			return slices.Clone(entries[:i]), true
 		}
 	}
@@ -71,7 +71,7 @@
 }
 
 // chunk returns nodes after a path, in path order, and whether there are more.
-func (t *Tree) chunk(after string) ([]nodeImage, bool) {
+func (t *Tree) chunk(after string, limit int) ([]nodeImage, bool) {
 	paths := t.Paths()
 	size := 0
 	var out []nodeImage
@@ -80,7 +80,7 @@
 			continue
 		}
 		image := nodeImage{Path: path, Version: t.nodes[path].Version, Values: t.nodes[path].Values}
-		if size += image.size(); size > chunkBytes && len(out) > 0 {
+		if size += image.size(); size > limit && len(out) > 0 {
 			return out, true
 		}
 		out = append(out, image)
--- a/internal/settings/history.go
+++ b/internal/settings/history.go
@@ -6,11 +6,11 @@
 	"gentiantide.example/gentiantide/internal/core"
 )
 
-// historyPages bounds the log pages that one search reads.
+// historyPages bounds the log pages that one search reads: 10,000 changes.
 const historyPages = 50
 
 // History returns up to limit log entries, newest first. With a path only the
-// entries of that node are returned, out of the newest 10,000 changes.
+// entries of that node are returned, out of historyPages pages of changes.
 func (m *Manager) History(ctx context.Context, path string, limit int) ([]Entry, *core.Refusal) {
 	if path != "" {
 		if _, err := PathKind(path); err != nil {
@@ -24,7 +24,7 @@
 	var out []Entry
 	to := h.Version
 	for page := 0; page < historyPages && to > 0 && len(out) < limit; page++ {
-		from := to - min(to, scanPage)
+		from := to - min(to, uint64(m.store.scanPage))
 		entries, err := m.store.entries(ctx, from, int(to-from))
 		if err != nil {
 			return nil, unavailable(err)
--- a/internal/settings/key.go
+++ b/internal/settings/key.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"regexp"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -23,26 +24,27 @@
 
 // Key is one entry of the schema.
 type Key struct {
-	Name string
-	Type ValueType
+	Name string    `json:"name"`
+	Type ValueType `json:"type"`
 	// Unit is what one counts, for example "requests"; durations carry theirs.
-	Unit string
+	Unit string `json:"unit,omitempty"`
 	// Min and Max bound integers and numbers, and durations in nanoseconds.
-	Min, Max float64
+	Min float64 `json:"min"`
+	Max float64 `json:"max"`
 	// Default is the canonical JSON of the value in force when none is set.
-	Default string
+	Default string `json:"default"`
 	// Levels are the node kinds that may set the key.
-	Levels []NodeKind
+	Levels []NodeKind `json:"levels"`
 	// Own is set for keys that name one entity: they are set on its own node
 	// and are not inherited.
-	Own bool
+	Own bool `json:"own,omitempty"`
 	// Choices lists the accepted strings, if only some are.
-	Choices []string
+	Choices []string `json:"choices,omitempty"`
 	// Pattern is what a string must match; Form describes it.
-	Pattern *regexp.Regexp
-	Form    string
+	Pattern *regexp.Regexp `json:"-"`
+	Form    string         `json:"form,omitempty"`
 	// Help is one sentence for the reference page.
-	Help string
+	Help string `json:"help"`
 
 	// fallback is the decoded default.
 	fallback any
@@ -79,7 +81,7 @@
 	case TypeBool:
 		return "true, false"
 	case TypeInt, TypeNumber:
-		return fmt.Sprintf("%g to %g", k.Min, k.Max)
+		return fmt.Sprintf("%s to %s", formatNumber(k.Min), formatNumber(k.Max))
 	case TypeDuration:
 		return formatDuration(time.Duration(k.Min)) + " to " + formatDuration(time.Duration(k.Max))
 	}
@@ -89,6 +91,8 @@
 	return k.Form
 }
 
+func formatNumber(v float64) string { return strconv.FormatFloat(v, 'f', -1, 64) }
+
 func article(t ValueType) string {
 	if t == TypeInt {
 		return "an integer"
--- a/internal/settings/manager.go
+++ b/internal/settings/manager.go
@@ -32,6 +32,7 @@
 	dataCentre core.DataCentre
 	logger     *slog.Logger
 	newID      func() string
+	limits     limits
 
 	current atomic.Pointer[Snapshot]
 	ready   chan struct{}
@@ -54,7 +55,7 @@
 // its message handlers. Run loads the settings.
 func NewManager(o Options) *Manager {
 	m := &Manager{
-		store: store{o.Table}, messenger: o.Messenger, view: o.View, dataCentre: o.DataCentre, logger: o.Logger,
+		store: store{o.Table, defaultLimits().scanPage}, limits: defaultLimits(), messenger: o.Messenger, view: o.View, dataCentre: o.DataCentre, logger: o.Logger,
 		newID: randomID, ready: make(chan struct{}), tree: NewTree(), hints: make(map[core.NodeID]uint64),
 		wake: make(chan struct{}, 1), editing: make(chan struct{}, 1),
 	}
@@ -120,13 +121,6 @@
 	}
 }
 
-const (
-	// keptEntries and keptBytes bound the log entries that a node keeps for its
-	// peers. One that is further behind fetches the whole tree.
-	keptEntries = 256
-	keptBytes   = 1 << 20
-)
-
 // remember keeps the entries of versions above the tree's for peers.
 func (m *Manager) remember(version uint64, entries []Entry) {
 	for _, e := range entries {
@@ -138,7 +132,7 @@
 	if n := len(m.recent); n > 0 && m.recent[n-1].Version != version {
 		m.recent, m.recentSize = nil, 0
 	}
-	for len(m.recent) > keptEntries || m.recentSize > keptBytes {
+	for len(m.recent) > m.limits.keptEntries || m.recentSize > m.limits.keptBytes {
 		m.recentSize -= m.recent[0].size()
 		m.recent = m.recent[1:]
 	}
--- a/internal/settings/manager_test.go
+++ b/internal/settings/manager_test.go
@@ -39,6 +39,9 @@
 	return rapid.SliceOfN(one, 1, 40).Draw(t, "steps")
 }
 
+// small makes nodes read and fetch whole trees after a few missed changes.
+var small = limits{catchUp: 3, scanPage: 2, keptEntries: 2, keptBytes: 1 << 20, chunkBytes: 300}
+
 // trial runs steps and keeps what operators were told of each change.
 type trial struct {
 	*cluster
@@ -142,7 +145,7 @@
 // oracle is a map of values that the log's changes are applied to one by one.
 func (r *trial) check() {
 	ctx := context.Background()
-	s := store{r.table}
+	s := store{r.table, 10}
 	h, _, err := s.head(ctx)
 	if err != nil {
 		r.fault("head: %v", err)
@@ -216,7 +219,7 @@
 		steps := drawSteps(rt)
 		var faults []string
 		synctest.Test(t, func(*testing.T) {
-			r := &trial{cluster: newCluster(4), told: map[string]*core.Refusal{}, accepted: map[string]uint64{}, changes: map[string]Change{}}
+			r := &trial{cluster: newCluster(4, small), told: map[string]*core.Refusal{}, accepted: map[string]uint64{}, changes: map[string]Change{}}
 			r.run(steps)
 			r.heal()
 			r.edits.Wait()
@@ -237,7 +240,7 @@
 func TestStartFromNeighbour(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
-		c := newCluster(2)
+		c := newCluster(2, defaultLimits())
 		defer c.close()
 		first := c.node("node-0").manager
 		time.Sleep(time.Second)
--- a/internal/settings/peers.go
+++ b/internal/settings/peers.go
@@ -19,9 +19,6 @@
 )
 
 const (
-	// chunkBytes bounds the settings in one message; a message between nodes is
-	// at most 1 MiB.
-	chunkBytes = 256 << 10
 	// announceBytes bounds an entry that is sent with its announcement.
 	announceBytes = 16 << 10
 	peerTimeout   = 2 * time.Second
--- a/internal/settings/poll.go
+++ b/internal/settings/poll.go
@@ -19,9 +19,6 @@
 	slowPolls = 30
 	// pollersPerDataCentre is 2, so that one may be down unnoticed.
 	pollersPerDataCentre = 2
-	// maxCatchUp is the number of log entries that a node reads from the table
-	// before it reads the whole tree instead.
-	maxCatchUp = 256
 	// askedPeers is the number of peers that a node without settings asks in
 	// one interval.
 	askedPeers = 3
@@ -112,12 +109,12 @@
 // readLog reads the entries between a tree and the head.
 func (m *Manager) readLog(ctx context.Context, tree *Tree, h head) (*Tree, []Entry, error) {
 	missing := h.Version - tree.version
-	if missing > maxCatchUp {
+	if missing > m.limits.catchUp {
 		return nil, nil, errFarBehind
 	}
 	var read []Entry
 	for tree.version < h.Version {
-		entries, err := m.store.entries(ctx, tree.version, min(scanPage, int(h.Version-tree.version)))
+		entries, err := m.store.entries(ctx, tree.version, min(m.store.scanPage, int(h.Version-tree.version)))
 		if err != nil {
 			return nil, nil, err
 		}
--- a/internal/settings/store.go
+++ b/internal/settings/store.go
@@ -18,12 +18,8 @@
 	logPrefix  = "settings/log/"
 )
 
-const (
-	// tableTimeout bounds one call to the table service.
-	tableTimeout = 2 * time.Second
-	// scanPage is the number of rows that one scan asks for.
-	scanPage = 200
-)
+// tableTimeout bounds one call to the table service.
+const tableTimeout = 2 * time.Second
 
 // logKey pads the version so that keys sort by version.
 func logKey(version uint64) string { return fmt.Sprintf("%s%020d", logPrefix, version) }
@@ -38,7 +34,8 @@
 
 // store reads and writes the rows of the settings tree.
 type store struct {
-	table platform.Table
+	table    platform.Table
+	scanPage int // rows per scan
 }
 
 // head reads the head row and its row version; an absent row is version 0.
@@ -143,7 +140,7 @@
 	var out []nodeImage
 	after := ""
 	for {
-		rows, err := s.scan(ctx, nodePrefix, after, scanPage)
+		rows, err := s.scan(ctx, nodePrefix, after, s.scanPage)
 		if err != nil {
 			return nil, err
 		}
@@ -155,7 +152,7 @@
 			image.Path = row.Key[len(nodePrefix):]
 			out = append(out, image)
 		}
-		if len(rows) < scanPage {
+		if len(rows) < s.scanPage {
 			return out, nil
 		}
 		after = rows[len(rows)-1].Key
@@ -165,7 +162,7 @@
 // replay puts the nodes of the log entries (from, to] into a tree.
 func (s *store) replay(ctx context.Context, tree *Tree, from, to uint64) error {
 	for from < to {
-		entries, err := s.entries(ctx, from, scanPage)
+		entries, err := s.entries(ctx, from, s.scanPage)
 		if err != nil {
 			return err
 		}
