Add the operators' command line

Cause: operators need settings, deployments, jobs, drain and state from a shell with stable exit codes.

--- /dev/null
+++ b/internal/cli/jobresults.go
@@ -0,0 +1,71 @@
+package cli
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"path/filepath"
+
+	"github.com/google/subcommands"
+	"github.com/pkg/errors"
+)
+
+func (a *App) resultsCommand() subcommands.Command {
+	out := ""
+	return &leaf{app: a, name: "results", synopsis: "read a job's results", server: callersSide, minArgs: 1, maxArgs: 1,
+		usage: "job results [-out FILE] JOB: write the results, one JSON line an item, to a file or to the standard output.",
+		flags: func(f *flagSet) { f.StringVar(&out, "out", "", "file to write; default: standard output") },
+		run: func(ctx context.Context, in *invocation) error {
+			j, err := in.job(ctx, in.args[0])
+			if err != nil {
+				return err
+			}
+			if j.OutputFileID == "" {
+				return refusedf("job %s is %s and has no results to read yet", j.ID, j.Status)
+			}
+			return in.results(ctx, j.OutputFileID, out)
+		}}
+}
+
+func (in *invocation) results(ctx context.Context, fileID, out string) error {
+	request := call{method: http.MethodGet, path: "/v1/files/" + url.PathEscape(fileID) + "/content", repeatable: true}
+	if out == "" {
+		var response *http.Response
+		err := in.client.retry(ctx, request, func() (err error) {
+			response, err = in.client.send(ctx, request)
+			return err
+		})
+		if err != nil {
+			return err
+		}
+		defer response.Body.Close()
+		_, err = io.Copy(in.Stdout, response.Body)
+		return errors.Wrap(err, "the results were cut off")
+	}
+	return in.client.retry(ctx, request, func() error { return in.download(ctx, request, out) })
+}
+
+// download writes a temporary file and renames it, so that a file with the
+// wanted name is always whole.
+func (in *invocation) download(ctx context.Context, request call, out string) error {
+	response, err := in.client.send(ctx, request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	file, err := os.CreateTemp(filepath.Dir(out), filepath.Base(out)+".part-*")
+	if err != nil {
+		return errors.Wrap(err, "results file")
+	}
+	defer os.Remove(file.Name())
+	_, err = io.Copy(file, response.Body)
+	if closeErr := file.Close(); err == nil {
+		err = closeErr
+	}
+	if err != nil {
+		return &transportError{errors.Wrap(err, "the results were cut off"), true}
+	}
+	return errors.Wrap(os.Rename(file.Name(), out), "results file")
+}
