Show ejected backend servers and owners in the list of the fleet

Cause: the operators' list did not say why a backend server gets no work while it is ejected, nor which node owns it. Change: one type for the answer and the command line; state, reason, owner and the batch share of each backend server.

--- a/bench/integration/cluster_test.go
+++ b/bench/integration/cluster_test.go
@@ -23,6 +23,7 @@
 	"gentiantide.example/gentiantide/bench/standin/table"
 	"gentiantide.example/gentiantide/internal/config"
 	"gentiantide.example/gentiantide/internal/core"
+	"gentiantide.example/gentiantide/internal/httpapi/operators"
 	"gentiantide.example/gentiantide/internal/node"
 	"gentiantide.example/gentiantide/internal/platform"
 )
@@ -208,7 +209,7 @@
 		return false
 	}
 	defer func() { _ = response.Body.Close() }()
-	var status node.FleetStatus
+	var status operators.Fleet
 	if json.NewDecoder(response.Body).Decode(&status) != nil {
 		return false
 	}
--- a/internal/httpapi/operators/fleet.go
+++ b/internal/httpapi/operators/fleet.go
@@ -2,6 +2,8 @@
 
 // Fleet is the answer of GET /admin/v1/fleet as the command line reads it.
 type Fleet struct {
+	// SeenBy is the answering node.
+	SeenBy   string         `json:"seen_by"`
 	Nodes    []FleetNode    `json:"nodes"`
 	Backends []FleetBackend `json:"backends"`
 }
@@ -26,8 +28,12 @@
 	State  string `json:"state"`
 	Reason string `json:"reason,omitempty"`
 	// Drain is set while the settings take the backend server out of service.
-	Drain    bool `json:"drain"`
-	Slots    int  `json:"slots"`
-	InFlight int  `json:"in_flight"`
-	Queued   int  `json:"queued"`
+	Drain bool `json:"drain"`
+	// Owner is the node that hands out its slots.
+	Owner    string `json:"owner,omitempty"`
+	Slots    int    `json:"slots"`
+	InFlight int    `json:"in_flight"`
+	// Batch is the part of InFlight that gives way to online work.
+	Batch  int `json:"batch"`
+	Queued int `json:"queued"`
 }
--- a/internal/node/dump.go
+++ b/internal/node/dump.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"gentiantide.example/gentiantide/internal/core"
+	"gentiantide.example/gentiantide/internal/httpapi/operators"
 	"gentiantide.example/gentiantide/internal/settings"
 )
 
@@ -20,7 +21,7 @@
 	PeerSent   int64                         `json:"peer_bytes_sent"`
 	PeerRead   int64                         `json:"peer_bytes_read"`
 	Settings   settings.Status               `json:"settings"`
-	Fleet      FleetStatus                   `json:"fleet"`
+	Fleet      operators.Fleet               `json:"fleet"`
 	Owner      any                           `json:"owner"`
 	Dispatch   any                           `json:"dispatch"`
 	Batch      any                           `json:"batch"`
@@ -35,7 +36,7 @@
 		At: time.Now().UTC(), Node: n.cfg.ID, Version: Version, Started: n.started.UTC(),
 		Stopping: n.stopping.Load(), Goroutines: runtime.NumGoroutine(), HeapBytes: memory.HeapAlloc,
 		PeerSent: sent, PeerRead: read, Settings: n.settings.Status(),
-		Fleet: fleetStatus(n.members.Current(), n.directory.Current()),
+		Fleet: n.fleetStatus(),
 		Owner: n.owner.Dump(), Dispatch: n.dispatcher.Dump(), Batch: n.batch.Dump(),
 		Budgets: n.budgets.dump(),
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -169,7 +169,7 @@
 	operatorsMux := http.NewServeMux()
 	server := &operators.Server{
 		Editor: n.settings, Dump: n.dump, Metrics: n.metricsHandler, Version: Version,
-		Fleet: func() any { return fleetStatus(n.members.Current(), n.directory.Current()) },
+		Fleet: func() any { return n.fleetStatus() },
 	}
 	server.Register(operatorsMux)
 	n.operatorsServer = &http.Server{Handler: operatorsMux, ReadHeaderTimeout: headerTimeout}
