--- a/internal/batch/lease/keeper.go
+++ b/internal/batch/lease/keeper.go
@@ -24,18 +24,32 @@
 	incarnation int64
 	log         *slog.Logger
 
-	mu      sync.Mutex
-	opening sync.Mutex
+	mu sync.Mutex
+	// opening admits one Acquire or Close at a time; waiting ends with the
+	// caller's context.
+	opening chan struct{}
 	opened  int
+	shut    bool // no session is opened any more
 	current *Session
 }
 
 // NewKeeper returns a Keeper without a session. The incarnation tells this
 // process from earlier ones with the same node id.
 func NewKeeper(st *store.Store, cfg batch.Config, node core.NodeID, incarnation int64, log *slog.Logger) *Keeper {
-	return &Keeper{store: st, cfg: cfg, node: node, incarnation: incarnation, log: log}
+	return &Keeper{store: st, cfg: cfg, node: node, incarnation: incarnation, log: log, opening: make(chan struct{}, 1)}
 }
 
+func (k *Keeper) enter(ctx context.Context) bool {
+	select {
+	case k.opening <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (k *Keeper) leave() { <-k.opening }
+
 // Own reports whether a session belongs to this process.
 func (k *Keeper) Own(session string) bool {
 	prefix := records.SessionPrefix(k.node, k.incarnation)
@@ -55,8 +69,10 @@
 // Acquire returns the session in force, or opens one.
 // Errors: as for store.Commit.
 func (k *Keeper) Acquire(ctx context.Context) (*Session, error) {
-	k.opening.Lock()
-	defer k.opening.Unlock()
+	if !k.enter(ctx) {
+		return nil, platform.ErrUnavailable
+	}
+	defer k.leave()
 	if s := k.Current(); s != nil {
 		return s, nil
 	}
@@ -68,15 +84,22 @@
 }
 
 func (k *Keeper) open(ctx context.Context, id string) (*Session, error) {
-	s := &Session{ID: id, cfg: k.cfg}
+	s := &Session{ID: id, cfg: k.cfg, kept: make(chan struct{})}
+	s.ctx, s.cancel = context.WithCancel(context.Background())
 	if err := k.write(ctx, s, 0, 1); err != nil {
+		s.end()
 		return nil, err
 	}
-	s.ctx, s.cancel = context.WithCancel(context.Background())
 	k.mu.Lock()
-	k.current = s
+	shut := k.shut
+	if !shut {
+		k.current = s
+	}
 	k.mu.Unlock()
-	s.kept = make(chan struct{})
+	if shut {
+		s.end()
+		return nil, platform.ErrUnavailable
+	}
 	go k.keep(s)
 	return s, nil
 }
@@ -161,8 +184,10 @@
 // could not be released can be claimed at once. No item may run any more. A
 // row that cannot be deleted lapses.
 func (k *Keeper) Close(ctx context.Context) error {
-	k.opening.Lock()
-	defer k.opening.Unlock()
+	if !k.enter(ctx) {
+		return platform.ErrUnavailable
+	}
+	defer k.leave()
 	s := k.Current()
 	if s == nil {
 		return nil
@@ -180,8 +205,12 @@
 	return err
 }
 
-// Abandon ends the session in force without telling the table service.
+// Abandon ends the session in force without telling the table service, and
+// opens no other: an Acquire that is under way fails.
 func (k *Keeper) Abandon() {
+	k.mu.Lock()
+	k.shut = true
+	k.mu.Unlock()
 	if s := k.Current(); s != nil {
 		s.end()
 		<-s.kept
--- a/internal/batch/lease/session.go
+++ b/internal/batch/lease/session.go
@@ -28,6 +28,7 @@
 	counter uint64
 	renewed time.Time
 	ended   bool
+	expiry  *time.Timer
 }
 
 // Context ends when the session is lost or closed.
@@ -54,6 +55,9 @@
 func (s *Session) end() {
 	s.mu.Lock()
 	s.ended = true
+	if s.expiry != nil {
+		s.expiry.Stop()
+	}
 	s.mu.Unlock()
 	s.cancel()
 }
@@ -62,4 +66,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version, s.counter, s.renewed = version, counter, began
+	if s.ended {
+		return
+	}
+	// The timer ends the session on time even while a renewal is stalled.
+	if s.expiry != nil {
+		s.expiry.Stop()
+	}
+	s.expiry = time.AfterFunc(time.Until(began.Add(s.cfg.LeaseLength)), s.end)
 }
--- a/internal/batch/service/cluster_test.go
+++ b/internal/batch/service/cluster_test.go
@@ -51,12 +51,24 @@
 	}
 }
 
-func (g *gate) wait() {
+func (g *gate) isPaused() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.paused != nil
+}
+
+func (g *gate) wait() { g.waitUntil(context.Background()) }
+
+func (g *gate) waitUntil(ctx context.Context) {
 	g.mu.Lock()
 	ch := g.paused
 	g.mu.Unlock()
-	if ch != nil {
-		<-ch
+	if ch == nil {
+		return
+	}
+	select {
+	case <-ch:
+	case <-ctx.Done():
 	}
 }
 
@@ -112,7 +124,7 @@
 	if target == nil {
 		return peer.ErrUnavailable
 	}
-	target.g.wait()
+	target.g.waitUntil(ctx)
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
@@ -156,6 +168,7 @@
 type cluster struct {
 	cfg     batch.Config
 	table   *platformtest.Table
+	view    platform.Table // what the nodes use
 	objects *platformtest.Objects
 	hub     *hub
 	run     func(node core.NodeID, ctx context.Context, item batch.Item) batch.Outcome
@@ -165,8 +178,9 @@
 }
 
 func newCluster(cfg batch.Config, run func(core.NodeID, context.Context, batch.Item) batch.Outcome) *cluster {
+	table := platformtest.NewTable()
 	c := &cluster{
-		cfg: cfg, table: platformtest.NewTable(), objects: platformtest.NewObjects(),
+		cfg: cfg, table: table, view: table, objects: platformtest.NewObjects(),
 		hub: &hub{nodes: make(map[core.NodeID]*messenger)}, run: run,
 		log: slog.New(slog.DiscardHandler),
 	}
@@ -182,7 +196,7 @@
 	n := &testNode{id: core.NodeID(fmt.Sprintf("node-%02d", c.started)), g: &gate{}, mux: http.NewServeMux()}
 	m := &messenger{hub: c.hub, id: n.id, g: n.g, handlers: make(map[string]peer.Handler)}
 	n.svc = New(Params{
-		Config: c.cfg, Table: gatedTable{c.table, n.g}, Objects: c.objects, Messenger: m, Members: c.members,
+		Config: c.cfg, Table: gatedTable{c.view, n.g}, Objects: c.objects, Messenger: m, Members: c.members,
 		Incarnation: int64(c.started), Log: c.log.With("node", n.id), Scope: tally.NoopScope,
 		Runner: batch.RunnerFunc(func(ctx context.Context, item batch.Item) batch.Outcome { return c.run(n.id, ctx, item) }),
 		Authenticate: func(r *http.Request) (core.Org, *core.Refusal) {
--- a/internal/batch/worker/stop.go
+++ b/internal/batch/worker/stop.go
@@ -28,10 +28,10 @@
 	var err error
 	if w.await(ctx, func() bool { return w.running == 0 }) {
 		err = w.p.Keeper.Close(ctx)
-	} else {
-		// The lease lapses, so nobody takes over while the items still run.
-		w.p.Keeper.Abandon()
 	}
+	// If items still run, the lease is left to lapse, so that nobody takes over
+	// before.
+	w.p.Keeper.Abandon()
 	w.wg.Wait()
 	if !ok {
 		return errors.New("batch: not all ranges were released; they are taken over after the lease")
