--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -107,7 +107,8 @@
 		OnView:            n.onView,
 	}, n.log.With("role", "membership"))
 	n.directory = directory.NewService(n.cfg.DataCentre, n.cfg.Region, n.backends,
-		n.settings.Current, n.members.Current, n.replicaLoad, n.log.With("role", "directory"))
+		n.settings.Current, n.members.Current,
+		func(id core.ReplicaID) directory.Counts { return n.owner.Counts(id) }, n.log.With("role", "directory"))
 	n.fleet = fleet.NewWatcher(httpfleet.New(n.cfg.Platform.Fleet, n.cfg.Timeouts.Fleet), n.transport,
 		n.members.Current, n.onFleet, n.log.With("role", "fleet"))
 }
@@ -127,7 +128,7 @@
 		Settings: n.settings.Current, Budget: n.budgets, Scope: n.scope,
 	})
 	n.intents = intent.New(intent.Config{
-		Table: n.table, NewID: n.ids.new, Scope: n.scope, Logger: n.log.With("role", "intent"),
+		Table: n.table, NewID: n.ids.new, AwaitAnswer: resendWait, Scope: n.scope, Logger: n.log.With("role", "intent"),
 	})
 }
 
@@ -168,7 +169,7 @@
 	operatorsMux := http.NewServeMux()
 	server := &operators.Server{
 		Editor: n.settings, Dump: n.dump, Metrics: n.metricsHandler, Version: Version,
-		Fleet: func() any { return fleetStatus(n.members.Current(), n.directory.Current()) },
+		Fleet: func() any { return n.fleetStatus() },
 	}
 	server.Register(operatorsMux)
 	n.operatorsServer = &http.Server{Handler: operatorsMux, ReadHeaderTimeout: headerTimeout}
@@ -197,11 +198,6 @@
 	return nil
 }
 
-// replicaLoad returns the ledger's counts of a replica that this node owns.
-func (n *Node) replicaLoad(id core.ReplicaID) (inUse, queued int) {
-	return n.owner.Counts(id)
-}
-
 func (n *Node) onView(*membership.View) {
 	n.directory.Refresh(time.Now())
 	n.dispatcher.OnViewChange()
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -12,11 +12,14 @@
 const (
 	// headerTimeout ends connections that send no request header.
 	headerTimeout = 10 * time.Second
+	// resendWait is how long the resend of a non-idempotent call waits for the
+	// answer of the attempt that is running; most calls end sooner.
+	resendWait = 3 * time.Second
 	// leaveTimeout bounds telling the other nodes of a stop.
 	leaveTimeout = 1 * time.Second
 	// batchStopTimeout bounds the items in progress at a planned stop. Items
 	// that are interrupted run again elsewhere.
-	batchStopTimeout = 20 * time.Second
+	batchStopTimeout = 5 * time.Second
 	// operatorsStopTimeout bounds the operators' requests at a stop.
 	operatorsStopTimeout = 1 * time.Second
 )
