Run the engine orders in the node

Cause: the settings named model versions that nothing brought to the engines. Change: the orders service is wired to the directory's reports, the settings and the table service; a test rolls a version out over six engines. Measured: TestRolloutOfAModelVersion passes; no request fails meanwhile.

--- a/bench/integration/cluster_test.go
+++ b/bench/integration/cluster_test.go
@@ -120,6 +120,7 @@
 	for i := range 2 {
 		p := engine.DefaultParams()
 		p.StepBase, p.StepPerSequence, p.Slots = 2*time.Millisecond, 0, 8
+		p.LoadTime, p.LoadLag = 200*time.Millisecond, 100*time.Millisecond
 		e := engine.NewServer(p)
 		c.t.Cleanup(e.Close)
 		c.engines = append(c.engines, e)
@@ -225,3 +226,15 @@
 func (c *cluster) cut(from, to *testNode) {
 	from.BlockPeers(func(id core.NodeID) bool { return string(id) == to.id })
 }
+
+// version returns the version of a node of the settings tree.
+func (c *cluster) version(n *testNode, path string) uint64 {
+	response, err := http.Get("http://" + n.operators + "/admin/v1/settings?path=" + path)
+	c.g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer func() { _ = response.Body.Close() }()
+	var body struct {
+		Version uint64 `json:"version"`
+	}
+	c.g.Expect(json.NewDecoder(response.Body).Decode(&body)).To(gomega.Succeed())
+	return body.Version
+}
--- /dev/null
+++ b/bench/integration/orders_test.go
@@ -0,0 +1,21 @@
+package integration
+
+import (
+	"testing"
+
+	"github.com/onsi/gomega"
+)
+
+// Guards against a change of the model version that does not reach every
+// engine, and against requests that fail while it does.
+func TestRolloutOfAModelVersion(t *testing.T) {
+	c := newCluster(t)
+	c.g.Expect(c.change(c.nodes[1], "/services/models", c.version(c.nodes[1], "/services/models"),
+		map[string]any{"engine.model_version": "v2"})).To(gomega.Equal(200))
+	for _, e := range c.engines {
+		c.g.Eventually(func() []string {
+			c.expectWhole(c.nodes[0], "during the roll-out", 4)
+			return e.Engine.Report().Models
+		}, eventually).Should(gomega.ContainElement("m@v2"))
+	}
+}
--- a/internal/directory/service.go
+++ b/internal/directory/service.go
@@ -260,6 +260,17 @@
 	r.Slots, r.InUse, r.Batch, r.Queued = e.published.Slots, e.published.InUse, e.published.Batch, e.published.Queued
 }
 
+// Report returns the last load report of a replica that this node polls, and
+// when it arrived; the time is zero if there is none.
+func (s *Service) Report(id core.ReplicaID) (backend.Load, time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e, ok := s.replicas[id]; ok {
+		return e.polled, e.polledAt
+	}
+	return backend.Load{}, time.Time{}
+}
+
 // OwnStatus returns the status of the replicas that this node owns, encoded
 // for a heartbeat.
 func (s *Service) OwnStatus() []byte {
--- a/internal/node/dump.go
+++ b/internal/node/dump.go
@@ -25,6 +25,7 @@
 	Owner      any                           `json:"owner"`
 	Dispatch   any                           `json:"dispatch"`
 	Batch      any                           `json:"batch"`
+	Orders     any                           `json:"orders"`
 	Budgets    map[core.DeploymentID]float64 `json:"retry_budgets"`
 }
 
@@ -37,7 +38,7 @@
 		Stopping: n.stopping.Load(), Goroutines: runtime.NumGoroutine(), HeapBytes: memory.HeapAlloc,
 		PeerSent: sent, PeerRead: read, Settings: n.settings.Status(),
 		Fleet: n.fleetStatus(),
-		Owner: n.owner.Dump(), Dispatch: n.dispatcher.Dump(), Batch: n.batch.Dump(),
+		Owner: n.owner.Dump(), Dispatch: n.dispatcher.Dump(), Batch: n.batch.Dump(), Orders: n.orders.Dump(),
 		Budgets: n.budgets.dump(),
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -24,6 +24,7 @@
 	"gentiantide.example/gentiantide/internal/httpapi/operators"
 	"gentiantide.example/gentiantide/internal/intent"
 	"gentiantide.example/gentiantide/internal/membership"
+	"gentiantide.example/gentiantide/internal/orders"
 	"gentiantide.example/gentiantide/internal/owner"
 	"gentiantide.example/gentiantide/internal/peer"
 	"gentiantide.example/gentiantide/internal/platform"
@@ -53,6 +54,7 @@
 	relay      *relay.Relay
 	intents    *intent.Store
 	batch      *service.Service
+	orders     *orders.Service
 	backends   *backends
 	budgets    *budgets
 	ids        *idSource
@@ -82,6 +84,7 @@
 	n.wireViews()
 	n.wireRequestPath()
 	n.wireBatch()
+	n.wireOrders()
 	n.wireHTTP()
 	return n
 }
@@ -145,6 +148,18 @@
 	})
 }
 
+func (n *Node) wireOrders() {
+	n.orders = orders.NewService(orders.Options{
+		Members: n.members.Current, Replicas: n.directory.Current, Settings: n.settings.Current,
+		Engine: func(address string) orders.Engine { return n.backends.engine(address) },
+		Report: func(id core.ReplicaID) orders.Report {
+			load, received := n.directory.Report(id)
+			return orders.Report{Load: load, Received: received}
+		},
+		Table: n.table, Incarnation: n.started.UnixNano(), Scope: n.scope, Logger: n.log.With("role", "orders"),
+	})
+}
+
 // maxTries returns the tries of an item from the settings of its deployment.
 func (n *Node) maxTries(cfg batch.Config, item batch.Item) int {
 	if service := n.settings.Current().ServiceByRoute(item.URL); service != nil {
