--- a/internal/batch/coordinator/scan.go
+++ b/internal/batch/coordinator/scan.go
@@ -19,9 +19,13 @@
 	began := time.Now()
 	err := c.scanShards(ctx)
 	claimed := c.claimed()
-	if err == nil && len(claimed) > 0 {
+	sweep := c.mine(sweepShard)
+	if err == nil && (len(claimed) > 0 || sweep) {
 		err = c.scanLeases(ctx, claimed)
 	}
+	if err == nil && sweep {
+		c.sweepLeases(ctx, time.Now())
+	}
 	c.mu.Lock()
 	c.scanned = began
 	if err != nil {
@@ -202,6 +206,17 @@
 	return nil
 }
 
+// sweepShard is the shard whose coordinator deletes abandoned leases.
+const sweepShard = 0
+
+// sweepLeases deletes the rows of sessions that ended without ranges, which
+// no take-over deletes.
+func (c *Coordinator) sweepLeases(ctx context.Context, now time.Time) {
+	for _, s := range c.observer.Abandoned(now) {
+		c.lapse(ctx, holder{session: s.Session, leaseVersion: s.Version})
+	}
+}
+
 // announce tells the live nodes that asking is worthwhile while there are
 // ranges to hand out or to divide.
 func (c *Coordinator) announce() {
--- a/internal/batch/lease/observer.go
+++ b/internal/batch/lease/observer.go
@@ -59,11 +59,14 @@
 	return Holder{Gone: now.Sub(s.since) >= o.length, Version: s.version}
 }
 
-// Lapsed returns the sessions whose rows may be deleted.
-func (o *Observer) Lapsed(now time.Time) []Seen {
+// Abandoned returns the sessions whose rows have been unchanged for several
+// lease lengths. They hold no range that anyone took over, since a take-over
+// deletes the row.
+func (o *Observer) Abandoned(now time.Time) []Seen {
+	const lengths = 4
 	var out []Seen
 	for session, s := range o.seen {
-		if now.Sub(s.since) >= o.length {
+		if now.Sub(s.since) >= lengths*o.length {
 			out = append(out, Seen{Session: session, Version: s.version})
 		}
 	}
