--- a/internal/batch/ranges/ranges_test.go
+++ b/internal/batch/ranges/ranges_test.go
@@ -34,7 +34,7 @@
 
 // Guards against short items that wait for ever behind long items of newer
 // ranges.
-func TestPickStart(t *testing.T) {
+func TestPickStartOfOldRanges(t *testing.T) {
 	g := gomega.NewWithT(t)
 	cfg := batch.DefaultConfig()
 	heads := []Head{{Expected: 1, Since: start}, {Expected: 9, Since: start.Add(time.Second)}, {Expected: 5, Since: start.Add(2 * time.Second)}}
