Test two nodes of one data centre that are cut from each other

Cause: two live owners of the same replicas were not covered. Change: a cluster with two nodes in each data centre; both sides serve during the cut and agree on the owners after it.

--- a/bench/integration/cluster_test.go
+++ b/bench/integration/cluster_test.go
@@ -58,7 +58,10 @@
 	nodes   []*testNode
 }
 
-func newCluster(t *testing.T) *cluster {
+func newCluster(t *testing.T) *cluster { return newClusterOf(t, 1) }
+
+// newClusterOf starts a cluster with a number of nodes in each data centre.
+func newClusterOf(t *testing.T, nodesPerCentre int) *cluster {
 	c := &cluster{t: t, g: gomega.NewWithT(t), client: client.New(),
 		table: table.New(table.DefaultParams()), objects: objects.New(objects.DefaultParams()), fleet: fleet.New(fleet.Params{})}
 	tableURL, objectsURL, fleetURL := c.serve(c.table), c.serve(c.objects), c.serve(c.fleet)
@@ -68,10 +71,11 @@
 	}
 	var files []string
 	var seeds []string
-	for _, dc := range dataCentres {
+	for i := range nodesPerCentre * len(dataCentres) {
+		dc := dataCentres[i/nodesPerCentre]
 		addresses, err := harness.FreeAddresses(3)
 		c.g.Expect(err).NotTo(gomega.HaveOccurred())
-		id := dc + "-node"
+		id := fmt.Sprint(dc, "-node-", i%nodesPerCentre)
 		vms = append(vms, platform.VM{ID: id, Kind: platform.KindNode, DataCentre: dc, Region: "r", Address: addresses[2]})
 		seeds = append(seeds, addresses[2])
 		files = append(files, fmt.Sprintf(`{"id": %q, "data_centre": %q, "region": "r",
@@ -205,21 +209,36 @@
 
 // seesLive reports whether a node takes another for live.
 func (c *cluster) seesLive(n *testNode, id string) bool {
+	for _, m := range c.fleetOf(n).Nodes {
+		if m.ID == id {
+			return m.State == "live"
+		}
+	}
+	return false
+}
+
+// owners returns the owners of the replicas as a node sees them.
+func (c *cluster) owners(n *testNode) map[string]string {
+	out := make(map[string]string)
+	for _, b := range c.fleetOf(n).Backends {
+		out[b.ID] = b.Owner
+	}
+	return out
+}
+
+// fleetOf returns the list of the fleet as a node sees it, empty if it does
+// not answer.
+func (c *cluster) fleetOf(n *testNode) operators.Fleet {
+	var status operators.Fleet
 	response, err := http.Get("http://" + n.operators + "/admin/v1/fleet")
 	if err != nil {
-		return false
+		return status
 	}
 	defer func() { _ = response.Body.Close() }()
-	var status operators.Fleet
 	if json.NewDecoder(response.Body).Decode(&status) != nil {
-		return false
+		return operators.Fleet{}
 	}
-	for _, m := range status.Nodes {
-		if m.ID == id {
-			return m.State == "live"
-		}
-	}
-	return false
+	return status
 }
 
 // cut blocks messages from one node to another.
--- a/bench/integration/partition_test.go
+++ b/bench/integration/partition_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"fmt"
+	"reflect"
+	"sync"
 	"testing"
 
 	"github.com/onsi/gomega"
 
+	"gentiantide.example/gentiantide/bench/client"
+	"gentiantide.example/gentiantide/bench/standin/engine"
 	"gentiantide.example/gentiantide/internal/core"
 )
 
@@ -50,3 +54,34 @@
 func isOther(n *testNode) func(core.NodeID) bool {
 	return func(id core.NodeID) bool { return string(id) != n.id }
 }
+
+// Guards against requests that fail, or engines that are overrun for long,
+// while two nodes of one data centre each take themselves for the owner of all
+// its replicas, and against two owners that stay after the cut has healed.
+func TestSplitDataCentre(t *testing.T) {
+	c := newClusterOf(t, 2)
+	first, second := c.nodes[0], c.nodes[1]
+	c.cut(first, second)
+	c.cut(second, first)
+	c.g.Eventually(func() bool { return c.seesLive(first, second.id) || c.seesLive(second, first.id) }, eventually).Should(gomega.BeFalse())
+
+	var wait sync.WaitGroup
+	results := make([]client.Result, 48)
+	for i := range results {
+		wait.Go(func() { results[i] = c.generate(c.nodes[i%2], fmt.Sprint("split ", i), 40) })
+	}
+	wait.Wait()
+	for i, r := range results {
+		c.g.Expect(r.OK()).To(gomega.BeTrue(), r.String())
+		c.g.Expect(r.Text).To(gomega.Equal(engine.Answer(fmt.Sprint("split ", i), 40)))
+	}
+	first.BlockPeers(nil)
+	second.BlockPeers(nil)
+	for _, n := range []*testNode{first, second} {
+		c.g.Eventually(func() bool { return c.seesLive(n, first.id) && c.seesLive(n, second.id) }, eventually).Should(gomega.BeTrue())
+	}
+	c.g.Eventually(func() bool {
+		a, b := c.owners(first), c.owners(second)
+		return len(a) > 0 && reflect.DeepEqual(a, b)
+	}, eventually).Should(gomega.BeTrue(), "both nodes name the same owners")
+}
