Require a token on the operators' listener

Cause: whoever reached the operators' listener could change every deployment. Without tokens the listener must be bound to a loopback address or the file must say operators {"open": true}. The command line reads the token from GENTIANTIDE_TOKEN or -token-file. /healthz is new on this listener and needs no token. Tests: go test -race ./internal/config ./internal/httpapi/... ./internal/cli passes. The good file of the config test binds 10.0.0.1 and therefore got a token; the other expectations are unchanged.

--- a/internal/cli/app.go
+++ b/internal/cli/app.go
@@ -17,6 +17,9 @@
 	envOperators = "GENTIANTIDE_OPERATORS"
 	envCallers   = "GENTIANTIDE_CALLERS"
 	envAPIKey    = "GENTIANTIDE_API_KEY"
+	// envToken holds the operator's token. There is no flag for its value,
+	// since other users of a machine see the arguments of each process.
+	envToken = "GENTIANTIDE_TOKEN"
 )
 
 // App is one run of the command line.
--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -58,10 +58,11 @@
 
 // client talks to one listener of a node.
 type client struct {
-	base   string
-	http   *http.Client
-	org    string
-	apiKey string
+	base string
+	http *http.Client
+	org  string
+	// bearer is the caller's API key or the operator's token.
+	bearer string
 	pause  time.Duration
 }
 
@@ -184,8 +185,8 @@
 	if c.org != "" {
 		r.Header.Set("OpenAI-Organization", c.org)
 	}
-	if c.apiKey != "" {
-		r.Header.Set("Authorization", "Bearer "+c.apiKey)
+	if c.bearer != "" {
+		r.Header.Set("Authorization", "Bearer "+c.bearer)
 	}
 }
 
--- a/internal/cli/leaf.go
+++ b/internal/cli/leaf.go
@@ -4,6 +4,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"os"
 	"strings"
 
 	"github.com/google/subcommands"
@@ -30,7 +31,7 @@
 	minArgs, maxArgs int
 	run              func(ctx context.Context, in *invocation) error
 
-	output, address, org string
+	output, address, org, tokenFile string
 }
 
 // invocation is what a command runs with.
@@ -57,6 +58,7 @@
 	switch l.server {
 	case operatorsSide:
 		f.StringVar(&l.address, "server", l.app.Getenv(envOperators), "operators' address of a node; default $"+envOperators)
+		f.StringVar(&l.tokenFile, "token-file", "", "`file` with the operator's token; default: the token in $"+envToken)
 	case callersSide:
 		f.StringVar(&l.address, "server", l.app.Getenv(envCallers), "callers' address of a node; default $"+envCallers)
 		f.StringVar(&l.org, "org", "", "organisation, while the fleet asks for no API key; the key is in $"+envAPIKey)
@@ -92,8 +94,8 @@
 	in := &invocation{App: l.app, args: args, json: l.output == "json"}
 	if l.address != "" {
 		in.client = newClient(l.address, l.app.RetryPause)
-		if l.server == callersSide {
-			in.client.org, in.client.apiKey = l.org, l.app.Getenv(envAPIKey)
+		if err := l.identify(in.client); err != nil {
+			return err
 		}
 	} else if l.server != noServer && l.name != "version" {
 		return usagef("no server: give -server or set $%s", map[side]string{operatorsSide: envOperators, callersSide: envCallers}[l.server])
@@ -101,6 +103,33 @@
 	return l.run(ctx, in)
 }
 
+// identify sets what the requests carry about who sends them.
+func (l *leaf) identify(c *client) (err error) {
+	switch l.server {
+	case callersSide:
+		c.org, c.bearer = l.org, l.app.Getenv(envAPIKey)
+	case operatorsSide:
+		c.bearer, err = l.token()
+	}
+	return err
+}
+
+// token returns the operator's token, or "" if none is given.
+func (l *leaf) token() (string, error) {
+	if l.tokenFile == "" {
+		return strings.TrimSpace(l.app.Getenv(envToken)), nil
+	}
+	data, err := os.ReadFile(l.tokenFile)
+	if err != nil {
+		return "", usagef("-token-file: %v", err)
+	}
+	token := strings.TrimSpace(string(data))
+	if token == "" {
+		return "", usagef("-token-file: %s is empty", l.tokenFile)
+	}
+	return token, nil
+}
+
 // interspersed returns the arguments and parses flags that follow them.
 func interspersed(f *flag.FlagSet) ([]string, error) {
 	var args []string
--- a/internal/config/fields.go
+++ b/internal/config/fields.go
@@ -36,6 +36,10 @@
 			{"operators", true, address(&n.Listen.Operators)},
 			{"peers", true, address(&n.Listen.Peers)},
 		})},
+		{"operators", false, object([]field{
+			{"token_sha256", false, tokenDigests(&n.Operators.TokenDigests)},
+			{"open", false, boolean(&n.Operators.Open)},
+		})},
 		{"platform", true, object([]field{
 			{"table", true, baseURL(&n.Platform.Table)},
 			{"objects", true, baseURL(&n.Platform.Objects)},
@@ -98,6 +102,16 @@
 	}
 }
 
+func boolean(to *bool) func(*decoder, string, *strictjson.Node) {
+	return func(d *decoder, path string, n *strictjson.Node) {
+		if n.Kind != strictjson.Bool {
+			d.refuse(n, path, "wrong type: "+string(n.Kind), "true or false")
+			return
+		}
+		*to = n.Text == "true"
+	}
+}
+
 func baseURL(to *string) func(*decoder, string, *strictjson.Node) {
 	return func(d *decoder, path string, n *strictjson.Node) {
 		const expected = `an http or https URL without a query, for example "http://10.1.2.3:8000"`
--- a/internal/config/load.go
+++ b/internal/config/load.go
@@ -31,6 +31,7 @@
 	d.object("", root, node.fields())
 	if len(d.problems) == 0 {
 		d.distinct(root, node.Listen)
+		d.guarded(root, node)
 	}
 	sort.SliceStable(d.problems, func(i, j int) bool {
 		a, b := d.problems[i].Position, d.problems[j].Position
--- a/internal/config/load_test.go
+++ b/internal/config/load_test.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"crypto/sha256"
 	"log/slog"
 	"strings"
 	"testing"
@@ -17,6 +18,7 @@
   "seeds": ["10.0.0.2:8082"],
   "log_level": "warn",
   "timeouts": {"table": "1500ms"},
+  "operators": {"token_sha256": ["2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b"]},
 }`
 
 // Guards against values that are lost or defaults that are not applied.
@@ -28,9 +30,10 @@
 	want.Table = 1500 * time.Millisecond
 	g.Expect(*n).To(gomega.Equal(Node{
 		ID: "luzon-a-1", DataCentre: "luzon-a", Region: "luzon",
-		Listen:   Listen{"10.0.0.1:8080", "10.0.0.1:8081", "[::1]:8082"},
-		Platform: Platform{"http://10.0.1.1:1", "http://10.0.1.1:2", "http://10.0.1.1:3", "https://10.0.1.1:4"},
-		Seeds:    []string{"10.0.0.2:8082"}, LogLevel: slog.LevelWarn, Timeouts: want,
+		Listen:    Listen{"10.0.0.1:8080", "10.0.0.1:8081", "[::1]:8082"},
+		Operators: Operators{TokenDigests: [][sha256.Size]byte{sha256.Sum256([]byte("secret"))}},
+		Platform:  Platform{"http://10.0.1.1:1", "http://10.0.1.1:2", "http://10.0.1.1:3", "https://10.0.1.1:4"},
+		Seeds:     []string{"10.0.0.2:8082"}, LogLevel: slog.LevelWarn, Timeouts: want,
 	}))
 }
 
@@ -48,6 +51,12 @@
 		{`"1500ms"`, `1500`, `node.json:8:25: timeouts.table: wrong unit: 1500 has none`},
 		{`"1500ms"`, `"2h"`, `node.json:8:25: timeouts.table: value 2h is out of range`},
 		{`"id":`, `"id": "x", "id":`, `node.json:3:14: id: duplicate key "id"`},
+		{`"token_sha256": [`, `"token_sha256": ["12", `, `node.json:9:34: operators.token_sha256: value is not a SHA-256 digest`},
+		{`"2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b"`, `"e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855"`, `node.json:9:34: operators.token_sha256: value is the digest of the empty token`},
+		{`["2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b"]`, `[]`, `node.json:9:33: operators.token_sha256: the list is empty`},
+		{`"token_sha256": [`, `"open": true, "token_sha256": [`, `node.json:9:25: operators.open: operators.token_sha256 is set as well`},
+		{`"operators": {"token_sha256": ["2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b"]},`, ``,
+			`node.json:4:55: listen.operators: address 10.0.0.1:8081 can be reached from other VMs and no token is required`},
 		{`"luzon-a-1"`, `"luzon a"`, `node.json:3:9: id: value is not accepted`},
 	} {
 		g := gomega.NewWithT(t)
@@ -56,3 +65,17 @@
 		g.Expect(err.Error()).To(gomega.ContainSubstring(test.want))
 	}
 }
+
+// Guards against a listener without tokens that is refused although only the
+// own VM reaches it, or although the file says that it is open on purpose.
+func TestParseAcceptsOperatorsWithoutTokens(t *testing.T) {
+	const tokens = `"operators": {"token_sha256": ["2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b"]},`
+	for _, test := range []struct{ address, operators string }{
+		{`"127.0.0.1:8081"`, ``}, {`"[::1]:8081"`, ``}, {`"[::ffff:127.0.0.1]:8081"`, ``}, {`"10.0.0.1:8081"`, `"operators": {"open": true},`},
+	} {
+		g := gomega.NewWithT(t)
+		file := strings.NewReplacer(`"10.0.0.1:8081"`, test.address, tokens, test.operators).Replace(good)
+		_, err := Parse("node.json", []byte(file))
+		g.Expect(err).NotTo(gomega.HaveOccurred(), "%+v", test)
+	}
+}
--- a/internal/config/node.go
+++ b/internal/config/node.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"crypto/sha256"
 	"log/slog"
 	"time"
 
@@ -13,6 +14,7 @@
 	DataCentre core.DataCentre
 	Region     core.Region
 	Listen     Listen
+	Operators  Operators
 	Platform   Platform
 	// Seeds are peer addresses that are tried while the fleet list is away.
 	Seeds    []string
@@ -25,6 +27,16 @@
 	Callers, Operators, Peers string
 }
 
+// Operators says who may use the operators' listener.
+type Operators struct {
+	// TokenDigests are the SHA-256 digests of the accepted tokens. Several are
+	// in force while a token is rotated. Without any, the listener asks for no
+	// token and must be bound to a loopback address.
+	TokenDigests [][sha256.Size]byte
+	// Open allows a listener without tokens on any address.
+	Open bool
+}
+
 // Platform has the base URLs of the platform's services.
 type Platform struct {
 	Table, Objects, Weights, Fleet string
--- a/internal/httpapi/authenticate.go
+++ b/internal/httpapi/authenticate.go
@@ -23,7 +23,7 @@
 // Authenticate returns the caller's organisation: that of its API key, or,
 // while authentication is not required, the one that it names.
 func Authenticate(r *http.Request, snapshot *settings.Snapshot) (core.Org, *core.Refusal) {
-	if key, ok := bearer(r); ok {
+	if key, ok := Bearer(r); ok {
 		digest := sha256.Sum256([]byte(key))
 		if org, ok := snapshot.OrgByKey(hex.EncodeToString(digest[:])); ok {
 			return org, nil
@@ -43,7 +43,8 @@
 	}
 }
 
-func bearer(r *http.Request) (string, bool) {
+// Bearer returns the token of the header Authorization: Bearer <token>.
+func Bearer(r *http.Request) (string, bool) {
 	scheme, key, ok := strings.Cut(r.Header.Get("Authorization"), " ")
 	return strings.TrimSpace(key), ok && strings.EqualFold(scheme, "Bearer")
 }
--- a/internal/httpapi/operators/server.go
+++ b/internal/httpapi/operators/server.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"io"
 	"net/http"
 
 	"gentiantide.example/gentiantide/internal/core"
@@ -27,10 +29,24 @@
 	Metrics http.Handler
 	// Version is the version of the program.
 	Version string
+	// TokenDigests are the SHA-256 digests of the tokens of which each request
+	// below /admin/ must present one; empty: no token is required.
+	TokenDigests [][sha256.Size]byte
 }
 
-// Register adds the endpoints below /admin/ to a mux.
+// Register adds the endpoints below /admin/, which require a token if there
+// are any, and /healthz, which never does, to a mux.
 func (s *Server) Register(mux *http.ServeMux) {
+	admin := http.NewServeMux()
+	s.registerAdmin(admin)
+	mux.Handle("/admin/", s.authorised(admin))
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		_, _ = io.WriteString(w, "ok\n")
+	})
+}
+
+func (s *Server) registerAdmin(mux *http.ServeMux) {
 	mux.HandleFunc("GET /admin/v1/settings", s.getSettings)
 	mux.HandleFunc("POST /admin/v1/settings", s.changeSettings)
 	mux.HandleFunc("GET /admin/v1/settings/history", s.history)
--- a/internal/httpapi/operators/server_test.go
+++ b/internal/httpapi/operators/server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"io"
 	"log/slog"
 	"net/http"
@@ -75,3 +76,38 @@
 		g.Expect(w.Body.String()).To(gomega.MatchRegexp(step.want), "%+v", step)
 	}
 }
+
+// Guards against an endpoint that answers without a token or with a wrong one,
+// against a second token that is ignored during a rotation, and against a
+// health check that needs one.
+func TestTokens(t *testing.T) {
+	mux := http.NewServeMux()
+	(&Server{Version: "1", Dump: func() any { return nil }, TokenDigests: [][sha256.Size]byte{
+		sha256.Sum256([]byte("old")), sha256.Sum256([]byte("new")),
+	}}).Register(mux)
+	for _, test := range []struct {
+		method, path, header string
+		status               int
+	}{
+		{"GET", "/admin/v1/version", "", 401},
+		{"GET", "/admin/v1/version", "Bearer other", 401},
+		{"GET", "/admin/v1/version", "Bearer ", 401},
+		{"GET", "/admin/v1/version", "Basic old", 401},
+		{"GET", "/admin/v1/dump", "", 401},
+		{"POST", "/admin/v1/drain", "", 401},
+		{"GET", "/admin/none", "", 401},
+		{"GET", "/admin/v1/version", "Bearer old", 200},
+		{"GET", "/admin/v1/version", "bearer new", 200},
+		{"GET", "/healthz", "", 200},
+	} {
+		g := gomega.NewWithT(t)
+		w, r := httptest.NewRecorder(), httptest.NewRequest(test.method, test.path, nil)
+		r.Header.Set("Authorization", test.header)
+		mux.ServeHTTP(w, r)
+		g.Expect(w.Code).To(gomega.Equal(test.status), "%+v", test)
+		if test.status == http.StatusUnauthorized {
+			g.Expect(w.Body.String()).To(gomega.ContainSubstring(`"type":"authentication_error","code":"unauthorized"`))
+			g.Expect(w.Body.String()).To(gomega.ContainSubstring(`"not_run":true`))
+		}
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -184,7 +184,7 @@
 	operatorsMux := http.NewServeMux()
 	server := &operators.Server{
 		Editor: n.settings, Dump: n.dump, Metrics: n.metricsHandler, Version: Version,
-		Fleet: func() any { return n.fleetStatus() },
+		Fleet: func() any { return n.fleetStatus() }, TokenDigests: n.cfg.Operators.TokenDigests,
 	}
 	server.Register(operatorsMux)
 	n.operatorsServer = &http.Server{Handler: operatorsMux, ReadHeaderTimeout: headerTimeout}
