Authenticate peer connections and warn of likely faults in node settings

Cause: every process that reached the peer listener could send messages to a node, and could hold a connection open without a hello. Change: with peer_secret_file both sides of a connection prove by HMAC-SHA256 over both challenges and node ids that they know the secret, before the first frame. The file may hold two secrets for a rotation. Hello, partial frames and idle connections have time limits, and frames before the end of the handshake a size limit. core.Secret is not printed by fmt, slog or encoding/json. gentiantided check lists settings that are accepted but likely wrong. Tests: go test -race ./internal/config ./internal/peer ./internal/core ./internal/membership passes.

--- a/cmd/gentiantided/check.go
+++ b/cmd/gentiantided/check.go
@@ -22,7 +22,8 @@
 
 // Usage implements subcommands.Command.
 func (*checkCommand) Usage() string {
-	return "check -config FILE\n  Checks a node settings file and lists every problem with its position.\n"
+	return "check -config FILE\n  Checks a node settings file and lists every problem with its position.\n" +
+		"  Settings that are accepted but likely wrong are listed as warnings.\n"
 }
 
 // SetFlags implements subcommands.Command.
@@ -36,10 +37,14 @@
 		fmt.Fprintln(os.Stderr, "check: -config is required")
 		return subcommands.ExitUsageError
 	}
-	if _, err := config.Load(c.file); err != nil {
+	node, err := config.Load(c.file)
+	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitFailure
 	}
+	for _, warning := range node.Warnings {
+		fmt.Fprintln(os.Stderr, "warning:", warning)
+	}
 	fmt.Printf("%s: ok\n", c.file)
 	return subcommands.ExitSuccess
 }
--- a/internal/config/decoder.go
+++ b/internal/config/decoder.go
@@ -6,6 +6,12 @@
 type decoder struct {
 	file     string
 	problems strictjson.Problems
+	warnings strictjson.Problems
+}
+
+// warn notes a value that is accepted but likely wrong.
+func (d *decoder) warn(n *strictjson.Node, path, message, expected string) {
+	d.warnings = append(d.warnings, n.Problem(path, message, expected))
 }
 
 func (d *decoder) refuse(n *strictjson.Node, path, message, expected string) {
--- a/internal/config/fields.go
+++ b/internal/config/fields.go
@@ -46,6 +46,7 @@
 			{"weights", true, baseURL(&n.Platform.Weights)},
 			{"fleet", true, baseURL(&n.Platform.Fleet)},
 		})},
+		{"peer_secret_file", false, secretFile(&n.PeerSecrets)},
 		{"seeds", false, addresses(&n.Seeds)},
 		{"log_level", false, logLevel(&n.LogLevel)},
 		{"timeouts", false, object([]field{
--- a/internal/config/load.go
+++ b/internal/config/load.go
@@ -19,8 +19,9 @@
 	return Parse(file, data)
 }
 
-// Parse checks the content of a node's settings file. The error is
-// strictjson.Problems with all problems of the file.
+// Parse checks the content of a node's settings file and reads the file with
+// the peer secret, if it names one. The error is strictjson.Problems with all
+// problems of the file.
 func Parse(name string, data []byte) (*Node, error) {
 	root, problems := strictjson.Parse(name, data)
 	if root == nil {
@@ -33,16 +34,23 @@
 		d.distinct(root, node.Listen)
 		d.guarded(root, node)
 	}
-	sort.SliceStable(d.problems, func(i, j int) bool {
-		a, b := d.problems[i].Position, d.problems[j].Position
-		return a.Line < b.Line || a.Line == b.Line && a.Column < b.Column
-	})
+	sortByPosition(d.problems)
 	if err := d.problems.Err(); err != nil {
 		return nil, err
 	}
+	d.suspicious(root, node)
+	sortByPosition(d.warnings)
+	node.Warnings = d.warnings
 	return node, nil
 }
 
+func sortByPosition(problems strictjson.Problems) {
+	sort.SliceStable(problems, func(i, j int) bool {
+		a, b := problems[i].Position, problems[j].Position
+		return a.Line < b.Line || a.Line == b.Line && a.Column < b.Column
+	})
+}
+
 // distinct checks that no two listeners have the same address.
 func (d *decoder) distinct(root *strictjson.Node, l Listen) {
 	listen := root.Get("listen")
--- a/internal/config/load_test.go
+++ b/internal/config/load_test.go
@@ -3,6 +3,8 @@
 import (
 	"crypto/sha256"
 	"log/slog"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -28,6 +30,8 @@
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	want := DefaultTimeouts()
 	want.Table = 1500 * time.Millisecond
+	g.Expect(n.Warnings.Error()).To(gomega.ContainSubstring("node.json:4:81: listen.peers: address [::1]:8082 is a loopback address"))
+	n.Warnings = nil
 	g.Expect(*n).To(gomega.Equal(Node{
 		ID: "luzon-a-1", DataCentre: "luzon-a", Region: "luzon",
 		Listen:    Listen{"10.0.0.1:8080", "10.0.0.1:8081", "[::1]:8082"},
@@ -79,3 +83,60 @@
 		g.Expect(err).NotTo(gomega.HaveOccurred(), "%+v", test)
 	}
 }
+
+// Guards against likely faults that check does not name, and against warnings
+// that refuse the file.
+func TestParseWarnings(t *testing.T) {
+	for _, test := range []struct{ old, new, want string }{
+		{`["10.0.0.2:8082"]`, `["10.0.0.2:8082", "[::1]:8082"]`, `node.json:6:30: seeds: address [::1]:8082 is the node's own listen.peers`},
+		{`["10.0.0.2:8082"]`, `["10.0.0.1:8080"]`, `node.json:6:13: seeds: address 10.0.0.1:8080 is the node's own listen.callers`},
+		{`["10.0.0.2:8082"]`, `["10.0.0.2:8082", "10.0.0.2:8082"]`, `node.json:6:30: seeds: address 10.0.0.2:8082 is already in the list`},
+		{`"[::1]:8082"`, `"0.0.0.0:8082"`, `listen.peers: address 0.0.0.0:8082 is told to other nodes`},
+		{`"[::1]:8082"`, `"10.0.0.1:8082"`, `listen.peers: the listener accepts messages from every process`},
+		{`"1500ms"`, `"1500ms", "stop_grace": "999ms"`, `node.json:8:49: timeouts.stop_grace: value 999ms is shorter`},
+		{`"1500ms"`, `"1500ms", "connect": "3s"`, `node.json:8:46: timeouts.connect: value 3s is longer`},
+	} {
+		g := gomega.NewWithT(t)
+		n, err := Parse("node.json", []byte(strings.Replace(good, test.old, test.new, 1)))
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(n.Warnings.Error()).To(gomega.ContainSubstring(test.want))
+	}
+}
+
+// Guards against weak or missing secrets that are accepted, against a second
+// secret that is lost, and against problems that quote a secret.
+func TestPeerSecretFile(t *testing.T) {
+	long, other := strings.Repeat("s", 32), strings.Repeat("o", 40)
+	for _, test := range []struct {
+		content string
+		mode    os.FileMode
+		count   int
+		want    string // the refusal or the warning
+	}{
+		{long + "\n", 0o600, 1, ""},
+		{long + "\r\n" + other + "\n\n", 0o400, 2, ""},
+		{long, 0o644, 1, "the file has mode 0644"},
+		{long[1:] + "\n", 0o600, 0, "line 1 of the file has 31 bytes"},
+		{long + "\n\n" + other, 0o600, 0, "line 2 of the file has 0 bytes"},
+		{long + "\n" + long + "\n" + long, 0o600, 0, "more than 2 lines"},
+		{"", 0o600, 0, "line 1 of the file has 0 bytes"},
+		{strings.Repeat("s", maxSecretFile+1), 0o600, 0, "larger than 4096 bytes"},
+	} {
+		g := gomega.NewWithT(t)
+		dir := t.TempDir()
+		g.Expect(os.WriteFile(filepath.Join(dir, "secret"), []byte(test.content), test.mode)).To(gomega.Succeed())
+		file := strings.Replace(good, `"seeds"`, `"peer_secret_file": "secret", "seeds"`, 1)
+		n, err := Parse(filepath.Join(dir, "node.json"), []byte(file))
+		if test.count == 0 {
+			g.Expect(err).To(gomega.MatchError(gomega.MatchRegexp(`node.json:6:23: peer_secret_file: .*` + test.want)))
+			g.Expect(err.Error()).NotTo(gomega.ContainSubstring("ssss"))
+			continue
+		}
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(n.Warnings.Error()).To(gomega.ContainSubstring(test.want))
+		g.Expect(n.PeerSecrets).To(gomega.HaveLen(test.count))
+		g.Expect(string(n.PeerSecrets[test.count-1].Reveal())).To(gomega.Equal([]string{long, other}[test.count-1]))
+	}
+	_, err := Parse("node.json", []byte(strings.Replace(good, `"seeds"`, `"peer_secret_file": "/nonexistent", "seeds"`, 1)))
+	gomega.NewWithT(t).Expect(err).To(gomega.MatchError(gomega.ContainSubstring("/nonexistent: no such file")))
+}
--- a/internal/config/node.go
+++ b/internal/config/node.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"time"
 
+	"gentiantide.example/gentiantide/internal/config/strictjson"
 	"gentiantide.example/gentiantide/internal/core"
 )
 
@@ -16,10 +17,15 @@
 	Listen     Listen
 	Operators  Operators
 	Platform   Platform
+	// PeerSecrets are the secrets of peer_secret_file, one, or two while the
+	// secret is rotated. Without any, peers are not authenticated.
+	PeerSecrets []core.Secret
 	// Seeds are peer addresses that are tried while the fleet list is away.
 	Seeds    []string
 	LogLevel slog.Level
 	Timeouts Timeouts
+	// Warnings are settings that are accepted but likely wrong.
+	Warnings strictjson.Problems
 }
 
 // Listen has the addresses, IP and port, that the node listens on.
--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -16,7 +16,7 @@
 )
 
 // seedPrefix marks links to seed addresses, whose node ids are not known yet.
-const seedPrefix = "seed:"
+const seedPrefix = peer.SeedPrefix
 
 // callTimeout bounds one heartbeat or digest.
 const callTimeout = 800 * time.Millisecond
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -81,6 +81,7 @@
 	n.ids = newIDSource(cfg.ID, n.started.UnixNano())
 	n.scope, n.metricsHandler, n.metricsCloser = newMetrics()
 	n.transport = peer.New(cfg.ID, log.With("role", "peer"))
+	n.transport.SetSecrets(cfg.PeerSecrets)
 	n.wireViews()
 	n.wireRequestPath()
 	n.wireBatch()
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -25,10 +25,12 @@
 	frameOneWay
 	frameAnswer
 	frameError
+	frameChallenge
+	frameProof
 )
 
 // frame is the unit on the wire. Kind is set on requests and one-way messages;
-// on a hello it carries the sender's node id.
+// on a hello and on a challenge it carries the sender's node id.
 type frame struct {
 	//lint:ignore U1000 read by msgpack
 	_msgpack struct{} `msgpack:",as_array"`
@@ -53,16 +55,16 @@
 	return append(out, body...), nil
 }
 
-// readFrame reads one frame. Errors: io.EOF at a clean end, an error for an
-// oversized or malformed frame.
-func readFrame(r *bufio.Reader) (*frame, error) {
+// readFrame reads one frame of at most limit bytes. Errors: io.EOF at a clean
+// end, an error for an oversized or malformed frame.
+func readFrame(r *bufio.Reader, limit uint32) (*frame, error) {
 	var prefix [lengthBytes]byte
 	if _, err := io.ReadFull(r, prefix[:]); err != nil {
 		return nil, err
 	}
 	size := binary.BigEndian.Uint32(prefix[:])
-	if size > MaxFrameBytes {
-		return nil, errors.Errorf("frame of %d bytes exceeds the limit of %d bytes", size, MaxFrameBytes)
+	if size > limit {
+		return nil, errors.Errorf("frame of %d bytes exceeds the limit of %d bytes", size, limit)
 	}
 	body := make([]byte, size)
 	if _, err := io.ReadFull(r, body); err != nil {
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -124,26 +124,32 @@
 		l.failPending()
 		return
 	}
+	l.serve(conn, first)
+	_ = conn.Close()
+	l.drainQueue()
+	l.failPending()
+}
+
+// serve authenticates a connection and uses it until it is lost.
+func (l *link) serve(conn net.Conn, first []byte) {
+	reader := bufio.NewReader(&countingReader{r: conn, n: &l.transport.bytesRead})
+	if err := l.transport.greet(conn, reader, l.node); err != nil {
+		l.transport.log.Warn("peer connection rejected", "peer", l.node, "address", l.address, "error", err)
+		return
+	}
 	lost := make(chan struct{})
 	go func() {
-		l.readAnswers(conn)
+		l.readAnswers(conn, reader)
 		close(lost)
 	}()
 	l.writeFrames(conn, first, lost)
 	_ = conn.Close()
 	<-lost
-	l.drainQueue()
-	l.failPending()
 }
 
 // writeFrames writes queued frames and flushes when the queue is empty.
 func (l *link) writeFrames(conn net.Conn, first []byte, lost <-chan struct{}) {
-	hello, err := encodeFrame(&frame{Type: frameHello, Kind: string(l.transport.self)})
-	if err != nil {
-		return
-	}
 	writer := bufio.NewWriter(conn)
-	_, _ = writer.Write(hello)
 	data := first
 	for {
 		_ = conn.SetWriteDeadline(time.Now().Add(writeTimeout))
@@ -166,10 +172,9 @@
 	}
 }
 
-func (l *link) readAnswers(conn net.Conn) {
-	reader := bufio.NewReader(&countingReader{r: conn, n: &l.transport.bytesRead})
+func (l *link) readAnswers(conn net.Conn, reader *bufio.Reader) {
 	for {
-		f, err := readFrame(reader)
+		f, err := readFrame(reader, MaxFrameBytes)
 		if err != nil {
 			_ = conn.Close()
 			return
--- a/internal/peer/messenger.go
+++ b/internal/peer/messenger.go
@@ -14,6 +14,10 @@
 
 // Handler serves one kind of message. It gets the msgpack body and returns the
 // msgpack body of the answer; for one-way messages the answer is dropped.
+//
+// A panic in a handler ends the process, unlike one in a handler of an HTTP
+// request: handlers work on state that nodes share, such as the slot ledger of
+// a replica, and going on with a half-made change would spread it.
 type Handler func(ctx context.Context, from core.NodeID, body []byte) ([]byte, error)
 
 // Messenger sends messages to other nodes and registers handlers for theirs.
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -16,6 +16,15 @@
 // at once; reading stops until one ends, which slows a flooding peer down.
 const maxConcurrentHandlers = 256
 
+const (
+	// idleTimeout ends connections that carry nothing. Heartbeats come every 1
+	// or 2 s; a node that sends a message after a longer pause connects again.
+	idleTimeout = 10 * time.Minute
+	// frameTimeout bounds the reading of a frame after its first byte. The
+	// largest frame of 1 MiB takes well under 1 s between data centres.
+	frameTimeout = 10 * time.Second
+)
+
 func (t *Transport) acceptLoop(listener net.Listener) {
 	defer t.serving.Done()
 	for {
@@ -58,12 +67,12 @@
 func (t *Transport) serve(conn net.Conn) {
 	defer t.unregister(conn)
 	reader := bufio.NewReader(&countingReader{r: conn, n: &t.bytesRead})
-	hello, err := readFrame(reader)
-	if err != nil || hello.Type != frameHello {
+	from, err := t.welcome(conn, reader)
+	if err != nil {
 		t.log.Warn("peer connection rejected", "remote", conn.RemoteAddr().String(), "error", err)
 		return
 	}
-	session := &session{transport: t, conn: conn, from: core.NodeID(hello.Kind), slots: make(chan struct{}, maxConcurrentHandlers)}
+	session := &session{transport: t, conn: conn, from: from, slots: make(chan struct{}, maxConcurrentHandlers)}
 	err = session.run(reader)
 	session.wait.Wait()
 	if !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
@@ -84,7 +93,7 @@
 // run serves frames until the connection ends and returns why it ended.
 func (s *session) run(reader *bufio.Reader) error {
 	for {
-		f, err := readFrame(reader)
+		f, err := s.next(reader)
 		if err != nil {
 			return err
 		}
@@ -97,6 +106,17 @@
 	}
 }
 
+// next reads a frame. Waiting for its first byte and reading the rest have
+// limits of their own.
+func (s *session) next(reader *bufio.Reader) (*frame, error) {
+	_ = s.conn.SetReadDeadline(time.Now().Add(idleTimeout))
+	if _, err := reader.Peek(1); err != nil {
+		return nil, err
+	}
+	_ = s.conn.SetReadDeadline(time.Now().Add(frameTimeout))
+	return readFrame(reader, MaxFrameBytes)
+}
+
 func (s *session) handle(f *frame) {
 	answer := &frame{Type: frameAnswer, ID: f.ID}
 	handler, ok := s.transport.handlers[f.Kind]
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -31,6 +31,7 @@
 	log  *slog.Logger
 
 	handlers map[string]Handler
+	secrets  []core.Secret
 
 	mu        sync.Mutex
 	links     map[core.NodeID]*link
@@ -59,6 +60,11 @@
 	}
 }
 
+// SetSecrets makes the transport accept and keep only connections whose other
+// side proves that it knows one of the secrets; see authentication. It is
+// called before Start and SetAddress. Without secrets all are accepted.
+func (t *Transport) SetSecrets(secrets []core.Secret) { t.secrets = secrets }
+
 // Self implements Messenger.
 func (t *Transport) Self() core.NodeID { return t.self }
 
