Bound slow callers and connections, and answer for handlers that panic

Cause: outside the online endpoints a caller could send its body or read its answer as slowly as it liked, also after a refusal without a token, because net/http reads an unread body without a deadline; the number of connections had no limit; a panic in a handler broke the connection without an answer. Change: internal/httpapi/httpserver makes the HTTP servers with limits on headers, idle time and bodies; uploads may be long but must progress. internal/connlimit bounds the connections of each listener. A handler that panics answers 500 with the request id, which every answer now carries in X-Request-Id, and logs its stack.

--- a/internal/httpapi/callers/exchange.go
+++ b/internal/httpapi/callers/exchange.go
@@ -26,7 +26,10 @@
 // open authenticates the caller and reads the options. If it refuses, the
 // answer is written and it returns nil.
 func (a *API) open(w http.ResponseWriter, r *http.Request) *exchange {
-	x := &exchange{api: a, w: w, r: r, id: a.cfg.NewID(), arrived: time.Now(), snapshot: a.cfg.Settings()}
+	x := &exchange{api: a, w: w, r: r, id: httpapi.RequestID(r.Context()), arrived: time.Now(), snapshot: a.cfg.Settings()}
+	if x.id == "" {
+		x.id = a.cfg.NewID()
+	}
 	a.cfg.Scope.Counter("requests").Inc(1)
 	var refusal *core.Refusal
 	if x.org, refusal = httpapi.Authenticate(r, x.snapshot); refusal == nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,12 +16,14 @@
 	"gentiantide.example/gentiantide/internal/batch"
 	"gentiantide.example/gentiantide/internal/batch/service"
 	"gentiantide.example/gentiantide/internal/config"
+	"gentiantide.example/gentiantide/internal/connlimit"
 	"gentiantide.example/gentiantide/internal/core"
 	"gentiantide.example/gentiantide/internal/directory"
 	"gentiantide.example/gentiantide/internal/dispatch"
 	"gentiantide.example/gentiantide/internal/fleet"
 	"gentiantide.example/gentiantide/internal/httpapi"
 	"gentiantide.example/gentiantide/internal/httpapi/callers"
+	"gentiantide.example/gentiantide/internal/httpapi/httpserver"
 	"gentiantide.example/gentiantide/internal/httpapi/operators"
 	"gentiantide.example/gentiantide/internal/intent"
 	"gentiantide.example/gentiantide/internal/membership"
@@ -181,14 +184,20 @@
 		Relay: n.relay, Intents: n.intents, Settings: n.settings.Current, Ready: n.ready,
 		NewID: n.ids.new, Scope: n.scope, Logger: n.log.With("role", "callers"),
 	})
-	n.callersServer = &http.Server{Handler: callersMux, ReadHeaderTimeout: headerTimeout}
+	n.callersServer = httpserver.New(httpserver.Options{
+		Handler: callersMux, NewID: n.ids.new, Logger: n.log.With("role", "callers"),
+		Streams: func(path string) bool { return path == pathFiles || strings.HasPrefix(path, pathFiles+"/") },
+	})
 	operatorsMux := http.NewServeMux()
 	server := &operators.Server{
 		Editor: n.settings, Dump: n.dump, Metrics: n.metricsHandler, Version: Version,
 		Fleet: func() any { return n.fleetStatus() }, TokenDigests: n.cfg.Operators.TokenDigests,
 	}
 	server.Register(operatorsMux)
-	n.operatorsServer = &http.Server{Handler: operatorsMux, ReadHeaderTimeout: headerTimeout}
+	n.operatorsServer = httpserver.New(httpserver.Options{
+		Handler: operatorsMux, NewID: n.ids.new, Logger: n.log.With("role", "operators"),
+	})
+	n.operatorsServer.WriteTimeout = operatorsWriteTimeout
 }
 
 func (n *Node) authenticate(r *http.Request) (core.Org, *core.Refusal) {
@@ -237,18 +246,19 @@
 
 // listen opens the three listeners.
 func (n *Node) listen() (callersL, operatorsL, peersL net.Listener, err error) {
-	open := func(name, address string) net.Listener {
+	open := func(name, address string, limit int) net.Listener {
 		if err != nil {
 			return nil
 		}
 		var l net.Listener
 		if l, err = net.Listen("tcp", address); err != nil {
 			err = errors.Wrapf(err, "listen for %s", name)
+			return nil
 		}
-		return l
+		return connlimit.New(l, limit, n.log.With("role", name))
 	}
-	callersL = open("callers", n.cfg.Listen.Callers)
-	operatorsL = open("operators", n.cfg.Listen.Operators)
-	peersL = open("peers", n.cfg.Listen.Peers)
+	callersL = open("callers", n.cfg.Listen.Callers, maxCallers)
+	operatorsL = open("operators", n.cfg.Listen.Operators, maxOperators)
+	peersL = open("peers", n.cfg.Listen.Peers, maxPeers)
 	return callersL, operatorsL, peersL, err
 }
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -10,8 +10,11 @@
 )
 
 const (
-	// headerTimeout ends connections that send no request header.
-	headerTimeout = 10 * time.Second
+	// operatorsWriteTimeout bounds an operators' request and its answer; the
+	// longest is a settings change, for which the command line waits 30 s.
+	operatorsWriteTimeout = 1 * time.Minute
+	// pathFiles begins the paths of uploads and of results, which may be long.
+	pathFiles = "/v1/files"
 	// resendWait is how long the resend of a non-idempotent call waits for the
 	// answer of the attempt that is running; most calls end sooner.
 	resendWait = 3 * time.Second
@@ -24,6 +27,18 @@
 	operatorsStopTimeout = 1 * time.Second
 )
 
+// The largest numbers of connections that are open at once.
+const (
+	// maxCallers is three times the requests in progress of a node that gets 22
+	// requests/s of 30 s each, and costs at most some 32 MiB.
+	maxCallers = 2048
+	// maxOperators is for a few commands, scripts and readers of metrics.
+	maxOperators = 128
+	// maxPeers is twice the nodes of the design scale, each of which has one
+	// connection to this node and may open a new one before the old one ends.
+	maxPeers = 1024
+)
+
 // Run runs the node until stop is closed, then stops gracefully: the health
 // check fails, peers are told, streams in progress end regularly, and ranges
 // are released. It returns when all is done.
