--- a/internal/batch/intake/line.go
+++ b/internal/batch/intake/line.go
@@ -28,8 +28,14 @@
 		return line, fmt.Errorf("method is %q, expected \"POST\"", line.Method)
 	case !strings.HasPrefix(line.URL, "/"):
 		return line, fmt.Errorf("url is %q, expected a path such as \"/v1/chat/completions\"", line.URL)
+	case strings.ContainsFunc(line.URL, invalidInURL):
+		return line, fmt.Errorf("url is %q, which has spaces or control characters", line.URL)
 	case !bytes.HasPrefix(line.Body, []byte("{")):
 		return line, fmt.Errorf("body is missing or not a JSON object")
 	}
 	return line, nil
 }
+
+// invalidInURL reports whether a character cannot be part of a request line.
+// Such an item would fail only when it is sent.
+func invalidInURL(r rune) bool { return r <= ' ' || r == 0x7f }
