--- a/internal/httpapi/httpserver/body.go
+++ b/internal/httpapi/httpserver/body.go
@@ -1,7 +1,6 @@
 package httpserver
 
 import (
-	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -67,14 +66,9 @@
 	if b.upload {
 		b.patience = min(bodyTimeout, b.patience+time.Duration(n)*time.Second/uploadRate)
 	}
-	if err != nil {
-		b.ended = true
-	}
-	if errors.Is(err, io.EOF) {
-		// Without a deadline: net/http goes on reading to notice when the caller
-		// is gone, and takes a deadline that passes for that.
-		_ = b.control.SetReadDeadline(time.Time{})
-	}
+	// At the end of a body net/http removes the deadline and goes on reading, to
+	// notice when the caller is gone. It would take a deadline set later for that.
+	b.ended = err != nil
 	return n, err
 }
 
