--- /dev/null
+++ b/internal/directory/polls.go
@@ -0,0 +1,53 @@
+package directory
+
+import (
+	"context"
+	"time"
+
+	"gentiantide.example/gentiantide/internal/core"
+	"gentiantide.example/gentiantide/internal/membership"
+	"gentiantide.example/gentiantide/internal/settings"
+)
+
+func (s *Service) pollOwned(ctx context.Context) {
+	members, current := s.members(), s.settings()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, e := range s.replicas {
+		service := current.Service(core.DeploymentID(e.vm.Deployment))
+		if service == nil || e.polling || !s.owns(members, id, e) {
+			continue
+		}
+		e.polling = true
+		go s.poll(ctx, id, service.Kind, e.vm.Address)
+	}
+}
+
+func (s *Service) owns(members *membership.View, id core.ReplicaID, e *entry) bool {
+	owner, ok := members.Owner(string(id), core.DataCentre(e.vm.DataCentre))
+	return ok && owner == members.Self()
+}
+
+func (s *Service) poll(ctx context.Context, id core.ReplicaID, kind settings.ServiceKind, address string) {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	load, err := s.prober.Probe(ctx, kind, address)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, ok := s.replicas[id]
+	if !ok {
+		return
+	}
+	e.polling = false
+	if err != nil {
+		e.failures++
+		if e.failures == failuresUntilDown {
+			s.log.Warn("backend server down", "replica", id, "address", address, "error", err)
+		}
+		return
+	}
+	if e.failures >= failuresUntilDown {
+		s.log.Info("backend server up", "replica", id, "address", address)
+	}
+	e.failures, e.polled, e.polledAt = 0, load, time.Now()
+}
--- a/internal/directory/service.go
+++ b/internal/directory/service.go
@@ -29,20 +29,6 @@
 	plainSlots = 64
 )
 
-// Prober polls one backend server.
-type Prober interface {
-	// Probe returns the load report. Errors: backend.ErrUnreachable.
-	Probe(ctx context.Context, kind settings.ServiceKind, address string) (backend.Load, error)
-}
-
-// Counts is the owner's use of a replica.
-type Counts struct {
-	// InUse counts all reservations in use, Batch those of them that are batch.
-	InUse, Batch int
-	// Queued counts the online requests that wait.
-	Queued int
-}
-
 // LoadSource returns the owner's counts of a replica that this node owns.
 type LoadSource func(core.ReplicaID) Counts
 
@@ -149,49 +135,6 @@
 	}
 }
 
-func (s *Service) pollOwned(ctx context.Context) {
-	members, current := s.members(), s.settings()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for id, e := range s.replicas {
-		service := current.Service(core.DeploymentID(e.vm.Deployment))
-		if service == nil || e.polling || !s.owns(members, id, e) {
-			continue
-		}
-		e.polling = true
-		go s.poll(ctx, id, service.Kind, e.vm.Address)
-	}
-}
-
-func (s *Service) owns(members *membership.View, id core.ReplicaID, e *entry) bool {
-	owner, ok := members.Owner(string(id), core.DataCentre(e.vm.DataCentre))
-	return ok && owner == members.Self()
-}
-
-func (s *Service) poll(ctx context.Context, id core.ReplicaID, kind settings.ServiceKind, address string) {
-	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
-	defer cancel()
-	load, err := s.prober.Probe(ctx, kind, address)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	e, ok := s.replicas[id]
-	if !ok {
-		return
-	}
-	e.polling = false
-	if err != nil {
-		e.failures++
-		if e.failures == failuresUntilDown {
-			s.log.Warn("backend server down", "replica", id, "address", address, "error", err)
-		}
-		return
-	}
-	if e.failures >= failuresUntilDown {
-		s.log.Info("backend server up", "replica", id, "address", address)
-	}
-	e.failures, e.polled, e.polledAt = 0, load, time.Now()
-}
-
 // Refresh computes the view anew.
 func (s *Service) Refresh(now time.Time) {
 	members, current := s.members(), s.settings()
@@ -204,62 +147,6 @@
 	s.view.Store(NewView(list))
 }
 
-// replica merges the fleet list, the settings and either this node's own polls
-// or the owner's published status.
-func (s *Service) replica(id core.ReplicaID, e *entry, members *membership.View, current *settings.Snapshot, now time.Time) Replica {
-	r := Replica{
-		ID:         id,
-		Deployment: core.DeploymentID(e.vm.Deployment),
-		DataCentre: core.DataCentre(e.vm.DataCentre),
-		Region:     core.Region(e.vm.Region),
-		Address:    e.vm.Address,
-	}
-	if s.owns(members, id, e) {
-		s.fillFromPolls(&r, e)
-	} else {
-		s.fillFromStatus(&r, e, now)
-	}
-	if service := current.Service(r.Deployment); service != nil {
-		if service.Slots > 0 {
-			r.Slots = service.Slots
-		} else if service.Kind == settings.KindPlain && r.Slots == 0 {
-			r.Slots = plainSlots
-		}
-	}
-	switch {
-	case current.Backend(id).Drain:
-		r.State, r.Reason = StateLeaving, "drained by an operator"
-	case e.vm.Leaving:
-		r.State, r.Reason = StateLeaving, "leaving according to the fleet list"
-	}
-	return r
-}
-
-func (s *Service) fillFromPolls(r *Replica, e *entry) {
-	r.Slots = e.polled.Slots
-	counts := s.load(r.ID)
-	r.InUse, r.Batch, r.Queued = counts.InUse, counts.Batch, counts.Queued
-	switch {
-	case e.failures >= failuresUntilDown:
-		r.State, r.Reason = StateDown, "does not answer its owner's polls"
-	case e.polled.Leaving:
-		r.State, r.Reason = StateLeaving, "leaving according to its own report"
-	case e.polledAt.IsZero():
-		s.fillFromStatus(r, e, time.Time{})
-	}
-}
-
-func (s *Service) fillFromStatus(r *Replica, e *entry, now time.Time) {
-	if e.heardAt.IsZero() || (!now.IsZero() && now.Sub(e.heardAt) > statusValid) {
-		if r.Slots == 0 {
-			r.Slots = e.published.Slots
-		}
-		return
-	}
-	r.State, r.Reason = e.published.State, e.published.Reason
-	r.Slots, r.InUse, r.Batch, r.Queued = e.published.Slots, e.published.InUse, e.published.Batch, e.published.Queued
-}
-
 // Report returns the last load report of a replica that this node polls, and
 // when it arrived; the time is zero if there is none.
 func (s *Service) Report(id core.ReplicaID) (backend.Load, time.Time) {
@@ -270,50 +157,3 @@
 	}
 	return backend.Load{}, time.Time{}
 }
-
-// OwnStatus returns the status of the replicas that this node owns, encoded
-// for a heartbeat.
-func (s *Service) OwnStatus() []byte {
-	members := s.members()
-	return s.status(func(r *Replica) bool {
-		owner, ok := members.Owner(string(r.ID), r.DataCentre)
-		return ok && owner == members.Self()
-	})
-}
-
-// CentreStatus returns the status of all replicas of the own data centre,
-// encoded for a digest.
-func (s *Service) CentreStatus() []byte {
-	return s.status(func(r *Replica) bool { return r.DataCentre == s.dataCentre })
-}
-
-func (s *Service) status(include func(*Replica) bool) []byte {
-	view := s.Current()
-	var list []Status
-	for i := range view.All() {
-		r := &view.All()[i]
-		if include(r) {
-			list = append(list, Status{Replica: r.ID, State: r.State, Reason: r.Reason,
-				Slots: r.Slots, InUse: r.InUse, Batch: r.Batch, Queued: r.Queued})
-		}
-	}
-	return encodeStatus(list)
-}
-
-// OnStatus takes over a status that another node published.
-func (s *Service) OnStatus(from core.NodeID, data []byte) {
-	list, err := decodeStatus(data)
-	if err != nil {
-		s.log.Warn("malformed replica status", "node", from, "error", err)
-		return
-	}
-	now := time.Now()
-	s.mu.Lock()
-	for _, status := range list {
-		if e, ok := s.replicas[status.Replica]; ok {
-			e.published, e.heardAt = status, now
-		}
-	}
-	s.mu.Unlock()
-	s.Refresh(now)
-}
