Let work wait only as long as it can still end in time

Change: a request carries when it must have ended; a waiter is given up when less than 1.2 times its expected service time is left.

--- a/internal/dispatch/ask.go
+++ b/internal/dispatch/ask.go
@@ -17,6 +17,10 @@
 	PrefixHash uint64
 	// Deadline is when the work must have started; waiting ends then.
 	Deadline time.Time
+	// Finish is when the work must have ended; zero means no bound. Work waits
+	// no longer than lets it end in time, since a slot that is given to work
+	// which ends too late is wasted.
+	Finish time.Time
 	// Due orders batch work; zero for online work.
 	Due time.Time
 	// Exclude lists replicas already tried.
--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -97,6 +97,9 @@
 	if !r.ask.Deadline.IsZero() {
 		m.Remaining = r.ask.Deadline.Sub(d.options.Now())
 	}
+	if !r.ask.Finish.IsZero() {
+		m.Finish = r.ask.Finish.Sub(d.options.Now())
+	}
 	if !r.ask.Due.IsZero() {
 		m.Due = r.ask.Due.UnixMilli()
 	}
--- a/internal/owner/handlers.go
+++ b/internal/owner/handlers.go
@@ -62,6 +62,9 @@
 	if m.Remaining != 0 {
 		r.Deadline = now.Add(m.Remaining)
 	}
+	if m.Finish != 0 {
+		r.Finish = now.Add(m.Finish)
+	}
 	if m.Due != 0 {
 		r.Due = time.UnixMilli(m.Due)
 	}
--- a/internal/owner/ledger.go
+++ b/internal/owner/ledger.go
@@ -11,6 +11,12 @@
 	// defaultService is the assumed service time, in seconds, until the first
 	// reservation is released.
 	defaultService = 1.0
+	// minServiceSamples is the number of ended requests from which the average
+	// service time bounds waits.
+	minServiceSamples = 20
+	// finishMargin times the expected service time is what a waiter is left
+	// with when it gets its slot; service times vary with the batch size.
+	finishMargin = 1.2
 	// longRatio is how many times longer than the average a request is expected
 	// to be to count as long.
 	longRatio = 4.0
@@ -230,9 +236,23 @@
 		entry.long = r.Class == core.ClassOnline && ratio > longRatio
 	}
 	entry.rank = float64(now.UnixNano())/1e9 + entry.cost
+	l.boundWait(entry)
 	return entry
 }
 
+// boundWait brings the deadline of the wait forward so that the work can still
+// end in time. Before enough work has been observed the service time is a
+// guess, and the wait is left as it is.
+func (l *Ledger) boundWait(entry *reservation) {
+	if entry.Finish.IsZero() || l.service[entry.Class].count < minServiceSamples {
+		return
+	}
+	start := entry.Finish.Add(-time.Duration(entry.cost * finishMargin * float64(time.Second)))
+	if entry.Deadline.IsZero() || start.Before(entry.Deadline) {
+		entry.Deadline = start
+	}
+}
+
 // meanService returns the average service time of a class in seconds.
 func (l *Ledger) meanService(class core.Class) float64 {
 	if l.service[class].count == 0 {
--- a/internal/owner/ledger_policy_test.go
+++ b/internal/owner/ledger_policy_test.go
@@ -136,6 +136,24 @@
 	g.Expect(events).To(HaveExactElements(HaveField("Kind", EventEvicted)))
 }
 
+// Guards against slots given to work that can no longer end in time: under
+// overload such work fills the slots and nothing ends in time. With 1 s of
+// service and the margin, a wait must leave 1.2 s.
+func TestWaitLeavesTimeToFinish(t *testing.T) {
+	g := NewWithT(t)
+	b := newBench(Limits{Slots: 1, QueueLimit: 8})
+	b.warm()
+	held := b.ask(Request{})
+	late := b.ask(Request{Finish: b.now.Add(2500 * time.Millisecond)})
+	b.now = b.now.Add(1250 * time.Millisecond)
+	g.Expect(b.finish(held)).To(Equal(late), "1.25 s are left")
+	next := b.ask(Request{Finish: b.now.Add(2500 * time.Millisecond)})
+	b.now = b.now.Add(1350 * time.Millisecond)
+	g.Expect(b.finish(late)).To(BeEmpty(), "1.15 s are left")
+	g.Expect(b.ask(Request{Finish: b.now.Add(time.Millisecond)})).NotTo(Equal(next))
+	g.Expect(b.Load().InUse).To(Equal(1), "a free slot is given in any case")
+}
+
 // Guards against batch work out of the order of due times.
 func TestBatchByDueTime(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/owner/message.go
+++ b/internal/owner/message.go
@@ -32,6 +32,8 @@
 	Tokens  int                `msgpack:"t,omitempty"`
 	// Remaining is the time to the deadline; 0 means no deadline.
 	Remaining time.Duration `msgpack:"d,omitempty"`
+	// Finish is the time until the work must have ended; 0 means no bound.
+	Finish time.Duration `msgpack:"f,omitempty"`
 	// Due is in Unix milliseconds; 0 means none.
 	Due    int64 `msgpack:"u,omitempty"`
 	NoWait bool  `msgpack:"n,omitempty"`
--- a/internal/owner/request.go
+++ b/internal/owner/request.go
@@ -18,6 +18,9 @@
 	Tokens int
 	// Deadline is when the work must have started; zero means none.
 	Deadline time.Time
+	// Finish is when the work must have ended; zero means none. It shortens
+	// the wait by the expected service time.
+	Finish time.Time
 	// Due orders batch waiters.
 	Due time.Time
 	// NoWait refuses the request if no slot can be granted at once.
--- a/internal/relay/runslot.go
+++ b/internal/relay/runslot.go
@@ -17,7 +17,12 @@
 	if replace := time.Now().Add(batchWait); u.class == core.ClassBatch && (deadline.IsZero() || replace.Before(deadline)) {
 		deadline = replace
 	}
+	finish, _ := ctx.Deadline()
+	if u.class == core.ClassBatch {
+		finish = time.Time{} // the bound of a batch item is generous and no promise
+	}
 	return dispatch.Ask{
+		Finish:         finish,
 		Deployment:     u.service.ID,
 		Class:          u.class,
 		Org:            u.org,
