Run the ranges of a lost node before other work

Change: a worker that has enough work still takes one range of a lost node, coordinators offer these first, and their items start first.

--- a/internal/batch/coordinator/ask.go
+++ b/internal/batch/coordinator/ask.go
@@ -40,7 +40,7 @@
 	jobs, infos, held := c.candidates(now)
 	for i := range jobs {
 		if slices.Contains(ask.Except, jobs[i].Job) {
-			jobs[i].Free = 0
+			jobs[i].Free = infos[i].lapsed(now)
 		}
 	}
 	var offers []Offer
--- a/internal/batch/coordinator/job.go
+++ b/internal/batch/coordinator/job.go
@@ -140,12 +140,32 @@
 	return free, held
 }
 
-// nextFree returns the first range that can be handed out.
+// lapsed returns the number of ranges of lost nodes that can be handed out.
+func (j *jobInfo) lapsed(now time.Time) int {
+	n := 0
+	for _, id := range j.ids[j.firstOpen:] {
+		if r := j.ranges[id]; r.free(now) && r.row.State == records.RangeClaimed {
+			n++
+		}
+	}
+	return n
+}
+
+// nextFree returns the first range that can be handed out, those of lost nodes
+// before others.
 func (j *jobInfo) nextFree(now time.Time) string {
+	first := ""
 	for _, id := range j.ids[j.firstOpen:] {
-		if j.ranges[id].free(now) {
+		r := j.ranges[id]
+		if !r.free(now) {
+			continue
+		}
+		if r.row.State == records.RangeClaimed {
 			return id
 		}
+		if first == "" {
+			first = id
+		}
 	}
-	return ""
+	return first
 }
--- a/internal/batch/coordinator/messages.go
+++ b/internal/batch/coordinator/messages.go
@@ -17,7 +17,8 @@
 // Ask asks for ranges.
 type Ask struct {
 	Ranges int `msgpack:"n"`
-	// Except lists the jobs of which the worker wants no more ranges now.
+	// Except lists the jobs of which the worker wants no more ranges now, but
+	// for ranges of a lost node, which have waited longest.
 	Except []core.JobID `msgpack:"x,omitempty"`
 }
 
--- a/internal/batch/ranges/start.go
+++ b/internal/batch/ranges/start.go
@@ -11,6 +11,9 @@
 	Expected int
 	// Since is the time of the claim of the range.
 	Since time.Time
+	// TakenOver is set if another node held the range before: its items have
+	// waited longer than this node's claim says.
+	TakenOver bool
 	// Due is the due time of the job.
 	Due time.Time
 	// Running counts the items of the organisation that run at this node, and
@@ -19,15 +22,15 @@
 }
 
 // PickStart returns the index of the range whose head is started next, or -1.
-// Ranges that have been held for half of SplitAfter go before all others, the
-// oldest first, so that short items of an old range are not passed over for
+// Ranges that were taken over and those that have been held for half of
+// SplitAfter go before all others, the oldest first, so that short items of an old range are not passed over for
 // ever by long items of new ranges. Otherwise the earlier due time goes first,
 // in steps of DueGrain, then the organisation with the fewest running items for
 // its weight, then the longest expected item.
 func PickStart(heads []Head, now time.Time, cfg batch.Config) int {
 	best, bestAged := -1, false
 	for i, h := range heads {
-		aged := now.Sub(h.Since) >= cfg.SplitAfter/2
+		aged := h.TakenOver || now.Sub(h.Since) >= cfg.SplitAfter/2
 		if best >= 0 && !before(h, aged, heads[best], bestAged, cfg.DueGrain) {
 			continue
 		}
--- a/internal/batch/ranges/start_test.go
+++ b/internal/batch/ranges/start_test.go
@@ -39,6 +39,7 @@
 		"weighted":                 {[]Head{{Running: 4, Weight: 3}, {Running: 2, Weight: 1}}, 0},
 		"due before share":         {[]Head{{Running: 9, Weight: 1, Due: due}, {Weight: 1, Due: due.Add(2 * time.Hour)}}, 0},
 		"held long before all":     {[]Head{{Expected: 9, Due: due, Since: now}, {Due: due.Add(time.Hour), Since: now.Add(-cfg.SplitAfter)}}, 1},
+		"taken over before all":    {[]Head{{Expected: 9, Since: now}, {Since: now, TakenOver: true}}, 1},
 		"nothing can be started":   {nil, -1},
 		"same due, shares compare": {[]Head{{Running: 2, Weight: 1, Due: due}, {Running: 1, Weight: 1, Due: due.Add(time.Second)}}, 1},
 	} {
--- a/internal/batch/worker/step.go
+++ b/internal/batch/worker/step.go
@@ -134,7 +134,8 @@
 		}
 		heads = append(heads, ranges.Head{
 			Expected: r.expected[r.unstarted[0]], Since: r.since, Due: r.job.Due,
-			Running: running[r.job.Org], Weight: w.p.Weight(r.job.Org),
+			TakenOver: r.row.Epoch > 1,
+			Running:   running[r.job.Org], Weight: w.p.Weight(r.job.Org),
 		})
 		from = append(from, r)
 	}
