Add a naive proxy to measure against

Cause: the measurements compare with a simple proxy under the same load. Tested: go test -race ./bench/naive passes.

--- a/bench/cmd/standin/commands.go
+++ b/bench/cmd/standin/commands.go
@@ -7,6 +7,7 @@
 
 	"github.com/google/subcommands"
 
+	"gentiantide.example/gentiantide/bench/naive"
 	"gentiantide.example/gentiantide/bench/standin/engine"
 	"gentiantide.example/gentiantide/bench/standin/fleet"
 	"gentiantide.example/gentiantide/bench/standin/objects"
@@ -21,6 +22,7 @@
 func commands() []subcommands.Command {
 	return []subcommands.Command{
 		tableCommand(), objectsCommand(), weightsCommand(), fleetCommand(), engineCommand(), plainCommand(),
+		naiveCommand(),
 	}
 }
 
@@ -102,6 +104,20 @@
 	}
 }
 
+func naiveCommand() subcommands.Command {
+	var backends listFlag
+	return &command{
+		name: "naive", synopsis: "naive proxy, for comparison",
+		flags: func(f *flag.FlagSet) {
+			f.Var(&backends, "backends", "base URLs of the backend servers, separated by commas")
+		},
+		handler: func() (http.Handler, func()) {
+			proxy := naive.New(backends)
+			return proxy, proxy.Close
+		},
+	}
+}
+
 func engineFlags(f *flag.FlagSet, p *engine.Params) {
 	f.Uint64Var(&p.Seed, "seed", p.Seed, "seed of the faults")
 	f.DurationVar(&p.StepBase, "step-base", p.StepBase, "fixed time of a step")
--- /dev/null
+++ b/bench/naive/connect.go
@@ -0,0 +1,12 @@
+package naive
+
+import (
+	"errors"
+	"net"
+)
+
+// connectFailed reports whether a call failed before it was sent.
+func connectFailed(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
