Add the measurements of both users' shapes

Cause: the goals of the design need figures, with a naive proxy to compare. Tested: go test -race ./bench/measure/... passes.

--- a/bench/harness/fleet.go
+++ b/bench/harness/fleet.go
@@ -103,6 +103,20 @@
 	return p, f.waitFor(p, "http://"+address+"/healthz")
 }
 
+// StartStandin starts a further stand-in on a free port and returns its base
+// URL. It ends with the fleet.
+func (f *Fleet) StartStandin(name, kind string, args ...string) (*Process, string, error) {
+	addresses, err := FreeAddresses(1)
+	if err != nil {
+		return nil, "", err
+	}
+	p, err := f.startStandin(name, kind, addresses[0], args)
+	if p != nil {
+		f.platformProcesses = append(f.platformProcesses, p)
+	}
+	return p, "http://" + addresses[0], err
+}
+
 func (f *Fleet) startBackends() error {
 	for _, dc := range f.options.DataCentres {
 		for i := range f.options.Engines {
--- /dev/null
+++ b/bench/measure/env/calls.go
@@ -0,0 +1,53 @@
+package env
+
+import (
+	"fmt"
+	"maps"
+	"time"
+
+	"gentiantide.example/gentiantide/bench/client"
+	"gentiantide.example/gentiantide/bench/measure/load"
+	"gentiantide.example/gentiantide/bench/workload"
+)
+
+// CallSpec describes streamed online calls.
+type CallSpec struct {
+	System System
+	// Kind names the samples; it is part of the prompts, so that calls of
+	// different kinds share none.
+	Kind      string
+	Arrivals  []time.Duration
+	MaxTokens int
+	Header    map[string]string
+	// Bases replaces the base URLs of the system.
+	Bases []string
+}
+
+// Calls builds calls that are sent to the base URLs of the system in turn.
+func (e *Env) Calls(spec CallSpec) ([]load.Call, error) {
+	bodies, err := workload.Bodies(e.Shape.Online)
+	if err != nil {
+		return nil, err
+	}
+	bases := spec.Bases
+	if len(bases) == 0 {
+		bases = e.Bases(spec.System)
+	}
+	calls := make([]load.Call, len(spec.Arrivals))
+	for i, at := range spec.Arrivals {
+		calls[i] = load.Call{At: at, Kind: spec.Kind, Call: client.Call{
+			Base: bases[i%len(bases)], Path: workload.Path(e.Shape.Online), Org: "counter",
+			Header: spec.Header, Stream: true,
+			Body: e.body(bodies[i%len(bodies)], spec, i),
+		}}
+	}
+	return calls, nil
+}
+
+func (e *Env) body(base map[string]any, spec CallSpec, i int) map[string]any {
+	body := maps.Clone(base)
+	body["model"] = e.Shape.Model
+	body["max_tokens"] = spec.MaxTokens
+	workload.AppendPrompt(body, fmt.Sprintf(" [%s %d]", spec.Kind, i))
+	return body
+}
--- /dev/null
+++ b/bench/measure/figures/harm.go
@@ -0,0 +1,177 @@
+package figures
+
+import (
+	"context"
+	"time"
+
+	"gentiantide.example/gentiantide/bench/client"
+	"gentiantide.example/gentiantide/bench/measure/env"
+	"gentiantide.example/gentiantide/bench/measure/load"
+	"gentiantide.example/gentiantide/bench/measure/report"
+	"gentiantide.example/gentiantide/bench/standin/engine"
+	"gentiantide.example/gentiantide/bench/workload"
+)
+
+const (
+	onlineTokens = 8
+	itemTokens   = 12
+	// onlineShare is the share of the slots that online calls use.
+	onlineShare = 0.45
+	// harmItems is more than the engines do in one round.
+	harmItems = 6000
+
+	harmTarget       = 1.05
+	throughputTarget = 0.90
+)
+
+// mixed is the throughput of one system while it serves both classes.
+type mixed struct {
+	items, seconds float64
+	onlineTokens   float64
+	steps          float64
+}
+
+// harm measures two figures in the same rounds.
+//
+// online_p99_harm_ratio is the 99th percentile of the time to first token of
+// online calls while a batch job has work for every free slot, divided by that
+// without batch. step_ratio is the mean step time of the engines with batch,
+// divided by that without: the part of the ratio that no scheduling of batch
+// onto free slots can avoid, since a step of a fuller engine takes longer.
+//
+// batch_throughput_share is items/s of batch while online calls take their
+// part, divided by (items/s of the same engines with nothing else to serve ×
+// idle share). The items/s with nothing else to serve are measured by calling
+// the engines directly with every slot always busy. The idle share is
+// 1 − (tokens/s of the online calls) / (tokens/s of the engines in that direct
+// run). Items are counted as completions on the engines less the online calls
+// answered in the same time.
+func harm(ctx context.Context, e *env.Env) ([]report.Line, error) {
+	t := timing{warm: 800 * time.Millisecond, length: e.Span(3200 * time.Millisecond)}
+	found := make(map[string]*mixed)
+	conditions := []condition{
+		online(e, t, "A", env.Gentiantide, 2, found),
+		withBatch(e, online(e, t, "B", env.Gentiantide, 2, found), env.Gentiantide),
+		online(e, t, "naive A", env.Naive, 1, found),
+		withBatch(e, online(e, t, "naive B", env.Naive, 1, found), env.Naive),
+	}
+	s, err := run(ctx, e, t, conditions)
+	if err != nil {
+		return nil, err
+	}
+	alone, err := itemsAlone(ctx, e)
+	if err != nil {
+		return nil, err
+	}
+	return []report.Line{harmLine(e, s, found), throughputLine(e, found, alone)}, nil
+}
+
+// online is steady online load, whose completions and steps are counted.
+func online(e *env.Env, t timing, name string, system env.System, rounds int, found map[string]*mixed) condition {
+	m := &mixed{}
+	found[name] = m
+	var count window
+	return condition{
+		name: name, rounds: rounds,
+		calls: func(round int) ([]load.Call, error) {
+			return e.Calls(env.CallSpec{System: system, Kind: "couplet", MaxTokens: onlineTokens,
+				Arrivals: load.Poisson(seed(e.Shape.Seed, 1, round), e.Shape.Rate(onlineShare, onlineTokens), t.length)})
+		},
+		during: func(ctx context.Context, _ int) (err error) {
+			count, err = watchEngines(ctx, e, t)
+			return err
+		},
+		after: func(all []load.Sample) { m.add(count, all) },
+	}
+}
+
+// window is what the engines did during the counted part of a round.
+type window struct {
+	from, to      time.Duration // from the start of the round
+	before, after engine.Stats
+}
+
+func watchEngines(ctx context.Context, e *env.Env, t timing) (w window, err error) {
+	start := time.Now()
+	time.Sleep(t.warm)
+	if w.before, err = e.Totals(ctx); err != nil {
+		return w, err
+	}
+	w.from = time.Since(start)
+	time.Sleep(t.length - w.from)
+	w.after, err = e.Totals(ctx)
+	w.to = time.Since(start)
+	return w, err
+}
+
+func (m *mixed) add(w window, all []load.Sample) {
+	answered := 0
+	for i := range all {
+		s := &all[i]
+		if !s.Result.OK() {
+			continue
+		}
+		if end := s.At + s.Late + s.Result.Total; end >= w.from && end < w.to {
+			answered++
+		}
+	}
+	m.items += float64(w.after.Completed-w.before.Completed) - float64(answered)
+	m.onlineTokens += float64(answered * onlineTokens)
+	m.steps += float64(w.after.Steps - w.before.Steps)
+	m.seconds += (w.to - w.from).Seconds()
+}
+
+// withBatch runs a condition beside a job that the system has work of for
+// every free slot.
+func withBatch(e *env.Env, c condition, system env.System) condition {
+	c.begin = func(ctx context.Context) (func() error, error) {
+		j, err := e.StartJob(ctx, system, harmItems, itemTokens)
+		if err != nil {
+			return nil, err
+		}
+		return func() error { return j.Stop(ctx) }, nil
+	}
+	return c
+}
+
+// itemsAlone measures the engines with nothing but items to serve.
+func itemsAlone(ctx context.Context, e *env.Env) (env.Capacity, error) {
+	bodies, err := workload.Bodies(e.Shape.Batch)
+	if err != nil {
+		return env.Capacity{}, err
+	}
+	spec := e.Spec(0, itemTokens)
+	return e.Saturate(ctx, func(i int) client.Call {
+		return client.Call{Path: workload.Path(e.Shape.Batch), Body: spec.Body(bodies[i%len(bodies)], i)}
+	}, e.Span(2*time.Second))
+}
+
+func harmLine(e *env.Env, s samples, found map[string]*mixed) report.Line {
+	value := (*load.Sample).FirstToken
+	ratio, n := s.ratio("B", "A", "", value)
+	naive, _ := s.ratio("naive B", "naive A", "", value)
+	steps := found["A"].stepsPerSecond() / found["B"].stepsPerSecond()
+	extra := append(s.explain("B", "A", "", value), report.Pair("step_ratio", steps),
+		report.Pair("naive_n", float64(len(s["naive B"]))))
+	return report.Line{Measure: "online_p99_harm_ratio", Shape: e.Shape.Name, Value: ratio,
+		Naive: &naive, Target: report.Number(harmTarget), N: n, Extra: extra}
+}
+
+func (m *mixed) stepsPerSecond() float64 { return m.steps / m.seconds }
+
+// share returns batch_throughput_share.
+func (m *mixed) share(alone env.Capacity) float64 {
+	idle := 1 - m.onlineTokens/m.seconds/alone.TokensPerSecond
+	return m.items / m.seconds / (alone.CallsPerSecond * idle)
+}
+
+func throughputLine(e *env.Env, found map[string]*mixed, alone env.Capacity) report.Line {
+	ours, naive := found["B"], found["naive B"]
+	return report.Line{Measure: "batch_throughput_share", Shape: e.Shape.Name, Value: ours.share(alone),
+		Naive: report.Number(naive.share(alone)), Target: report.Number(throughputTarget), N: int(ours.items),
+		Extra: []string{
+			report.Pair("items_per_s", ours.items/ours.seconds), report.Pair("naive_items_per_s", naive.items/naive.seconds),
+			report.Pair("alone_items_per_s", alone.CallsPerSecond),
+			report.Pair("online_token_share", ours.onlineTokens/ours.seconds/alone.TokensPerSecond),
+		}}
+}
--- /dev/null
+++ b/bench/measure/load/run_test.go
@@ -0,0 +1,44 @@
+package load
+
+import (
+	"context"
+	"math"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"gentiantide.example/gentiantide/bench/client"
+)
+
+// Guards against schedules that differ from run to run or miss the rate.
+func TestPoissonIsFixedBySeed(t *testing.T) {
+	g := gomega.NewWithT(t)
+	a := Poisson(7, 200, 10*time.Second)
+	g.Expect(Poisson(7, 200, 10*time.Second)).To(gomega.Equal(a))
+	g.Expect(Poisson(8, 200, 10*time.Second)).NotTo(gomega.Equal(a))
+	g.Expect(len(a)).To(gomega.BeNumerically("~", 2000, 150))
+}
+
+// Guards against refusals that count as fast answers.
+func TestFailuresAreInfinitelySlow(t *testing.T) {
+	g := gomega.NewWithT(t)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/refused" {
+			w.WriteHeader(http.StatusTooManyRequests)
+			return
+		}
+		_, _ = w.Write([]byte(`{"choices":[{"text":"x","finish_reason":"length"}]}`))
+	}))
+	defer server.Close()
+	calls := []Call{
+		{Kind: "good", Call: client.Call{Base: server.URL, Path: "/good"}},
+		{Kind: "bad", Call: client.Call{Base: server.URL, Path: "/refused"}},
+	}
+	samples := Run(context.Background(), client.New(), calls, Options{Timeout: 5 * time.Second})
+	g.Expect(samples).To(gomega.HaveLen(2))
+	g.Expect(math.IsInf(samples[0].Total(), 1)).To(gomega.BeFalse())
+	g.Expect(math.IsInf(samples[1].FirstToken(), 1)).To(gomega.BeTrue())
+}
--- /dev/null
+++ b/bench/measure/load/sample.go
@@ -0,0 +1,32 @@
+package load
+
+import (
+	"math"
+	"time"
+
+	"gentiantide.example/gentiantide/bench/client"
+)
+
+// Sample is the outcome of one call.
+type Sample struct {
+	At   time.Duration // scheduled arrival from the start of the run
+	Kind string
+	// Late is the time from the scheduled arrival to the sending.
+	Late   time.Duration
+	Result client.Result
+}
+
+// FirstToken returns the milliseconds from the scheduled arrival to the first
+// token. It is infinite for a call that was not answered whole, so that
+// failures count as the slowest calls.
+func (s *Sample) FirstToken() float64 { return s.latency(s.Result.FirstToken) }
+
+// Total is as FirstToken for the last token.
+func (s *Sample) Total() float64 { return s.latency(s.Result.Total) }
+
+func (s *Sample) latency(d time.Duration) float64 {
+	if !s.Result.OK() {
+		return math.Inf(1)
+	}
+	return float64(s.Late+d) / float64(time.Millisecond)
+}
--- a/bench/workload/job.go
+++ b/bench/workload/job.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
 	"maps"
 
 	"github.com/pkg/errors"
@@ -14,6 +15,8 @@
 	Kind  Kind
 	Model string
 	Items int
+	// MaxTokens replaces the lengths of the set; 0 keeps them.
+	MaxTokens int
 	// LongEvery makes every n-th item LongFactor times longer; 0: none.
 	LongEvery  int
 	LongFactor int
@@ -30,25 +33,32 @@
 
 // File returns the JSONL file in the form of the batch API.
 func (s JobSpec) File() ([]byte, error) {
+	var out bytes.Buffer
+	err := s.Write(&out)
+	return out.Bytes(), err
+}
+
+// Write writes the JSONL file without holding it in memory.
+func (s JobSpec) Write(out io.Writer) error {
 	bodies, err := Bodies(s.Kind)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	var out bytes.Buffer
-	encoder := json.NewEncoder(&out)
+	encoder := json.NewEncoder(out)
 	for i := range s.Items {
 		line := map[string]any{
 			"custom_id": CustomID(i), "method": "POST", "url": Path(s.Kind),
-			"body": s.body(bodies[i%len(bodies)], i),
+			"body": s.Body(bodies[i%len(bodies)], i),
 		}
 		if err := encoder.Encode(line); err != nil {
-			return nil, errors.Wrap(err, "encode item")
+			return errors.Wrap(err, "encode item")
 		}
 	}
-	return out.Bytes(), nil
+	return nil
 }
 
-func (s JobSpec) body(base map[string]any, i int) map[string]any {
+// Body returns the body of the i-th item, made from a body of the set.
+func (s JobSpec) Body(base map[string]any, i int) map[string]any {
 	body := maps.Clone(base)
 	body["model"] = s.Model
 	suffix := fmt.Sprintf(" (%d)", i)
@@ -56,6 +66,9 @@
 		suffix += " " + s.PoisonMarker
 	}
 	AppendPrompt(body, suffix)
+	if s.MaxTokens > 0 {
+		body["max_tokens"] = float64(s.MaxTokens)
+	}
 	if s.LongEvery > 0 && i%s.LongEvery == s.LongEvery-1 {
 		body["max_tokens"] = body["max_tokens"].(float64) * float64(s.LongFactor)
 	}
