--- a/internal/route/replica.go
+++ b/internal/route/replica.go
@@ -18,7 +18,9 @@
 	Info directory.Replica
 	// Slots is the number of slots by the settings, else by the directory.
 	Slots int
-	state *state
+	// BatchSlots is the number of slots up to which batch may fill the replica.
+	BatchSlots int
+	state      *state
 	// hash is the hash of the replica's id for rendezvous hashing.
 	hash uint64
 }
@@ -70,13 +72,16 @@
 // HasRoom reports whether by estimate a slot is free for the class. For online
 // work the slots of batch work count as free, because batch is preempted.
 func (r *Replica) HasRoom(class core.Class) bool {
-	load := r.state.online.Load()
-	if class != core.ClassOnline {
-		load += r.state.batch.Load()
+	if class == core.ClassOnline {
+		return r.load(class) < int64(r.Slots)
 	}
-	return load < int64(r.Slots)
+	return r.load(class) < int64(r.BatchSlots)
 }
 
+// HasQueue reports whether by estimate online requests wait at the replica. A
+// replica that is just full may have a free slot by now; one with a queue not.
+func (r *Replica) HasQueue() bool { return r.state.online.Load() > int64(r.Slots) }
+
 // Estimate returns the estimated numbers of online and batch requests.
 func (r *Replica) Estimate() (online, batch int) {
 	return int(r.state.online.Load()), int(r.state.batch.Load())
@@ -85,6 +90,15 @@
 // EndProbe allows the next test request.
 func (r *Replica) EndProbe() { r.state.probeUntil.Store(0) }
 
+// PostponeProbe ends a test request that was not sent and allows the next one
+// after the duration.
+func (r *Replica) PostponeProbe(now time.Time, duration time.Duration) {
+	if until := r.state.ejectedUntil.Load(); until != 0 {
+		r.state.ejectedUntil.CompareAndSwap(until, now.Add(duration).UnixNano())
+	}
+	r.EndProbe()
+}
+
 func (r *Replica) counter(class core.Class) *atomic.Int64 {
 	if class == core.ClassOnline {
 		return &r.state.online
