--- a/bench/measure/figures/explain.go
+++ b/bench/measure/figures/explain.go
@@ -16,7 +16,7 @@
 	return []string{
 		report.Pair("p99_ms", stats.Quantile(a, 0.99)), report.Pair("base_p99_ms", stats.Quantile(b, 0.99)),
 		report.Pair("p50_ms", stats.Quantile(a, 0.5)), report.Pair("base_p50_ms", stats.Quantile(b, 0.5)),
-		report.Pair("failed", float64(s.failed(over))), report.Pair("base_failed", float64(s.failed(under))),
+		report.Pair("failed", float64(s.failed(over, kind))), report.Pair("base_failed", float64(s.failed(under, kind))),
 	}
 }
 
--- a/bench/measure/figures/figure.go
+++ b/bench/measure/figures/figure.go
@@ -15,18 +15,19 @@
 }
 
 // All returns the figures in the order in which they run. The first needs a
-// node that has done nothing else; the last kills a node.
+// node that has done nothing else; the last kills a node. After the stragglers
+// come figures that do not depend on which replicas are still ejected.
 func All() []Figure {
 	return []Figure{
 		{[]string{"job_memory_mb"}, jobMemory},
 		{[]string{"online_p99_harm_ratio", "batch_throughput_share"}, harm},
-		{[]string{"straggler_p99_ratio"}, straggler},
 		{[]string{"short_behind_long_p99_ratio"}, shortBehindLong},
 		{[]string{"goodput_at_2x_ratio"}, goodput},
 		{[]string{"batch_yield_ms_p99"}, batchYield},
+		{[]string{"straggler_p99_ratio"}, straggler},
+		{[]string{"batch_writes_per_1000_items"}, batchWrites},
 		{[]string{"relay_added_ms_p50", "relay_added_ms_p99"}, relayAdded},
 		{[]string{"relay_tokens_per_cpu_second"}, relayTokens},
-		{[]string{"batch_writes_per_1000_items"}, batchWrites},
 		{[]string{"batch_recovery_s"}, batchRecovery},
 	}
 }
--- a/bench/measure/figures/harm.go
+++ b/bench/measure/figures/harm.go
@@ -61,7 +61,7 @@
 // the online calls answered in the same time. slot_use is the mean share of
 // the engines' slots that were in use.
 func harm(ctx context.Context, e *env.Env) ([]report.Line, error) {
-	t := timing{warm: 800 * time.Millisecond, length: e.Span(3200 * time.Millisecond)}
+	t := timingFor(e, 600*time.Millisecond, e.Shape.Rate(onlineShare, onlineTokens), 2)
 	found := make(map[string]*mixed)
 	conditions := []condition{
 		online(e, t, "A", env.Gentiantide, 2, found),
--- a/bench/measure/figures/straggler.go
+++ b/bench/measure/figures/straggler.go
@@ -20,7 +20,7 @@
 // divided by that while none is. Calls that arrive in the first second after
 // the slowdown do not count; onset_p99_ms is their 99th percentile.
 func straggler(ctx context.Context, e *env.Env) ([]report.Line, error) {
-	t := timing{warm: time.Second, length: e.Span(3800 * time.Millisecond)}
+	t := timingFor(e, time.Second, e.Shape.Rate(onlineShare, onlineTokens), 2)
 	var onset []float64
 	base := func(name string, system env.System, rounds int) condition {
 		return condition{name: name, rounds: rounds, calls: func(round int) ([]load.Call, error) {
