--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -128,7 +128,7 @@
 		Settings: n.settings.Current, Budget: n.budgets, Scope: n.scope,
 	})
 	n.intents = intent.New(intent.Config{
-		Table: n.table, NewID: n.ids.new, Scope: n.scope, Logger: n.log.With("role", "intent"),
+		Table: n.table, NewID: n.ids.new, AwaitAnswer: resendWait, Scope: n.scope, Logger: n.log.With("role", "intent"),
 	})
 }
 
@@ -169,7 +169,7 @@
 	operatorsMux := http.NewServeMux()
 	server := &operators.Server{
 		Editor: n.settings, Dump: n.dump, Metrics: n.metricsHandler, Version: Version,
-		Fleet: func() any { return fleetStatus(n.members.Current(), n.directory.Current()) },
+		Fleet: func() any { return n.fleetStatus() },
 	}
 	server.Register(operatorsMux)
 	n.operatorsServer = &http.Server{Handler: operatorsMux, ReadHeaderTimeout: headerTimeout}
--- a/internal/settings/cluster_test.go
+++ b/internal/settings/cluster_test.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
 	"gentiantide.example/gentiantide/internal/core"
@@ -47,9 +48,12 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if old, ok := t.rows[key]; ok && t.stale && t.rnd.IntN(2) == 0 {
+		if old.Version == 0 {
+			return platform.Row{}, platform.ErrNotFound
+		}
 		return old, nil
 	}
-	if err == nil {
+	if err == nil || errors.Is(err, platform.ErrNotFound) {
 		t.rows[key] = row
 	}
 	return row, err
@@ -73,6 +77,7 @@
 // heartbeats in memory.
 type cluster struct {
 	table  *faultyTable
+	limits limits
 	mu     sync.Mutex
 	nodes  map[core.NodeID]*testNode
 	order  []core.NodeID
@@ -90,8 +95,8 @@
 	done     chan struct{}
 }
 
-func newCluster(n int) *cluster {
-	c := &cluster{table: newFaultyTable(), nodes: make(map[core.NodeID]*testNode), cut: make(map[core.NodeID]bool)}
+func newCluster(n int, l limits) *cluster {
+	c := &cluster{limits: l, table: newFaultyTable(), nodes: make(map[core.NodeID]*testNode), cut: make(map[core.NodeID]bool)}
 	for i := range n {
 		id := core.NodeID(fmt.Sprintf("node-%d", i))
 		c.order = append(c.order, id)
@@ -106,6 +111,7 @@
 	n := &testNode{cluster: c, id: id, handlers: make(map[string]peer.Handler), done: make(chan struct{})}
 	n.manager = NewManager(Options{Table: c.table, Messenger: n, View: n.view, DataCentre: "dc-1",
 		Logger: slog.New(slog.NewTextHandler(io.Discard, nil))})
+	n.manager.limits, n.manager.store.scanPage = c.limits, c.limits.scanPage
 	last := uint64(0)
 	n.manager.Subscribe(func(s *Snapshot) {
 		if s.Version() < last || s.Version() == last && last != 0 {
@@ -201,7 +207,7 @@
 	if err != nil {
 		return &peer.RemoteError{Message: err.Error()}
 	}
-	if len(answer) > 1<<20 {
+	if len(answer) > n.cluster.limits.chunkBytes+16<<10 {
 		n.cluster.fault("a message of %d bytes", len(answer))
 	}
 	return msgpack.Unmarshal(answer, resp)
