Measure the harm of batch with calls and items of the set's lengths

Cause: with calls of 8 tokens, waiting for the next step of an engine took 8 % of each slot's time, which no scheduling can use; that hid the share of batch.

--- a/bench/measure/env/calls.go
+++ b/bench/measure/env/calls.go
@@ -17,7 +17,7 @@
 	// different kinds share none.
 	Kind      string
 	Arrivals  []time.Duration
-	MaxTokens int
+	MaxTokens int // 0 keeps the lengths of the set
 	Header    map[string]string
 	// Bases replaces the base URLs of the system.
 	Bases []string
@@ -47,7 +47,9 @@
 func (e *Env) body(base map[string]any, spec CallSpec, i int) map[string]any {
 	body := maps.Clone(base)
 	body["model"] = e.Shape.Model
-	body["max_tokens"] = spec.MaxTokens
+	if spec.MaxTokens > 0 {
+		body["max_tokens"] = spec.MaxTokens
+	}
 	workload.AppendPrompt(body, fmt.Sprintf(" [%s %d]", spec.Kind, i))
 	return body
 }
--- a/bench/measure/env/shape.go
+++ b/bench/measure/env/shape.go
@@ -64,7 +64,7 @@
 
 // Rate returns the calls per second that keep a share of all slots busy with
 // calls of a number of tokens.
-func (s Shape) Rate(share float64, tokens int) float64 {
+func (s Shape) Rate(share, tokens float64) float64 {
 	step := stepBase + slots*stepPerSequence + stepPrefill
-	return share * float64(s.Slots()) / (float64(tokens) * step.Seconds())
+	return share * float64(s.Slots()) / (tokens * step.Seconds())
 }
--- a/bench/measure/figures/harm.go
+++ b/bench/measure/figures/harm.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"gentiantide.example/gentiantide/bench/client"
@@ -14,10 +15,9 @@
 )
 
 const (
+	// onlineTokens is the length of short calls. It is a third of that of the
+	// set, so that conditions of a few seconds have more than 1,000 calls.
 	onlineTokens = 8
-	// itemTokens is the mean length of the items of the set, which keep their
-	// lengths: waiting for a slot costs more the shorter an item is.
-	itemTokens = 40
 	// onlineShare is the share of the slots that online calls use.
 	onlineShare = 0.45
 	// harmItems make more ranges than all nodes may hold at once, so that
@@ -31,6 +31,9 @@
 	fillShare = 0.9
 	fillBound = 2 * time.Second
 
+	// naiveCounted is the counted part of the naive proxy's rounds.
+	naiveCounted = 2500 * time.Millisecond
+
 	harmTarget       = 1.05
 	throughputTarget = 0.90
 )
@@ -44,6 +47,23 @@
 	use          []float64 // shares of slots in use
 }
 
+// lengths are the mean lengths of the set's work in tokens. This figure keeps
+// them: the shorter the work, the more of the slots' time goes into waiting
+// for the next step of an engine, which no scheduling can use.
+type lengths struct{ call, item float64 }
+
+func lengthsOf(s env.Shape) (lengths, error) {
+	calls, err := workload.Bodies(s.Online)
+	if err != nil {
+		return lengths{}, err
+	}
+	items, err := workload.Bodies(s.Batch)
+	if err != nil {
+		return lengths{}, err
+	}
+	return lengths{call: workload.MeanTokens(calls), item: workload.MeanTokens(items)}, nil
+}
+
 // harm measures two figures in the same rounds.
 //
 // online_p99_harm_ratio is the 99th percentile of the time to first token of
@@ -62,35 +82,46 @@
 // the online calls answered in the same time. slot_use is the mean share of
 // the engines' slots that were in use.
 func harm(ctx context.Context, e *env.Env) ([]report.Line, error) {
-	t := timingFor(e, 600*time.Millisecond, e.Shape.Rate(onlineShare, onlineTokens), 2)
+	l, err := lengthsOf(e.Shape)
+	if err != nil {
+		return nil, err
+	}
+	rate := e.Shape.Rate(onlineShare, l.call)
+	t := timingFor(e, 600*time.Millisecond, rate, 2)
 	found := make(map[string]*mixed)
-	conditions := []condition{
-		online(e, t, "A", env.Gentiantide, 2, found),
-		withBatch(e, online(e, t, "B", env.Gentiantide, 2, found), env.Gentiantide),
-		online(e, t, "naive A", env.Naive, 1, found),
-		withBatch(e, online(e, t, "naive B", env.Naive, 1, found), env.Naive),
+	s, err := run(ctx, e, t, []condition{
+		online(e, t, rate, "A", env.Gentiantide, 2, found),
+		withBatch(e, online(e, t, rate, "B", env.Gentiantide, 2, found), env.Gentiantide),
+	})
+	if err != nil {
+		return nil, err
 	}
-	s, err := run(ctx, e, t, conditions)
+	t.length = t.warm + e.Span(naiveCounted)
+	naive, err := run(ctx, e, t, []condition{
+		online(e, t, rate, "naive A", env.Naive, 1, found),
+		withBatch(e, online(e, t, rate, "naive B", env.Naive, 1, found), env.Naive),
+	})
 	if err != nil {
 		return nil, err
 	}
+	maps.Copy(s, naive)
 	alone, err := itemsAlone(ctx, e)
 	if err != nil {
 		return nil, err
 	}
-	return []report.Line{harmLine(e, s, found), throughputLine(e, found, alone)}, nil
+	return []report.Line{harmLine(e, s, found), throughputLine(e, found, alone, l.item)}, nil
 }
 
 // online is steady online load, whose completions and steps are counted.
-func online(e *env.Env, t timing, name string, system env.System, rounds int, found map[string]*mixed) condition {
+func online(e *env.Env, t timing, rate float64, name string, system env.System, rounds int, found map[string]*mixed) condition {
 	m := &mixed{}
 	found[name] = m
 	var count window
 	return condition{
 		name: name, rounds: rounds,
 		calls: func(round int) ([]load.Call, error) {
-			return e.Calls(env.CallSpec{System: system, Kind: "couplet", MaxTokens: onlineTokens,
-				Arrivals: load.Poisson(seed(e.Shape.Seed, 1, round), e.Shape.Rate(onlineShare, onlineTokens), t.length)})
+			return e.Calls(env.CallSpec{System: system, Kind: "online",
+				Arrivals: load.Poisson(seed(e.Shape.Seed, 1, round), rate, t.length)})
 		},
 		during: func(ctx context.Context, _ int) (err error) {
 			count, err = watchEngines(ctx, e, t)
@@ -124,17 +155,16 @@
 }
 
 func (m *mixed) add(w window, all []load.Sample) {
-	answered := 0
+	online := 0.0
 	for i := range all {
 		s := &all[i]
 		if !s.Result.OK() {
 			continue
 		}
 		if end := s.At + s.Late + s.Result.Total; end >= w.from && end < w.to {
-			answered++
+			online += float64(s.Result.Tokens)
 		}
 	}
-	online := float64(answered * onlineTokens)
 	m.batchTokens += float64(w.after.Tokens-w.before.Tokens) - online
 	m.onlineTokens += online
 	m.use = append(m.use, w.use...)
@@ -184,7 +214,7 @@
 	ratio, n := s.ratio("B", "A", "", value)
 	naive, _ := s.ratio("naive B", "naive A", "", value)
 	steps := found["A"].stepsPerSecond() / found["B"].stepsPerSecond()
-	extra := append(s.explain("B", "A", "", value), report.Pair("step_ratio", steps),
+	extra := append(s.explain("B", "A", "", value), report.Pair("step_ratio", steps), report.Pair("ratio_per_step", ratio/steps),
 		report.Pair("naive_n", float64(len(s["naive B"]))))
 	return report.Line{Measure: "online_p99_harm_ratio", Shape: e.Shape.Name, Value: ratio,
 		Naive: &naive, Target: report.Number(harmTarget), N: n, Extra: extra}
@@ -195,18 +225,16 @@
 // share returns batch_throughput_share.
 func (m *mixed) share(alone env.Capacity) float64 {
 	idle := 1 - m.onlineTokens/m.seconds/alone.TokensPerSecond
-	return m.itemsPerSecond() / (alone.TokensPerSecond / itemTokens * idle)
+	return m.batchTokens / m.seconds / (alone.TokensPerSecond * idle)
 }
 
-func (m *mixed) itemsPerSecond() float64 { return m.batchTokens / itemTokens / m.seconds }
-
-func throughputLine(e *env.Env, found map[string]*mixed, alone env.Capacity) report.Line {
+func throughputLine(e *env.Env, found map[string]*mixed, alone env.Capacity, item float64) report.Line {
 	ours, naive := found["B"], found["naive B"]
 	return report.Line{Measure: "batch_throughput_share", Shape: e.Shape.Name, Value: ours.share(alone),
-		Naive: report.Number(naive.share(alone)), Target: report.Number(throughputTarget), N: int(ours.batchTokens / itemTokens),
+		Naive: report.Number(naive.share(alone)), Target: report.Number(throughputTarget), N: int(ours.batchTokens / item),
 		Extra: []string{
-			report.Pair("items_per_s", ours.itemsPerSecond()), report.Pair("naive_items_per_s", naive.itemsPerSecond()),
-			report.Pair("alone_items_per_s", alone.TokensPerSecond/itemTokens),
+			report.Pair("items_per_s", ours.batchTokens/item/ours.seconds), report.Pair("naive_items_per_s", naive.batchTokens/item/naive.seconds),
+			report.Pair("alone_items_per_s", alone.TokensPerSecond/item),
 			report.Pair("online_token_share", ours.onlineTokens/ours.seconds/alone.TokensPerSecond),
 			report.Pair("slot_use", stats.Mean(ours.use)), report.Pair("naive_slot_use", stats.Mean(naive.use)),
 			report.Pair("slot_use_online_only", stats.Mean(found["A"].use)),
--- a/bench/measure/figures/yield.go
+++ b/bench/measure/figures/yield.go
@@ -13,7 +13,7 @@
 const (
 	yieldTarget = 100.0
 	// burstShare is the share of all slots that one burst needs.
-	burstShare  = 0.5
+	burstShare  = 0.75
 	burstEvery  = 600 * time.Millisecond
 	fillTime    = 300 * time.Millisecond // to the first burst
 	naiveBursts = 3
@@ -21,7 +21,7 @@
 )
 
 // batchYield measures batch_yield_ms_p99: the 99th percentile of the time to
-// first token of the calls of a burst that needs half of all slots, arriving
+// first token of the calls of a burst that needs three quarters of all slots, arriving
 // at one moment onto engines full of batch items, less that of the same burst
 // on idle engines. full is the share of the slots that were in use just before
 // the bursts.
--- a/bench/workload/set.go
+++ b/bench/workload/set.go
@@ -40,6 +40,16 @@
 	return out, nil
 }
 
+// MeanTokens returns the mean answer length of a part's bodies.
+func MeanTokens(bodies []map[string]any) float64 {
+	sum := 0.0
+	for _, body := range bodies {
+		tokens, _ := body["max_tokens"].(float64)
+		sum += tokens
+	}
+	return sum / float64(len(bodies))
+}
+
 // Path returns the API path that a part's bodies are sent to.
 func Path(kind Kind) string {
 	switch kind {
