--- a/bench/measure/env/env.go
+++ b/bench/measure/env/env.go
@@ -109,7 +109,7 @@
 			return err
 		}
 	}
-	return e.awaitUp()
+	return e.awaitLive()
 }
 
 // fleetView is the part of GET /admin/v1/fleet that is read.
@@ -121,36 +121,36 @@
 	} `json:"backends"`
 }
 
-// awaitUp waits until every node is ready and sees every engine up.
-func (e *Env) awaitUp() error {
+// awaitLive waits until every node is ready and sees every engine live.
+func (e *Env) awaitLive() error {
 	for _, n := range e.Fleet.Nodes {
 		if err := e.Fleet.WaitReady(n); err != nil {
 			return err
 		}
 		for start := time.Now(); ; time.Sleep(idlePoll) {
-			if e.up(n) == len(e.Fleet.Engines) {
+			if e.live(n) == len(e.Fleet.Engines) {
 				break
 			}
 			if time.Since(start) > idleWait {
-				return errors.Errorf("node %s sees %d of %d engines up", n.ID, e.up(n), len(e.Fleet.Engines))
+				return errors.Errorf("node %s sees %d of %d engines live", n.ID, e.live(n), len(e.Fleet.Engines))
 			}
 		}
 	}
 	return nil
 }
 
-func (e *Env) up(n *harness.Node) int {
+func (e *Env) live(n *harness.Node) int {
 	var view fleetView
 	if err := e.Fleet.GetJSON(context.Background(), n.OperatorsURL()+"/admin/v1/fleet", &view); err != nil {
 		return -1
 	}
-	up := 0
+	live := 0
 	for _, b := range view.Backends {
-		if b.Deployment == e.Shape.EngineDeployment && b.State == "up" && b.Slots > 0 {
-			up++
+		if b.Deployment == e.Shape.EngineDeployment && b.State == "live" && b.Slots > 0 {
+			live++
 		}
 	}
-	return up
+	return live
 }
 
 // Reset sets the engines back and waits until they are idle, after a
