--- a/internal/config/node.go
+++ b/internal/config/node.go
@@ -1,9 +1,11 @@
 package config
 
 import (
+	"crypto/sha256"
 	"log/slog"
 	"time"
 
+	"gentiantide.example/gentiantide/internal/config/strictjson"
 	"gentiantide.example/gentiantide/internal/core"
 )
 
@@ -13,11 +15,17 @@
 	DataCentre core.DataCentre
 	Region     core.Region
 	Listen     Listen
+	Operators  Operators
 	Platform   Platform
+	// PeerSecrets are the secrets of peer_secret_file, one, or two while the
+	// secret is rotated. Without any, peers are not authenticated.
+	PeerSecrets []core.Secret
 	// Seeds are peer addresses that are tried while the fleet list is away.
 	Seeds    []string
 	LogLevel slog.Level
 	Timeouts Timeouts
+	// Warnings are settings that are accepted but likely wrong.
+	Warnings strictjson.Problems
 }
 
 // Listen has the addresses, IP and port, that the node listens on.
@@ -25,6 +33,16 @@
 	Callers, Operators, Peers string
 }
 
+// Operators says who may use the operators' listener.
+type Operators struct {
+	// TokenDigests are the SHA-256 digests of the accepted tokens. Several are
+	// in force while a token is rotated. Without any, the listener asks for no
+	// token and must be bound to a loopback address.
+	TokenDigests [][sha256.Size]byte
+	// Open allows a listener without tokens on any address.
+	Open bool
+}
+
 // Platform has the base URLs of the platform's services.
 type Platform struct {
 	Table, Objects, Weights, Fleet string
