--- a/bench/measure/env/shape.go
+++ b/bench/measure/env/shape.go
@@ -25,7 +25,10 @@
 	Batch  workload.Kind
 	// Stragglers is the number of replicas that are slowed at once.
 	Stragglers int
-	Seed       uint64
+	// LoseCoordinator makes the node that is lost with ranges of a job also the
+	// job's coordinator.
+	LoseCoordinator bool
+	Seed            uint64
 }
 
 const (
@@ -54,7 +57,7 @@
 			Name: "board", Region: "bengal-east", DataCentres: []string{"howrah-a", "kolkata-b", "serampore-c"},
 			EngineDeployment: "diya-models", Model: "diya-1", EnginesPerDC: 6,
 			PlainDeployment: "permit-desk", PlainRoute: "/permit-desk/",
-			Online: workload.RuleQuestions, Batch: workload.PermitLetters, Stragglers: 3, Seed: 2,
+			Online: workload.RuleQuestions, Batch: workload.PermitLetters, Stragglers: 3, LoseCoordinator: true, Seed: 2,
 		},
 	}
 }
