--- a/internal/retention/access.go
+++ b/internal/retention/access.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"slices"
 
 	"github.com/pkg/errors"
 
@@ -92,17 +93,18 @@
 }
 
 // deleteRows deletes rows on condition of the versions that were judged and
-// returns how many are gone. A row that changed stays.
-func (a *access) deleteRows(ctx context.Context, rows []platform.Row) (int, error) {
+// returns how many are gone. A row that changed stays, and so do all if one of
+// the other conditions does not hold.
+func (a *access) deleteRows(ctx context.Context, rows []platform.Row, also ...platform.Condition) (int, error) {
 	gone := 0
 	for len(rows) > 0 {
 		n := min(len(rows), a.o.Config.BatchRows)
-		_, err := a.commit(ctx, deletion(rows[:n]))
+		_, err := a.commit(ctx, deletion(rows[:n], also...))
 		switch {
 		case err == nil:
 			gone += n
 		case errors.Is(err, platform.ErrConflict) && n > 1:
-			one, err := a.deleteOneByOne(ctx, rows[:n])
+			one, err := a.deleteOneByOne(ctx, rows[:n], also)
 			gone += one
 			if err != nil {
 				return gone, err
@@ -117,10 +119,10 @@
 	return gone, nil
 }
 
-func (a *access) deleteOneByOne(ctx context.Context, rows []platform.Row) (int, error) {
+func (a *access) deleteOneByOne(ctx context.Context, rows []platform.Row, also []platform.Condition) (int, error) {
 	gone := 0
 	for i := range rows {
-		n, err := a.deleteRows(ctx, rows[i:i+1])
+		n, err := a.deleteRows(ctx, rows[i:i+1], also...)
 		if gone += n; err != nil {
 			return gone, err
 		}
@@ -128,8 +130,8 @@
 	return gone, nil
 }
 
-func deletion(rows []platform.Row) platform.Txn {
-	var txn platform.Txn
+func deletion(rows []platform.Row, also ...platform.Condition) platform.Txn {
+	txn := platform.Txn{Conditions: slices.Clone(also)}
 	for _, row := range rows {
 		txn.Conditions = append(txn.Conditions, platform.Condition{Key: row.Key, Version: row.Version})
 		txn.Writes = append(txn.Writes, platform.Write{Key: row.Key, Delete: true})
--- a/internal/retention/doc.go
+++ b/internal/retention/doc.go
@@ -27,10 +27,12 @@
 // A file is marked as expired, its parts are deleted, then its row. Object
 // names are unique to an upload and to a job row, so that a deletion that takes
 // effect late, or by an owner that was paused, cannot hit the objects of a
-// later file or job with the same key. Objects cannot be listed; a fenced
-// holder's garbage segment is found because it can only have the number after
-// the last committed one of its epoch. What a holder or an upload writes later
-// than its retention stays as garbage.
+// later file or job with the same key. For the same reason range rows are
+// deleted on condition of the version of the job row.
+//
+// Objects cannot be listed; a fenced holder's garbage segment is found because
+// it can only have the number after the last committed one of its epoch. What a
+// holder or an upload writes later than its retention stays as garbage.
 //
 // # At most once
 //
--- a/internal/retention/jobs.go
+++ b/internal/retention/jobs.go
@@ -72,9 +72,12 @@
 }
 
 // deleteRanges deletes the objects and then the rows of the ranges, a page at
-// a time. The job row is marked: no claim or commit can write a range row.
+// a time. The job row is marked: no claim or commit can write a range row. The
+// rows are deleted on condition of the job row too: if another owner was
+// faster, they may belong to a later job with the same key.
 func (d *jobDeletion) deleteRanges(ctx context.Context) error {
 	prefix := records.RangePrefix(d.job.ID)
+	marked := platform.Condition{Key: records.JobKey(d.job.ID), Version: d.version}
 	for {
 		rows, err := d.access.scan(ctx, prefix, "", d.o.Config.PageRows)
 		if err != nil || len(rows) == 0 {
@@ -85,7 +88,7 @@
 				return err
 			}
 		}
-		gone, err := d.access.deleteRows(ctx, rows)
+		gone, err := d.access.deleteRows(ctx, rows, marked)
 		d.ranges += gone
 		d.counts.rows.Add(int64(gone))
 		if err == nil && gone < len(rows) {
--- /dev/null
+++ b/internal/retention/log_test.go
@@ -0,0 +1,65 @@
+package retention
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"gentiantide.example/gentiantide/internal/membership"
+	"gentiantide.example/gentiantide/internal/platform"
+	"gentiantide.example/gentiantide/internal/platform/platformtest"
+	"gentiantide.example/gentiantide/internal/settings"
+)
+
+func logKey(version uint64) string { return fmt.Sprintf("%s%020d", settings.LogPrefix, version) }
+
+// Guards against a settings log that loses entries by which nodes catch up,
+// young entries or entries in the middle, and against one that grows for ever.
+func TestSettingsLogLosesItsBeginning(t *testing.T) {
+	const newest = settings.KeptLogEntries + 10
+	for name, c := range map[string]struct{ young, first uint64 }{
+		"the newest are kept":             {newest + 1, 11},
+		"those from a young one are kept": {5, 5},
+		"nothing goes before a young one": {1, 1},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			table := platformtest.NewTable()
+			for v := uint64(1); v <= newest; v++ {
+				e := settings.Entry{Version: v, Time: time.Now().Add(-2 * keep.SettingsLog)}
+				if v == c.young {
+					e.Time = time.Now().Add(10 * keep.SettingsLog)
+				}
+				data, err := msgpack.Marshal(e)
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				_, err = table.Commit(t.Context(), platform.Txn{Writes: []platform.Write{{Key: logKey(v), Value: data}}})
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+			}
+			snapshot := settings.NewSnapshot(settings.SnapshotInput{Version: newest, Retention: keep})
+			ready := make(chan struct{})
+			s := NewService(Options{
+				Table: table, Objects: platformtest.NewObjects(), Ready: ready, Settings: func() *settings.Snapshot { return snapshot },
+				Members: func() *membership.View {
+					return membership.NewView("n", []membership.Member{{ID: "n", State: membership.StateLive}})
+				},
+			})
+			ctx, cancel := context.WithTimeout(context.Background(), 30*time.Hour)
+			defer cancel()
+			go func() {
+				time.Sleep(24 * time.Hour)
+				g.Expect(table.Reads()).To(gomega.BeZero(), "before the settings are loaded")
+				close(ready)
+			}()
+			s.Run(ctx)
+			rows, err := table.Scan(t.Context(), settings.LogPrefix, "", newest+1)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(rows).To(gomega.HaveLen(int(newest-c.first+1)), name)
+			g.Expect(rows[0].Key).To(gomega.Equal(logKey(c.first)), name)
+		})
+	}
+}
