End the settings history where the log begins

Cause: once the log has lost its beginning, a page of History reached past its end and listed changes twice. Conclusion: TestHistoryEndsWhereTheLogBegins guards it.

--- /dev/null
+++ b/internal/settings/history_test.go
@@ -0,0 +1,37 @@
+package settings
+
+import (
+	"testing"
+
+	"github.com/onsi/gomega"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"gentiantide.example/gentiantide/internal/platform"
+	"gentiantide.example/gentiantide/internal/platform/platformtest"
+)
+
+// Guards against a history that lists changes twice, or reads on, once the
+// beginning of the log is deleted.
+func TestHistoryEndsWhereTheLogBegins(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := platformtest.NewTable()
+	put := func(key string, value any) {
+		data, err := msgpack.Marshal(value)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		_, err = table.Commit(t.Context(), platform.Txn{Writes: []platform.Write{{Key: key, Value: data}}})
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+	}
+	put(headKey, head{Version: 100})
+	for v := uint64(92); v <= 100; v++ {
+		put(logKey(v), Entry{Version: v, Path: "/"})
+	}
+	m := &Manager{store: store{table, 5}}
+	entries, refusal := m.History(t.Context(), "", 50)
+	g.Expect(refusal).To(gomega.BeNil())
+	versions := make([]uint64, len(entries))
+	for i, e := range entries {
+		versions[i] = e.Version
+	}
+	g.Expect(versions).To(gomega.Equal([]uint64{100, 99, 98, 97, 96, 95, 94, 93, 92}))
+	g.Expect(table.Reads()).To(gomega.BeNumerically("==", 3))
+}
