--- /dev/null
+++ b/bench/capacity/meter/doc.go
@@ -0,0 +1,2 @@
+// Package meter counts processor time, memory and calls of the platform.
+package meter
--- /dev/null
+++ b/bench/capacity/meter/objects.go
@@ -0,0 +1,32 @@
+package meter
+
+import (
+	"context"
+	"sync/atomic"
+
+	"gentiantide.example/gentiantide/internal/platform"
+)
+
+// Objects counts the calls of a platform.Objects. With Discard set it keeps
+// nothing, so that the memory of a writer can be measured.
+type Objects struct {
+	platform.Objects
+	Discard           bool
+	Puts, Gets, Bytes atomic.Int64
+}
+
+// Put implements platform.Objects.
+func (o *Objects) Put(ctx context.Context, key string, data []byte) error {
+	o.Puts.Add(1)
+	o.Bytes.Add(int64(len(data)))
+	if o.Discard {
+		return nil
+	}
+	return o.Objects.Put(ctx, key, data)
+}
+
+// Get implements platform.Objects.
+func (o *Objects) Get(ctx context.Context, key string) ([]byte, error) {
+	o.Gets.Add(1)
+	return o.Objects.Get(ctx, key)
+}
--- /dev/null
+++ b/bench/capacity/meter/table.go
@@ -0,0 +1,86 @@
+package meter
+
+import (
+	"context"
+	"maps"
+	"strings"
+	"sync"
+
+	"github.com/pkg/errors"
+
+	"gentiantide.example/gentiantide/internal/platform"
+)
+
+// TableCounts are calls of a table, by the first segment of the key.
+type TableCounts struct {
+	Reads, RowsRead, Commits, RowsWritten, Conflicts map[string]int
+}
+
+// Table counts the calls of a platform.Table.
+type Table struct {
+	platform.Table
+
+	mu     sync.Mutex
+	counts TableCounts
+}
+
+// NewTable returns a counting table.
+func NewTable(t platform.Table) *Table {
+	return &Table{Table: t, counts: TableCounts{make(map[string]int), make(map[string]int), make(map[string]int), make(map[string]int), make(map[string]int)}}
+}
+
+// Counts returns a copy of the counts so far.
+func (t *Table) Counts() TableCounts {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return TableCounts{maps.Clone(t.counts.Reads), maps.Clone(t.counts.RowsRead), maps.Clone(t.counts.Commits), maps.Clone(t.counts.RowsWritten), maps.Clone(t.counts.Conflicts)}
+}
+
+func (t *Table) count(in func(*TableCounts)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	in(&t.counts)
+}
+
+// Get implements platform.Table.
+func (t *Table) Get(ctx context.Context, key string) (platform.Row, error) {
+	t.count(func(c *TableCounts) { c.Reads[first(key)]++; c.RowsRead[first(key)]++ })
+	return t.Table.Get(ctx, key)
+}
+
+// Scan implements platform.Table.
+func (t *Table) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	rows, err := t.Table.Scan(ctx, prefix, after, limit)
+	t.count(func(c *TableCounts) { c.Reads[first(prefix)]++; c.RowsRead[first(prefix)] += len(rows) })
+	return rows, err
+}
+
+// Commit implements platform.Table. A transaction counts as one commit of the
+// key that it writes first.
+func (t *Table) Commit(ctx context.Context, txn platform.Txn) ([]uint64, error) {
+	t.count(func(c *TableCounts) {
+		c.Commits[first(txn.Writes[0].Key)]++
+		for _, w := range txn.Writes {
+			c.RowsWritten[first(w.Key)]++
+		}
+	})
+	versions, err := t.Table.Commit(ctx, txn)
+	if errors.Is(err, platform.ErrConflict) {
+		t.count(func(c *TableCounts) { c.Conflicts[first(txn.Writes[0].Key)]++ })
+	}
+	return versions, err
+}
+
+func first(key string) string {
+	segment, _, _ := strings.Cut(key, "/")
+	return segment
+}
+
+// Sum adds up the values of a map of counts.
+func Sum(m map[string]int) float64 {
+	total := 0
+	for _, n := range m {
+		total += n
+	}
+	return float64(total)
+}
--- /dev/null
+++ b/bench/capacity/meter/table_test.go
@@ -0,0 +1,35 @@
+package meter
+
+import (
+	"context"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"gentiantide.example/gentiantide/internal/platform"
+	"gentiantide.example/gentiantide/internal/platform/platformtest"
+)
+
+// Guards against counts that miss a row of a transaction or take a failed one
+// for none: the page's share of the table service's capacity rests on them.
+func TestTableCounts(t *testing.T) {
+	g := NewWithT(t)
+	ctx := context.Background()
+	table := NewTable(platformtest.NewTable())
+	txn := platform.Txn{
+		Conditions: []platform.Condition{{Key: "range/a/1"}},
+		Writes:     []platform.Write{{Key: "range/a/1", Value: []byte{1}}, {Key: "job/a", Value: []byte{1}}},
+	}
+	_, err := table.Commit(ctx, txn)
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = table.Commit(ctx, txn)
+	g.Expect(err).To(MatchError(platform.ErrConflict))
+	_, err = table.Scan(ctx, "range/", "", 10)
+	g.Expect(err).NotTo(HaveOccurred())
+	counts := table.Counts()
+	g.Expect(counts.Commits).To(Equal(map[string]int{"range": 2}))
+	g.Expect(counts.RowsWritten).To(Equal(map[string]int{"range": 2, "job": 2}))
+	g.Expect(counts.Conflicts).To(Equal(map[string]int{"range": 1}))
+	g.Expect(counts.Reads).To(Equal(map[string]int{"range": 1}))
+	g.Expect(counts.RowsRead).To(Equal(map[string]int{"range": 1}))
+}
--- /dev/null
+++ b/bench/capacity/slope/doc.go
@@ -0,0 +1,3 @@
+// Package slope fits straight lines through measured points and prints them,
+// one line each.
+package slope
