--- a/Makefile
+++ b/Makefile
@@ -25,4 +25,4 @@
 	bin/measure bench
 
 capacity: build
-	bin/measure capacity
+	bin/capacity
--- /dev/null
+++ b/bench/capacity/roles/doc.go
@@ -0,0 +1,3 @@
+// Package roles measures the slopes of each role of a node against the numbers
+// of the design's table.
+package roles
--- /dev/null
+++ b/bench/capacity/roles/handler.go
@@ -0,0 +1,122 @@
+package roles
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"strings"
+
+	"gentiantide.example/gentiantide/bench/capacity/meter"
+	"gentiantide.example/gentiantide/bench/capacity/slope"
+	"gentiantide.example/gentiantide/internal/backend"
+	"gentiantide.example/gentiantide/internal/core"
+	"gentiantide.example/gentiantide/internal/dispatch"
+	"gentiantide.example/gentiantide/internal/httpapi/callers"
+	"gentiantide.example/gentiantide/internal/relay"
+	"gentiantide.example/gentiantide/internal/settings"
+)
+
+// Handler measures the callers' handler and the relay without connections, so
+// that their part of the cost of a token is known.
+func Handler(c *Context) error {
+	snapshot := settings.NewSnapshot(settings.SnapshotInput{Services: []settings.Service{
+		{ID: "verse-models", Kind: settings.KindModel, Model: relayModel, MaxAttempts: 2}}})
+	cpu := &slope.Slope{Name: "handler.cpu_per_token", Unit: "us"}
+	allocations := &slope.Slope{Name: "handler.allocations_per_token", Unit: "1"}
+	for _, tokens := range []int{1, 150, peakTokens} {
+		engine := &fixedEngine{tokens: tokens}
+		mux := http.NewServeMux()
+		callers.Register(mux, callers.Config{Settings: funcOf(snapshot), NewID: func() string { return "id" },
+			Relay: relay.New(relay.Config{Acquirer: engine, Budget: engine, Settings: funcOf(snapshot),
+				Engines: func(string) backend.Engine { return engine }})})
+		body := `{"model":"` + relayModel + `","stream":true,"messages":[{"role":"user","content":"a couplet"}]}`
+		call := func() {
+			mux.ServeHTTP(discard{make(http.Header)}, httptest.NewRequest(http.MethodPost, "/v1/chat/completions", strings.NewReader(body)))
+		}
+		cpu.Add(float64(tokens), micros(meter.PerCall(100, enough, call)))
+		allocations.Add(float64(tokens), allocationsOf(call))
+	}
+	c.Print.Slope(cpu)
+	c.Print.Slope(allocations)
+	return nil
+}
+
+func allocationsOf(call func()) float64 {
+	const calls = 200
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	for range calls {
+		call()
+	}
+	runtime.ReadMemStats(&after)
+	return float64(after.Mallocs-before.Mallocs) / calls
+}
+
+// fixedEngine is an engine, its stream, the dispatcher, the slot and the budget
+// in one; none of them allocates for a token.
+type fixedEngine struct {
+	backend.Engine
+	tokens, at int
+}
+
+// Generate implements backend.Engine.
+func (e *fixedEngine) Generate(context.Context, backend.Request) (backend.Stream, error) {
+	return &fixedEngine{tokens: e.tokens}, nil
+}
+
+// Next implements backend.Stream.
+func (e *fixedEngine) Next() (backend.Token, error) {
+	if e.at == e.tokens {
+		return backend.Token{}, io.EOF
+	}
+	e.at++
+	return backend.Token{Index: e.at - 1, Text: " lantern"}, nil
+}
+
+// Finish implements backend.Stream.
+func (e *fixedEngine) Finish() backend.Finish {
+	return backend.Finish{Reason: "length", OutputTokens: e.tokens}
+}
+
+// Close implements backend.Stream.
+func (*fixedEngine) Close() error { return nil }
+
+// Acquire implements relay.Acquirer.
+func (e *fixedEngine) Acquire(context.Context, dispatch.Ask) (dispatch.Slot, *core.Refusal) {
+	return e, nil
+}
+
+// Replica implements dispatch.Slot.
+func (*fixedEngine) Replica() core.ReplicaID { return "r" }
+
+// Address implements dispatch.Slot.
+func (*fixedEngine) Address() string { return "r" }
+
+// Preempted implements dispatch.Slot.
+func (*fixedEngine) Preempted() <-chan struct{} { return nil }
+
+// Release implements dispatch.Slot.
+func (*fixedEngine) Release(dispatch.Observation) {}
+
+// Succeeded implements relay.Budget.
+func (*fixedEngine) Succeeded(core.DeploymentID, float64) {}
+
+// Spend implements relay.Budget.
+func (*fixedEngine) Spend(core.DeploymentID) bool { return true }
+
+// discard is a response that is thrown away.
+type discard struct{ header http.Header }
+
+// Header implements http.ResponseWriter.
+func (d discard) Header() http.Header { return d.header }
+
+// Write implements http.ResponseWriter.
+func (discard) Write(p []byte) (int, error) { return len(p), nil }
+
+// WriteHeader implements http.ResponseWriter.
+func (discard) WriteHeader(int) {}
+
+// Flush implements http.Flusher.
+func (discard) Flush() {}
--- /dev/null
+++ b/bench/capacity/roles/relay.go
@@ -0,0 +1,183 @@
+package roles
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"gentiantide.example/gentiantide/bench/capacity/meter"
+	"gentiantide.example/gentiantide/bench/capacity/slope"
+	"gentiantide.example/gentiantide/bench/client"
+	"gentiantide.example/gentiantide/bench/harness"
+)
+
+const (
+	// peakRequests and peakTokens are the load of a node at peak.
+	peakRequests = 22
+	peakTokens   = 454 // tokens of a request: 10,000 tokens/s / 22 requests/s
+	relayModel   = "verse-1"
+)
+
+// Relay measures one gentiantided process between a client and stand-in
+// engines on loopback, by the processor time and the memory of that process.
+func Relay(c *Context) error {
+	r, err := newRelayRun(c)
+	if err != nil {
+		return err
+	}
+	defer r.fleet.Close()
+	for _, measure := range []func(*Context) error{r.requests, r.tokens, r.streams} {
+		if err := measure(c); err != nil {
+			return err
+		}
+	}
+	if failed := r.failed.Load(); failed > 0 {
+		return fmt.Errorf("%d of %d calls failed", failed, r.sent.Load())
+	}
+	return nil
+}
+
+type relayRun struct {
+	fleet        *harness.Fleet
+	client       *client.Client
+	wait         sync.WaitGroup
+	sent, failed atomic.Int64
+}
+
+func newRelayRun(c *Context) (*relayRun, error) {
+	fleet, err := harness.Start(harness.Options{
+		BinDir: c.BinDir, WorkDir: c.WorkDir, Region: "luzon", DataCentres: []string{"luzon-a"}, NodesPerDC: 1, Engines: 5,
+		EngineDeployment: "verse-models", PlainDeployment: "none", StopGrace: "1s",
+		// 10 ms a token: a stream of 454 tokens lasts 4.5 s.
+		EngineArgs: []string{"-slots", "256", "-step-base", "10ms", "-step-per-sequence", "0s", "-step-per-context", "0s",
+			"-kv-tokens", "100000000", "-long-one-in", "0"},
+	})
+	if err != nil {
+		return nil, err
+	}
+	r := &relayRun{fleet: fleet, client: client.New()}
+	if err := r.configure(); err != nil {
+		fleet.Close()
+		return nil, err
+	}
+	return r, nil
+}
+
+func (r *relayRun) configure() error {
+	node := r.fleet.Nodes[0]
+	if err := r.fleet.WaitReady(node); err != nil {
+		return err
+	}
+	if _, err := r.fleet.Do(context.Background(), http.MethodPost, node.OperatorsURL()+"/admin/v1/settings", map[string]any{
+		"path": "/services/verse-models", "base_version": 0, "author": "capacity",
+		"set": map[string]any{"kind": "model", "model": relayModel},
+	}); err != nil {
+		return err
+	}
+	time.Sleep(2 * time.Second) // polls of the engines
+	return r.fleet.WaitReady(node)
+}
+
+// load sends requests at a rate until ctx ends.
+func (r *relayRun) load(ctx context.Context, rate, tokens int) {
+	if rate == 0 {
+		<-ctx.Done()
+		return
+	}
+	ticker := time.NewTicker(time.Second / time.Duration(rate))
+	defer ticker.Stop()
+	for i := 0; ctx.Err() == nil; i++ {
+		r.wait.Go(func() { r.one(context.Background(), i, tokens) })
+		<-ticker.C
+	}
+}
+
+func (r *relayRun) one(ctx context.Context, i, tokens int) {
+	result := r.client.Do(ctx, client.Call{Base: r.fleet.Nodes[0].URL(), Path: "/v1/chat/completions", Org: "shop", Stream: true,
+		Body: map[string]any{"model": relayModel, "max_tokens": tokens, "messages": []any{
+			map[string]string{"role": "user", "content": fmt.Sprintf("A couplet for counter %d, please.", i)}}}})
+	r.sent.Add(1)
+	if !result.OK() && ctx.Err() == nil {
+		r.failed.Add(1)
+	}
+}
+
+// share returns the processor time of the node under a load in the steady
+// state, and the part of it in the kernel, as shares of a core.
+func (r *relayRun) share(rate, tokens int) (whole, system float64, err error) {
+	const seconds = 4
+	ctx, cancel := context.WithCancel(context.Background())
+	go r.load(ctx, rate, tokens)
+	defer func() { cancel(); r.wait.Wait() }()
+	time.Sleep(time.Second + time.Duration(tokens)*11*time.Millisecond)
+	pid := r.fleet.Nodes[0].Process.PID()
+	userBefore, systemBefore, err := meter.ProcessCPU(pid)
+	if err != nil {
+		return 0, 0, err
+	}
+	began := time.Now()
+	time.Sleep(seconds * time.Second)
+	user, kernel, err := meter.ProcessCPU(pid)
+	took := time.Since(began).Seconds()
+	system = (kernel - systemBefore).Seconds() / took
+	return (user-userBefore).Seconds()/took + system, system, err
+}
+
+// requests measures requests of one token against their rate.
+func (r *relayRun) requests(c *Context) error {
+	s := &slope.Slope{Name: "relay.cpu_per_request", Unit: "ms"}
+	for _, rate := range []int{0, 22, 88} {
+		share, _, err := r.share(rate, 1)
+		if err != nil {
+			return err
+		}
+		s.Add(float64(rate), share*1000)
+	}
+	c.Print.Slope(s)
+	return nil
+}
+
+// tokens measures tokens at the peak rate of requests.
+func (r *relayRun) tokens(c *Context) error {
+	s := &slope.Slope{Name: "relay.cpu_per_token", Unit: "us"}
+	for _, tokens := range []int{1, 200, peakTokens} {
+		share, system, err := r.share(peakRequests, tokens)
+		if err != nil {
+			return err
+		}
+		s.Add(float64(peakRequests*tokens), share*1e6)
+		if tokens == peakTokens {
+			c.Print.Figure("relay.cpu_at_peak", share*100, "%core/node", "22 requests/s of 454 tokens, streamed, 1 node and 5 engines")
+			c.Print.Figure("relay.kernel_cpu_at_peak", system*100, "%core/node", "the part of relay.cpu_at_peak in the kernel")
+		}
+	}
+	c.Print.Slope(s)
+	return nil
+}
+
+// streams measures the resident memory of the node against open streams.
+func (r *relayRun) streams(c *Context) error {
+	s := &slope.Slope{Name: "relay.memory_per_stream", Unit: "B"}
+	ctx, cancel := context.WithCancel(context.Background())
+	pid, open := r.fleet.Nodes[0].Process.PID(), 0
+	for _, n := range []int{0, 250, 500, 1000} {
+		for ; open < n; open++ {
+			i := open
+			r.wait.Go(func() { r.one(ctx, i, 100_000) })
+		}
+		time.Sleep(3 * time.Second)
+		memory, err := meter.ProcessMemory(pid)
+		if err != nil {
+			cancel()
+			return err
+		}
+		s.Add(float64(n), memory)
+	}
+	cancel()
+	r.wait.Wait()
+	c.Print.Slope(s)
+	return nil
+}
