Release the interrupted items of a stop together

Cause: at a stop, items that were interrupted came back one by one, and each was split off into a range of its own: 36 writes and 36 claims for 36 items, so a job went on only after tens of seconds. Change: unstarted items are split off once; the rest goes with the release.

--- a/internal/batch/ranges/write.go
+++ b/internal/batch/ranges/write.go
@@ -48,6 +48,8 @@
 	Behind bool
 	// Stopping is set when the holder gives its ranges up.
 	Stopping bool
+	// StopSplit is set when unstarted items were released because of the stop.
+	StopSplit bool
 	// Flush is set when results must be committed to free memory.
 	Flush bool
 	// MayStart is set when the holder has room to start items.
@@ -62,7 +64,9 @@
 		return ActFinish
 	case h.Stopping && h.Running == 0:
 		return ActRelease
-	case h.Stopping && h.Unstarted > 0:
+	case h.Stopping && h.Unstarted > 0 && !h.StopSplit:
+		// Once: interrupted items come back one by one, and a range for each
+		// would cost as many writes and claims. They go with the release.
 		return ActSplit
 	case h.Flush && h.Finished > 0:
 		return ActPartial
--- a/internal/batch/worker/openrange.go
+++ b/internal/batch/worker/openrange.go
@@ -27,6 +27,8 @@
 	closed bool
 	busy   bool // a write is under way
 	behind bool
+	// stopSplit is set once unstarted items were released because of a stop.
+	stopSplit bool
 	// unreadable is set when the input object is missing or damaged.
 	unreadable bool
 
@@ -95,6 +97,6 @@
 func (r *openRange) held() ranges.Held {
 	return ranges.Held{
 		Unstarted: len(r.unstarted), Armed: r.armed, Delayed: r.delayed, Running: r.running, Finished: r.finished,
-		Partials: r.partials, Started: r.started, Since: r.since, Quiet: r.quiet, Behind: r.behind,
+		Partials: r.partials, Started: r.started, Since: r.since, Quiet: r.quiet, Behind: r.behind, StopSplit: r.stopSplit,
 	}
 }
--- a/internal/batch/worker/write.go
+++ b/internal/batch/worker/write.go
@@ -29,6 +29,7 @@
 // begin prepares a write and carries it out. The lock is held.
 func (w *Worker) begin(r *openRange, act ranges.Action) {
 	r.busy = true
+	r.stopSplit = r.stopSplit || w.stopping && act == ranges.ActSplit
 	p := r.prepare(act, w.p.Config.IntentWindow)
 	w.wg.Go(func() {
 		version, err := w.carryOut(r, p)
