Start with fewer small ranges

Cause: since files have a row of their own, a job of 10,000 items wrote 50 rows, which is the bound itself. Change: range sizes 64, 64, 128, 256, 512, then 1,000 items. Measured: 44 rows for 10,000 items (50 before) in TestJobCompletesWithFewWrites.

--- a/internal/batch/config.go
+++ b/internal/batch/config.go
@@ -89,7 +89,7 @@
 		SplitAfter:    60 * time.Second,
 		Tick:          time.Second,
 
-		RangeSizes:         []int{64, 64, 128, 128, 256, 256, 512, 512, 1000},
+		RangeSizes:         []int{64, 64, 128, 256, 512, 1000},
 		RangeBytes:         1 << 20,
 		LineBytes:          1 << 20,
 		IntentWindow:       32,
