Write the integration tests as ginkgo specs

Cause: the users' house style asks for ginkgo and gomega; only gomega was used. Tests of single packages stay functions with gomega, so that known red tests can be skipped by name.

--- a/bench/integration/batch_test.go
+++ b/bench/integration/batch_test.go
@@ -9,8 +9,8 @@
 	"net/http"
 	"strings"
 	"sync"
-	"testing"
 
+	. "github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
 	"gentiantide.example/gentiantide/bench/client"
@@ -119,8 +119,8 @@
 
 // Guards against online work that waits behind batch work, and against batch
 // items that are lost, doubled or damaged when they are preempted and resumed.
-func TestBatchGivesWayAndResumes(t *testing.T) {
-	c := newCluster(t)
+var _ = It("batch gives way to online work and is resumed", func() {
+	c := newCluster()
 	const items, tokens, slots = 160, 150, 48
 	b, code := c.create(c.nodes[0], c.upload(c.nodes[0], items, tokens), "yield")
 	c.g.Expect(code).To(gomega.BeNumerically("<", 300))
@@ -144,13 +144,13 @@
 		}
 	}
 	c.g.Expect(resumes).To(gomega.BeNumerically(">", 0), "no batch item was preempted, so the test proves nothing")
-}
+})
 
 // Guards against a job that is accepted twice or twice differently when its
 // creation is sent to several nodes at once, while answers of the table are
 // lost, and again after completion.
-func TestResentJobIsTheSameJob(t *testing.T) {
-	c := newCluster(t)
+var _ = It("a resent job is the same job", func() {
+	c := newCluster()
 	file, other := c.upload(c.nodes[0], 20, 5), c.upload(c.nodes[0], 21, 5)
 	c.table.Fault.Set(table.Fault{LoseAnswers: 0.3})
 	ids := make(chan string, 12)
@@ -176,12 +176,12 @@
 	_, code = c.create(c.nodes[2], other, "same")
 	c.g.Expect(code).To(gomega.Equal(http.StatusConflict))
 	c.expectResults(c.nodes[1], c.status(c.nodes[1], first.ID).OutputFileID, 20, 5)
-}
+})
 
 // Guards against items that start, or results that appear, after a job was
 // reported as cancelled.
-func TestCancelledJobStops(t *testing.T) {
-	c := newCluster(t)
+var _ = It("a cancelled job stops", func() {
+	c := newCluster()
 	b, _ := c.create(c.nodes[0], c.upload(c.nodes[0], 400, 60), "cancel")
 	c.g.Eventually(func() int { return c.starts(b.ID) }, eventually).Should(gomega.BeNumerically(">", 20))
 	c.g.Expect(c.request(c.nodes[1], http.MethodPost, "/v1/batches/"+b.ID+"/cancel", "", "application/json", nil, nil)).To(gomega.BeNumerically("<", 300))
@@ -194,7 +194,7 @@
 	c.g.Expect(c.starts(b.ID)).To(gomega.Equal(before))
 	c.g.Expect(c.status(c.nodes[0], b.ID).Counts).To(gomega.Equal(ended.Counts))
 	c.g.Expect(before).To(gomega.BeNumerically("<", 400))
-}
+})
 
 // starts counts the executions that engines began for a job.
 func (c *cluster) starts(job string) int {
--- a/bench/integration/cluster_test.go
+++ b/bench/integration/cluster_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	. "github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
 	"gentiantide.example/gentiantide/bench/client"
@@ -47,7 +48,7 @@
 // cluster is one node, two engines and one plain service in each of three data
 // centres of one region.
 type cluster struct {
-	t       *testing.T
+	t       testing.TB
 	g       *gomega.WithT
 	client  *client.Client
 	table   *table.Server
@@ -58,10 +59,11 @@
 	nodes   []*testNode
 }
 
-func newCluster(t *testing.T) *cluster { return newClusterOf(t, 1) }
+func newCluster() *cluster { return newClusterOf(1) }
 
 // newClusterOf starts a cluster with a number of nodes in each data centre.
-func newClusterOf(t *testing.T, nodesPerCentre int) *cluster {
+func newClusterOf(nodesPerCentre int) *cluster {
+	t := GinkgoTB()
 	c := &cluster{t: t, g: gomega.NewWithT(t), client: client.New(),
 		table: table.New(table.DefaultParams()), objects: objects.New(objects.DefaultParams()), fleet: fleet.New(fleet.Params{})}
 	tableURL, objectsURL, fleetURL := c.serve(c.table), c.serve(c.objects), c.serve(c.fleet)
--- a/bench/integration/engines_test.go
+++ b/bench/integration/engines_test.go
@@ -3,9 +3,9 @@
 import (
 	"fmt"
 	"sync"
-	"testing"
 	"time"
 
+	. "github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
 	"gentiantide.example/gentiantide/bench/client"
@@ -15,8 +15,8 @@
 
 // Guards against truncated, repeated or missing tokens when engines break
 // streams, refuse requests or close connections.
-func TestStreamsSurviveEngineFailures(t *testing.T) {
-	c := newCluster(t)
+var _ = It("streams survive engine failures", func() {
+	c := newCluster()
 	for i, e := range c.engines {
 		if i%2 == 0 {
 			e.Engine.SetFault(engine.Fault{CutAfter: 5, CutShare: 0.3, Refuse: 0.2, Drop: 0.1})
@@ -40,12 +40,12 @@
 		c.g.Expect(want).To(gomega.HavePrefix(r.Text))
 	}
 	c.g.Expect(whole).To(gomega.BeNumerically(">", len(results)/2))
-}
+})
 
 // Guards against a permit that is issued twice or a false "not run" when the
 // connection to a plain service breaks before or after the call has run.
-func TestPermitsRunAtMostOnce(t *testing.T) {
-	c := newCluster(t)
+var _ = It("non-idempotent calls run at most once", func() {
+	c := newCluster()
 	for _, p := range c.plain {
 		p.Fault.Set(plain.Fault{DropBefore: 0.2, DropAfter: 0.2, Refuse: 0.2})
 	}
@@ -62,7 +62,7 @@
 		issued += n
 	}
 	c.g.Expect(issued).To(gomega.BeNumerically(">", permits/2))
-}
+})
 
 // resendPermit sends one permit to every node with the same key, two at once.
 func (c *cluster) resendPermit(permit string) {
@@ -90,8 +90,8 @@
 
 // Guards against a drained backend server that goes on getting work, and
 // against a drain that cuts its streams.
-func TestDrain(t *testing.T) {
-	c := newCluster(t)
+var _ = It("a drained backend server gets no new work", func() {
+	c := newCluster()
 	victim := c.engines[0]
 	long := make(chan client.Result, 8)
 	for i := range 8 {
@@ -109,4 +109,4 @@
 		r := <-long
 		c.g.Expect(r.OK()).To(gomega.BeTrue(), r.String())
 	}
-}
+})
--- a/bench/integration/orders_test.go
+++ b/bench/integration/orders_test.go
@@ -1,15 +1,14 @@
 package integration
 
 import (
-	"testing"
-
+	. "github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 )
 
 // Guards against a change of the model version that does not reach every
 // engine, and against requests that fail while it does.
-func TestRolloutOfAModelVersion(t *testing.T) {
-	c := newCluster(t)
+var _ = It("a model version is rolled out", func() {
+	c := newCluster()
 	c.g.Expect(c.change(c.nodes[1], "/services/models", c.version(c.nodes[1], "/services/models"),
 		map[string]any{"engine.model_version": "v2"})).To(gomega.Equal(200))
 	for _, e := range c.engines {
@@ -18,4 +17,4 @@
 			return e.Engine.Report().Models
 		}, eventually).Should(gomega.ContainElement("m@v2"))
 	}
-}
+})
--- a/bench/integration/partition_test.go
+++ b/bench/integration/partition_test.go
@@ -4,8 +4,8 @@
 	"fmt"
 	"reflect"
 	"sync"
-	"testing"
 
+	. "github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
 	"gentiantide.example/gentiantide/bench/client"
@@ -15,8 +15,8 @@
 
 // Guards against a data centre that stops serving when it is cut off from the
 // others, and against cuts that leave a node out after they heal.
-func TestDataCentresCutOff(t *testing.T) {
-	c := newCluster(t)
+var _ = It("data centres that are cut off go on serving", func() {
+	c := newCluster()
 	for _, from := range c.nodes {
 		from.BlockPeers(isOther(from))
 	}
@@ -36,19 +36,19 @@
 	for i, n := range c.nodes {
 		c.g.Eventually(func() bool { return c.seesLive(n, c.nodes[(i+1)%3].id) }, eventually).Should(gomega.BeTrue())
 	}
-}
+})
 
 // Guards against requests that fail while a cut lasts in one direction only,
 // between the entry node and the owner of the replicas that it would use.
-func TestOneWayCut(t *testing.T) {
-	c := newCluster(t)
+var _ = It("a one-way cut fails no request", func() {
+	c := newCluster()
 	c.cut(c.nodes[0], c.nodes[1])
 	for i := range 30 {
 		c.expectWhole(c.nodes[i%2], fmt.Sprint("one way ", i), 8)
 	}
 	c.nodes[0].BlockPeers(nil)
 	c.expectWhole(c.nodes[0], "healed", 8)
-}
+})
 
 // isOther returns a cut to every node but n itself.
 func isOther(n *testNode) func(core.NodeID) bool {
@@ -58,8 +58,8 @@
 // Guards against requests that fail, or engines that are overrun for long,
 // while two nodes of one data centre each take themselves for the owner of all
 // its replicas, and against two owners that stay after the cut has healed.
-func TestSplitDataCentre(t *testing.T) {
-	c := newClusterOf(t, 2)
+var _ = It("a split data centre goes on serving", func() {
+	c := newClusterOf(2)
 	first, second := c.nodes[0], c.nodes[1]
 	c.cut(first, second)
 	c.cut(second, first)
@@ -84,4 +84,4 @@
 		a, b := c.owners(first), c.owners(second)
 		return len(a) > 0 && reflect.DeepEqual(a, b)
 	}, eventually).Should(gomega.BeTrue(), "both nodes name the same owners")
-}
+})
--- a/bench/integration/platform_test.go
+++ b/bench/integration/platform_test.go
@@ -3,8 +3,8 @@
 import (
 	"fmt"
 	"net/http"
-	"testing"
 
+	. "github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
 	"gentiantide.example/gentiantide/bench/standin/fleet"
@@ -15,8 +15,8 @@
 // Guards against an outage of the platform that stops online work, against a
 // call that runs although its durable record could not be written, and against
 // a node that cannot start while the platform is away.
-func TestPlatformOutage(t *testing.T) {
-	c := newCluster(t)
+var _ = It("online work goes on during a platform outage", func() {
+	c := newCluster()
 	c.expectWhole(c.nodes[0], "before the outage", 8)
 	c.table.Fault.Set(table.Fault{Down: true})
 	c.objects.Fault.Set(objects.Fault{Down: true})
@@ -43,12 +43,12 @@
 	c.fleet.Fault.Set(fleet.Fault{})
 	c.g.Eventually(func() int { return c.issue(restarted, "after-the-outage").Status }, eventually).Should(gomega.Equal(http.StatusOK))
 	c.g.Expect(c.executions("after-the-outage")).To(gomega.Equal(1))
-}
+})
 
 // Guards against a call that runs twice because the answer of the write of its
 // record, or the record of its end, was lost.
-func TestLostAnswersOfTheTable(t *testing.T) {
-	c := newCluster(t)
+var _ = It("lost answers of the table double no call", func() {
+	c := newCluster()
 	c.table.Fault.Set(table.Fault{LoseAnswers: 0.5})
 	for i := range 20 {
 		permit := fmt.Sprint("lost-", i)
@@ -65,4 +65,4 @@
 			c.g.Expect(c.executions(permit)).To(gomega.Equal(1))
 		}
 	}
-}
+})
--- a/bench/integration/stop_test.go
+++ b/bench/integration/stop_test.go
@@ -3,8 +3,8 @@
 import (
 	"fmt"
 	"net/http"
-	"testing"
 
+	. "github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
 	"gentiantide.example/gentiantide/bench/client"
@@ -12,8 +12,8 @@
 
 // Guards against a planned stop that cuts streams, that goes on announcing the
 // node as ready, or that leaves its batch ranges to lapse.
-func TestPlannedStop(t *testing.T) {
-	c := newCluster(t)
+var _ = It("a planned stop cuts no stream", func() {
+	c := newCluster()
 	leaving := c.nodes[1]
 	b, _ := c.create(leaving, c.upload(leaving, 200, 20), "stop")
 	const streams, tokens = 10, 300
@@ -41,4 +41,4 @@
 	c.g.Expect(<-done).To(gomega.Succeed())
 	c.g.Eventually(func() string { return c.status(c.nodes[0], b.ID).Status }, eventually).Should(gomega.Equal("completed"))
 	c.expectResults(c.nodes[0], c.status(c.nodes[0], b.ID).OutputFileID, 200, 20)
-}
+})
--- /dev/null
+++ b/bench/integration/suite_test.go
@@ -0,0 +1,18 @@
+package integration
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+)
+
+// specSeed fixes the order of the specs, so that each run does the same.
+const specSeed = 20261204
+
+func TestIntegration(t *testing.T) {
+	gomega.RegisterFailHandler(Fail)
+	suite, reporter := GinkgoConfiguration()
+	suite.RandomSeed = specSeed
+	RunSpecs(t, "integration", suite, reporter)
+}
