--- a/bench/measure/figures/condition.go
+++ b/bench/measure/figures/condition.go
@@ -14,6 +14,8 @@
 	name string
 	// rounds is how often it runs.
 	rounds int
+	// timing, if not nil, replaces that of the measurement.
+	timing *timing
 	// begin, if not nil, brings the state about and returns what ends it.
 	begin func(context.Context) (end func() error, err error)
 	// calls builds the load of a round.
@@ -34,7 +36,7 @@
 
 const (
 	callTimeout = 10 * time.Second
-	// wantedSamples is the number of samples per condition, somewhat more than
+	// wantedSamples is the number of samples per condition, a little more than
 	// the 1,000 that a 99th percentile needs.
 	wantedSamples = 1020
 	// leastCounted is the shortest counted part of a round.
@@ -74,6 +76,9 @@
 }
 
 func runOne(ctx context.Context, e *env.Env, t timing, c condition, round int) (counted []load.Sample, err error) {
+	if c.timing != nil {
+		t = *c.timing
+	}
 	calls, err := c.calls(round)
 	if err != nil {
 		return nil, err
--- a/bench/measure/figures/longcalls.go
+++ b/bench/measure/figures/longcalls.go
@@ -1,6 +1,7 @@
 package figures
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -13,7 +14,8 @@
 const (
 	// longTime is about the duration of a long call on a busy engine: from then
 	// on the number of long calls is steady.
-	longTime    = 2 * time.Second
+	longTime    = 2100 * time.Millisecond
+	shortWarm   = 500 * time.Millisecond
 	shortTokens = 4
 	longFactor  = 20
 	// shortShare is the share of the slots that the short calls use. The long
@@ -26,31 +28,26 @@
 
 // shortBehindLong measures short_behind_long_p99_ratio: the 99th percentile of
 // the time to first token of short online calls while one call in twenty is 20
-// times longer, divided by that of the same short calls alone.
+// times longer, divided by that of short calls alone at the same
+// rate.
 func shortBehindLong(ctx context.Context, e *env.Env) ([]report.Line, error) {
-	t := timingFor(e, longTime+100*time.Millisecond, e.Shape.Rate(shortShare, shortTokens), 2)
-	t.grace = time.Second
-	alone := func(system env.System, round int) ([]load.Call, error) {
-		return e.Calls(env.CallSpec{System: system, Kind: "short", MaxTokens: shortTokens,
-			Arrivals: load.Poisson(seed(e.Shape.Seed, 3, round), e.Shape.Rate(shortShare, shortTokens), t.length)})
+	rate := e.Shape.Rate(shortShare, shortTokens)
+	short := timingFor(e, shortWarm, rate, 2)
+	long := timingFor(e, longTime, rate, 2)
+	long.grace = time.Second // the last long calls need not end
+	named := func(name string, system env.System, rounds int) condition {
+		return condition{name: name, rounds: rounds, timing: &short, calls: func(round int) ([]load.Call, error) {
+			return shortCalls(e, system, round, short.length)
+		}}
 	}
-	both := func(system env.System, round int) ([]load.Call, error) {
-		short, err := alone(system, round)
-		if err != nil {
-			return nil, err
-		}
-		long, err := e.Calls(env.CallSpec{System: system, Kind: "long", MaxTokens: shortTokens * longFactor,
-			Arrivals: load.Poisson(seed(e.Shape.Seed, 4, round), e.Shape.Rate(shortShare, shortTokens)/(longOneIn-1), t.length)})
-		all := append(short, long...)
-		slices.SortStableFunc(all, func(a, b load.Call) int { return int(a.At - b.At) })
-		return all, err
+	withLong := func(c condition, system env.System) condition {
+		c.timing = &long
+		c.calls = func(round int) ([]load.Call, error) { return bothCalls(e, system, round, long.length) }
+		return c
 	}
-	named := func(name string, system env.System, rounds int, calls func(env.System, int) ([]load.Call, error)) condition {
-		return condition{name: name, rounds: rounds, calls: func(round int) ([]load.Call, error) { return calls(system, round) }}
-	}
-	s, err := run(ctx, e, t, []condition{
-		named("alone", env.Gentiantide, 2, alone), named("both", env.Gentiantide, 2, both),
-		named("naive alone", env.Naive, 1, alone), named("naive both", env.Naive, 1, both),
+	s, err := run(ctx, e, short, []condition{
+		named("alone", env.Gentiantide, 2), withLong(named("both", env.Gentiantide, 2), env.Gentiantide),
+		named("naive alone", env.Naive, 1), withLong(named("naive both", env.Naive, 1), env.Naive),
 	})
 	if err != nil {
 		return nil, err
@@ -61,3 +58,20 @@
 	return []report.Line{{Measure: "short_behind_long_p99_ratio", Shape: e.Shape.Name, Value: ratio, Naive: &naive,
 		Target: report.Number(behindTarget), N: n, Extra: s.explain("both", "alone", "short", value)}}, nil
 }
+
+func shortCalls(e *env.Env, system env.System, round int, length time.Duration) ([]load.Call, error) {
+	return e.Calls(env.CallSpec{System: system, Kind: "short", MaxTokens: shortTokens,
+		Arrivals: load.Poisson(seed(e.Shape.Seed, 3, round), e.Shape.Rate(shortShare, shortTokens), length)})
+}
+
+func bothCalls(e *env.Env, system env.System, round int, length time.Duration) ([]load.Call, error) {
+	all, err := shortCalls(e, system, round, length)
+	if err != nil {
+		return nil, err
+	}
+	long, err := e.Calls(env.CallSpec{System: system, Kind: "long", MaxTokens: shortTokens * longFactor,
+		Arrivals: load.Poisson(seed(e.Shape.Seed, 4, round), e.Shape.Rate(shortShare, shortTokens)/(longOneIn-1), length)})
+	all = append(all, long...)
+	slices.SortStableFunc(all, func(a, b load.Call) int { return cmp.Compare(a.At, b.At) })
+	return all, err
+}
--- a/bench/measure/load/arrivals.go
+++ b/bench/measure/load/arrivals.go
@@ -1,21 +1,21 @@
 package load
 
 import (
+	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
-// Poisson returns the arrival times of a Poisson process with a rate per
-// second over a length of time.
+// Poisson returns the arrival times of a Poisson process over a length of time,
+// given that it has as many arrivals as the rate per second lets expect. A
+// fixed number keeps the load and the number of samples of short runs alike.
 func Poisson(seed uint64, rate float64, length time.Duration) []time.Duration {
 	random := rand.New(rand.NewPCG(seed, 0))
-	var out []time.Duration
-	for at := 0.0; ; {
-		at += random.ExpFloat64() / rate
-		d := time.Duration(at * float64(time.Second))
-		if d >= length {
-			return out
-		}
-		out = append(out, d)
+	out := make([]time.Duration, int(math.Round(rate*length.Seconds())))
+	for i := range out {
+		out[i] = time.Duration(random.Float64() * float64(length))
 	}
+	slices.Sort(out)
+	return out
 }
--- a/bench/measure/load/run_test.go
+++ b/bench/measure/load/run_test.go
@@ -5,6 +5,7 @@
 	"math"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"testing"
 	"time"
 
@@ -19,7 +20,10 @@
 	a := Poisson(7, 200, 10*time.Second)
 	g.Expect(Poisson(7, 200, 10*time.Second)).To(gomega.Equal(a))
 	g.Expect(Poisson(8, 200, 10*time.Second)).NotTo(gomega.Equal(a))
-	g.Expect(len(a)).To(gomega.BeNumerically("~", 2000, 150))
+	g.Expect(a).To(gomega.HaveLen(2000))
+	g.Expect(slices.IsSorted(a)).To(gomega.BeTrue())
+	firstHalf, _ := slices.BinarySearch(a, 5*time.Second)
+	g.Expect(firstHalf).To(gomega.BeNumerically("~", 1000, 100))
 }
 
 // Guards against refusals that count as fast answers.
