--- a/internal/batch/worker/write.go
+++ b/internal/batch/worker/write.go
@@ -29,6 +29,7 @@
 // begin prepares a write and carries it out. The lock is held.
 func (w *Worker) begin(r *openRange, act ranges.Action) {
 	r.busy = true
+	r.stopSplit = r.stopSplit || w.stopping && act == ranges.ActSplit
 	p := r.prepare(act, w.p.Config.IntentWindow)
 	w.wg.Go(func() {
 		version, err := w.carryOut(r, p)
@@ -127,7 +128,7 @@
 // checked before each attempt.
 func (w *Worker) carryOut(r *openRange, p *write) (uint64, error) {
 	if p.segment != nil {
-		key := records.SegmentKey(r.job.ID, r.id, *p.segment)
+		key := records.SegmentKey(&r.job, r.id, *p.segment)
 		if err := w.p.Store.Put(r.ctx, key, p.data, r.session.Guard); err != nil {
 			return 0, err
 		}
