--- a/bench/standin/engine/engine_test.go
+++ b/bench/standin/engine/engine_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"gentiantide.example/gentiantide/internal/backend"
+	_ "gentiantide.example/gentiantide/internal/fixedseed"
 )
 
 // stepParams makes every step take exactly 10 ms, plus 1 ms for each prompt
--- a/bench/standin/table/server_test.go
+++ b/bench/standin/table/server_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"gentiantide.example/gentiantide/bench/standin/httpkit"
+	_ "gentiantide.example/gentiantide/internal/fixedseed"
 	"gentiantide.example/gentiantide/internal/platform"
 	"gentiantide.example/gentiantide/internal/platform/httptable"
 	"gentiantide.example/gentiantide/internal/platform/platformtest"
--- a/internal/backend/openai/chunk_test.go
+++ b/internal/backend/openai/chunk_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/onsi/gomega"
 	"pgregory.net/rapid"
+
+	_ "gentiantide.example/gentiantide/internal/fixedseed"
 )
 
 func tokenChunk(chat bool, id string, index int, text string) string {
--- a/internal/batch/service/faults_test.go
+++ b/internal/batch/service/faults_test.go
@@ -14,6 +14,7 @@
 	"gentiantide.example/gentiantide/internal/batch"
 	"gentiantide.example/gentiantide/internal/batch/records"
 	"gentiantide.example/gentiantide/internal/core"
+	_ "gentiantide.example/gentiantide/internal/fixedseed"
 	"gentiantide.example/gentiantide/internal/platform/platformtest"
 )
 
--- a/internal/intent/store_test.go
+++ b/internal/intent/store_test.go
@@ -13,6 +13,7 @@
 	"pgregory.net/rapid"
 
 	"gentiantide.example/gentiantide/internal/core"
+	_ "gentiantide.example/gentiantide/internal/fixedseed"
 	"gentiantide.example/gentiantide/internal/platform"
 	"gentiantide.example/gentiantide/internal/platform/platformtest"
 )
--- a/internal/relay/oracle_test.go
+++ b/internal/relay/oracle_test.go
@@ -12,6 +12,7 @@
 
 	"gentiantide.example/gentiantide/internal/backend"
 	"gentiantide.example/gentiantide/internal/core"
+	_ "gentiantide.example/gentiantide/internal/fixedseed"
 	"gentiantide.example/gentiantide/internal/settings"
 )
 
--- a/internal/route/router_test.go
+++ b/internal/route/router_test.go
@@ -11,6 +11,7 @@
 
 	"gentiantide.example/gentiantide/internal/core"
 	"gentiantide.example/gentiantide/internal/directory"
+	_ "gentiantide.example/gentiantide/internal/fixedseed"
 	"gentiantide.example/gentiantide/internal/settings"
 )
 
