--- a/bench/cmd/demo/main.go
+++ b/bench/cmd/demo/main.go
@@ -22,11 +22,12 @@
 func main() {
 	bin := flag.String("bin", "bin", "directory of the programs gentiantided and standin")
 	keep := flag.Bool("keep", false, "keep the logs also if every promise was kept")
+	serve := flag.Bool("serve", false, "only start the fleet, print its addresses and wait for an interrupt")
 	flag.Parse()
-	os.Exit(run(*bin, *keep))
+	os.Exit(run(*bin, *keep, *serve))
 }
 
-func run(bin string, keep bool) int {
+func run(bin string, keep, serve bool) int {
 	dir, err := os.MkdirTemp("", "gentiantide-demo-")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -44,6 +45,9 @@
 	}
 	defer fleet.Close()
 	d := &demo{bin: bin, dir: dir, fleet: fleet, client: client.New(), report: &report{out: os.Stdout}}
+	if serve {
+		return d.serve()
+	}
 	if err := d.play(); err != nil {
 		d.report.promise("the demo runs to its end", false, "%v", err)
 	}
