--- a/internal/batch/coordinator/scan.go
+++ b/internal/batch/coordinator/scan.go
@@ -20,7 +20,10 @@
 	err := c.scanShards(ctx)
 	claimed := c.claimed()
 	sweep := c.mine(sweepShard)
-	if err == nil && (len(claimed) > 0 || sweep) {
+	// Leases are watched also without a claimed range: a coordinator that takes
+	// a shard over from a lost node then knows since when the node's lease is
+	// unchanged, and need not wait for its whole length from there on.
+	if err == nil && c.coordinates() {
 		err = c.scanLeases(ctx, claimed)
 	}
 	if err == nil && sweep {
@@ -39,6 +42,16 @@
 	c.announce()
 }
 
+// coordinates reports whether this node coordinates any shard.
+func (c *Coordinator) coordinates() bool {
+	for shard := range c.p.Config.Shards {
+		if c.mine(shard) {
+			return true
+		}
+	}
+	return false
+}
+
 func (c *Coordinator) scanShards(ctx context.Context) error {
 	for shard := range c.p.Config.Shards {
 		if !c.mine(shard) {
