Copy the job row before a completion runs beside the scans

Cause: the race detector showed the goroutine that completes or cancels a job reading the row and version that a scan replaced (2 of about 50 runs of the package; one ended in a segmentation fault, which a torn read can cause). Change: row and version are copied under the lock.

--- a/internal/batch/coordinator/ending.go
+++ b/internal/batch/coordinator/ending.go
@@ -24,14 +24,15 @@
 		if j.ending || j.readFor != j.version {
 			continue
 		}
+		row, version := j.row, j.version // a scan may replace them meanwhile
 		switch {
 		case j.complete():
 			j.ending = true
-			c.wg.Go(func() { c.complete(c.ctx, j, j.row, j.version) })
+			c.wg.Go(func() { c.complete(c.ctx, j, row, version) })
 		case j.row.State == records.JobCancelling:
 			j.ending = true
 			holders := j.holders()
-			c.wg.Go(func() { c.cancelJob(c.ctx, j, j.row, j.version, holders) })
+			c.wg.Go(func() { c.cancelJob(c.ctx, j, row, version, holders) })
 		}
 	}
 }
