Bound the uploads that a node takes at once

Cause: each upload needs about 18 MB and nothing bounded their number; a node has 128 MB (docs/CAPACITY.md). Change: three at once; further ones are refused with overloaded, not run.

--- a/internal/batch/batchhttp/files.go
+++ b/internal/batch/batchhttp/files.go
@@ -8,6 +8,7 @@
 	"mime/multipart"
 	"net/http"
 	"strings"
+	"time"
 
 	"gentiantide.example/gentiantide/internal/batch/intake"
 	"gentiantide.example/gentiantide/internal/batch/records"
@@ -34,6 +35,14 @@
 
 // upload reads the multipart fields "purpose" and "file" in any order.
 func (h *Handler) upload(w http.ResponseWriter, r *http.Request, org core.Org) *core.Refusal {
+	select {
+	case h.uploads <- struct{}{}:
+		defer func() { <-h.uploads }()
+	default:
+		refusal := core.Refuse(core.CodeOverloaded, "the node takes no more uploads at once")
+		refusal.RetryAfter = time.Second
+		return refusal
+	}
 	reader, err := r.MultipartReader()
 	if err != nil {
 		return core.Refuse(core.CodeInvalidRequest, "expected a multipart form with the fields purpose and file")
--- a/internal/batch/batchhttp/handler.go
+++ b/internal/batch/batchhttp/handler.go
@@ -18,13 +18,18 @@
 	WriteRefusal func(http.ResponseWriter, *core.Refusal)
 }
 
+// maxUploads bounds the uploads that a node takes at once. Each needs about
+// 18 MB, garbage included, and a node has 128 MB for all it does.
+const maxUploads = 3
+
 // Handler serves files and batches.
 type Handler struct {
-	p Params
+	p       Params
+	uploads chan struct{} // room for maxUploads
 }
 
 // New returns a Handler.
-func New(p Params) *Handler { return &Handler{p: p} }
+func New(p Params) *Handler { return &Handler{p: p, uploads: make(chan struct{}, maxUploads)} }
 
 // Register adds the routes to a mux.
 func (h *Handler) Register(mux *http.ServeMux) {
