Read settings in the demo through the harness

Cause: the demo had its own copy of the harness's reading of the settings tree. Change: it calls the harness. Measured: the demo keeps its 11 promises.

--- a/bench/cmd/demo/demo.go
+++ b/bench/cmd/demo/demo.go
@@ -114,7 +114,7 @@
 }
 
 func (d *demo) changeAtRoot() error {
-	before, err := d.readSettings(d.fleet.Nodes[1], "/services/"+engineDeployment)
+	before, err := d.fleet.ReadSettings(d.fleet.Nodes[1], "/services/"+engineDeployment)
 	if err != nil {
 		return err
 	}
@@ -132,7 +132,7 @@
 	}
 	d.report.promise("a change at the root is in force everywhere within 5 s", true,
 		"queue limit of %s from %s to 96 on %d nodes, slowest %d ms", engineDeployment,
-		before.value("online.queue_limit"), len(d.fleet.Nodes), slowest.Milliseconds())
+		before.Value("online.queue_limit"), len(d.fleet.Nodes), slowest.Milliseconds())
 	return nil
 }
 
--- a/bench/cmd/demo/operator.go
+++ b/bench/cmd/demo/operator.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"net/url"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -21,33 +19,6 @@
 // commandBound ends a command that hangs.
 const commandBound = 15 * time.Second
 
-// settingsNode is the answer to a read of one node of the settings tree.
-type settingsNode struct {
-	Version   uint64 `json:"version"`
-	Effective []struct {
-		Key   string          `json:"key"`
-		Value json.RawMessage `json:"value"`
-		From  string          `json:"from"`
-	} `json:"effective"`
-}
-
-// value returns an effective value as JSON text.
-func (s *settingsNode) value(key string) string {
-	for _, e := range s.Effective {
-		if e.Key == key {
-			return string(e.Value)
-		}
-	}
-	return ""
-}
-
-func (d *demo) readSettings(n *harness.Node, path string) (settingsNode, error) {
-	var s settingsNode
-	err := d.fleet.GetJSON(context.Background(),
-		n.OperatorsURL()+"/admin/v1/settings?explain=true&path="+url.QueryEscape(path), &s)
-	return s, err
-}
-
 // gentiantide runs the operators' command line against a node.
 func (d *demo) gentiantide(n *harness.Node, args ...string) error {
 	ctx, cancel := context.WithTimeout(context.Background(), commandBound)
@@ -62,13 +33,8 @@
 // took.
 func (d *demo) awaitValue(n *harness.Node, path, key, want string, bound time.Duration) (time.Duration, error) {
 	start := time.Now()
-	for time.Since(start) < bound {
-		if s, err := d.readSettings(n, path); err == nil && s.value(key) == want {
-			return time.Since(start), nil
-		}
-		time.Sleep(20 * time.Millisecond)
-	}
-	return time.Since(start), errors.Errorf("node %s does not have %s=%s at %s within %s", n.ID, key, want, path, bound)
+	err := d.fleet.AwaitSetting(n, path, key, want, bound)
+	return time.Since(start), err
 }
 
 // document is what the operators of the demo apply first.
