Read load reports in one place

Cause: the adapters of model engines and plain services each had the same reading of GET /v1/load. Change: internal/backend/loadreport; both adapters call it, with their own bounds as before. Measured: go test -race of the adapters and of their stand-ins passes.

--- a/internal/backend/openai/engine.go
+++ b/internal/backend/openai/engine.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"gentiantide.example/gentiantide/internal/backend"
+	"gentiantide.example/gentiantide/internal/backend/loadreport"
 	"gentiantide.example/gentiantide/internal/httpsend"
 )
 
@@ -87,20 +88,7 @@
 
 // Load implements backend.Engine.
 func (e *Engine) Load(ctx context.Context) (backend.Load, error) {
-	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
-	defer cancel()
-	reply, err := e.client.Fetch(ctx, httpsend.Request{Method: http.MethodGet, URL: e.base + "/v1/load", Replayable: true}, maxControl)
-	if err != nil {
-		return backend.Load{}, fmt.Errorf("load report: %w: %w", backend.ErrUnreachable, err)
-	}
-	var load backend.Load
-	if reply.Status != http.StatusOK {
-		return backend.Load{}, fmt.Errorf("load report: %w: status %d", backend.ErrUnreachable, reply.Status)
-	}
-	if err := json.Unmarshal(reply.Body, &load); err != nil {
-		return backend.Load{}, fmt.Errorf("load report: %w: %w", backend.ErrUnreachable, err)
-	}
-	return load, nil
+	return loadreport.Read(ctx, e.client, e.base, controlTimeout, maxControl)
 }
 
 // Order implements backend.Engine. A refused order is ErrRefused, a malformed
--- a/internal/backend/plain/service.go
+++ b/internal/backend/plain/service.go
@@ -2,13 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"net/http"
 	"strings"
 	"time"
 
 	"gentiantide.example/gentiantide/internal/backend"
+	"gentiantide.example/gentiantide/internal/backend/loadreport"
 	"gentiantide.example/gentiantide/internal/httpsend"
 )
 
@@ -62,18 +61,5 @@
 
 // Load reads the service's load report. Errors: ErrUnreachable.
 func (s *Service) Load(ctx context.Context) (backend.Load, error) {
-	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
-	defer cancel()
-	reply, err := s.client.Fetch(ctx, httpsend.Request{Method: http.MethodGet, URL: s.base + "/v1/load", Replayable: true}, maxLoad)
-	if err != nil {
-		return backend.Load{}, fmt.Errorf("load report: %w: %w", backend.ErrUnreachable, err)
-	}
-	var load backend.Load
-	if reply.Status != http.StatusOK {
-		return backend.Load{}, fmt.Errorf("load report: %w: status %d", backend.ErrUnreachable, reply.Status)
-	}
-	if err := json.Unmarshal(reply.Body, &load); err != nil {
-		return backend.Load{}, fmt.Errorf("load report: %w: %w", backend.ErrUnreachable, err)
-	}
-	return load, nil
+	return loadreport.Read(ctx, s.client, s.base, loadTimeout, maxLoad)
 }
