Count requests in flight with the limit package

Cause: the callers' API had its own copy of limit.InFlight, which nothing used. Change: it uses limit.InFlight; the refusal is the same. A comment named batch as the user of NoWait, which hedges are. Measured: TestCallerGoneAndInFlight and the other tests of the API pass under the race detector.

--- a/internal/dispatch/ask.go
+++ b/internal/dispatch/ask.go
@@ -25,6 +25,6 @@
 	Due time.Time
 	// Exclude lists replicas already tried.
 	Exclude []core.ReplicaID
-	// NoWait asks for a slot that is free now. Batch work uses it.
+	// NoWait asks for a slot that is free now. Hedges use it.
 	NoWait bool
 }
--- a/internal/httpapi/callers/api.go
+++ b/internal/httpapi/callers/api.go
@@ -5,12 +5,14 @@
 	"net/http"
 
 	"github.com/uber-go/tally/v4"
+
+	"gentiantide.example/gentiantide/internal/limit"
 )
 
 // API serves the callers' HTTP API.
 type API struct {
 	cfg      Config
-	inFlight *inFlight
+	inFlight *limit.InFlight
 }
 
 // Register adds the routes of a new API to mux. It takes the pattern "/" for
@@ -23,7 +25,7 @@
 	if cfg.Logger == nil {
 		cfg.Logger = slog.New(slog.DiscardHandler)
 	}
-	a := &API{cfg: cfg, inFlight: newInFlight()}
+	a := &API{cfg: cfg, inFlight: limit.NewInFlight()}
 	mux.HandleFunc("POST "+pathChat, a.generate)
 	mux.HandleFunc("POST "+pathCompletions, a.generate)
 	mux.HandleFunc("GET /v1/models", a.models)
--- a/internal/httpapi/callers/generate.go
+++ b/internal/httpapi/callers/generate.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"gentiantide.example/gentiantide/internal/core"
 	"gentiantide.example/gentiantide/internal/intent"
@@ -42,11 +43,13 @@
 
 // admitted runs a request within the organisation's limit.
 func (x *exchange) admitted(run func()) {
-	if refusal := x.api.inFlight.enter(x.org, x.snapshot.Organisation(x.org).MaxInFlight); refusal != nil {
+	if !x.api.inFlight.Enter(x.org, x.snapshot.Organisation(x.org).MaxInFlight) {
+		refusal := core.Refuse(core.CodeOverloaded, "too many requests of the organisation are in progress")
+		refusal.RetryAfter = time.Second
 		x.refuse(refusal)
 		return
 	}
-	defer x.api.inFlight.leave(x.org)
+	defer x.api.inFlight.Leave(x.org)
 	x.limitWrites()
 	run()
 }
