--- a/bench/capacity/cluster/layout.go
+++ b/bench/capacity/cluster/layout.go
@@ -4,7 +4,7 @@
 	"fmt"
 
 	"gentiantide.example/gentiantide/internal/core"
-	"gentiantide.example/gentiantide/internal/platform"
+	"gentiantide.example/gentiantide/internal/infra"
 	"gentiantide.example/gentiantide/internal/settings"
 )
 
@@ -23,18 +23,18 @@
 }
 
 // Replica returns the entry of a backend server in the fleet list.
-func Replica(centre, i int) platform.VM {
+func Replica(centre, i int) infra.VM {
 	deployment := fmt.Sprintf("model-%d", i%deployments)
-	return platform.VM{
-		ID: fmt.Sprintf("%s-%s-%03d", deployment, Centre(centre), i), Kind: platform.KindBackend,
+	return infra.VM{
+		ID: fmt.Sprintf("%s-%s-%03d", deployment, Centre(centre), i), Kind: infra.KindBackend,
 		DataCentre: string(Centre(centre)), Region: Region, Deployment: deployment,
 		Address: fmt.Sprintf("10.%d.%d.%d:8000", centre, i/200, i%200),
 	}
 }
 
 // Replicas returns the entries of all backend servers of a region.
-func Replicas(centres, each int) []platform.VM {
-	var out []platform.VM
+func Replicas(centres, each int) []infra.VM {
+	var out []infra.VM
 	for c := range centres {
 		for i := range each {
 			out = append(out, Replica(c, i))
--- a/bench/capacity/cluster/node.go
+++ b/bench/capacity/cluster/node.go
@@ -10,10 +10,10 @@
 	"gentiantide.example/gentiantide/internal/core"
 	"gentiantide.example/gentiantide/internal/directory"
 	"gentiantide.example/gentiantide/internal/dispatch"
+	"gentiantide.example/gentiantide/internal/infra"
 	"gentiantide.example/gentiantide/internal/membership"
 	"gentiantide.example/gentiantide/internal/owner"
 	"gentiantide.example/gentiantide/internal/peer"
-	"gentiantide.example/gentiantide/internal/platform"
 	"gentiantide.example/gentiantide/internal/settings"
 )
 
@@ -57,7 +57,7 @@
 }
 
 // start runs the roles until Stop.
-func (n *Node) start(nodes []membership.Member, replicas []platform.VM) {
+func (n *Node) start(nodes []membership.Member, replicas []infra.VM) {
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
 	n.Transport.Start(n.listener)
--- a/bench/capacity/meter/objects.go
+++ b/bench/capacity/meter/objects.go
@@ -4,18 +4,18 @@
 	"context"
 	"sync/atomic"
 
-	"gentiantide.example/gentiantide/internal/platform"
+	"gentiantide.example/gentiantide/internal/infra"
 )
 
-// Objects counts the calls of a platform.Objects. With Discard set it keeps
+// Objects counts the calls of a infra.Objects. With Discard set it keeps
 // nothing, so that the memory of a writer can be measured.
 type Objects struct {
-	platform.Objects
+	infra.Objects
 	Discard           bool
 	Puts, Gets, Bytes atomic.Int64
 }
 
-// Put implements platform.Objects.
+// Put implements infra.Objects.
 func (o *Objects) Put(ctx context.Context, key string, data []byte) error {
 	o.Puts.Add(1)
 	o.Bytes.Add(int64(len(data)))
@@ -25,7 +25,7 @@
 	return o.Objects.Put(ctx, key, data)
 }
 
-// Get implements platform.Objects.
+// Get implements infra.Objects.
 func (o *Objects) Get(ctx context.Context, key string) ([]byte, error) {
 	o.Gets.Add(1)
 	return o.Objects.Get(ctx, key)
--- a/bench/capacity/meter/table.go
+++ b/bench/capacity/meter/table.go
@@ -8,7 +8,7 @@
 
 	"github.com/pkg/errors"
 
-	"gentiantide.example/gentiantide/internal/platform"
+	"gentiantide.example/gentiantide/internal/infra"
 )
 
 // TableCounts are calls of a table, by the first segment of the key.
@@ -16,16 +16,16 @@
 	Reads, RowsRead, Commits, RowsWritten, Conflicts map[string]int
 }
 
-// Table counts the calls of a platform.Table.
+// Table counts the calls of a infra.Table.
 type Table struct {
-	platform.Table
+	infra.Table
 
 	mu     sync.Mutex
 	counts TableCounts
 }
 
 // NewTable returns a counting table.
-func NewTable(t platform.Table) *Table {
+func NewTable(t infra.Table) *Table {
 	return &Table{Table: t, counts: TableCounts{make(map[string]int), make(map[string]int), make(map[string]int), make(map[string]int), make(map[string]int)}}
 }
 
@@ -42,22 +42,22 @@
 	in(&t.counts)
 }
 
-// Get implements platform.Table.
-func (t *Table) Get(ctx context.Context, key string) (platform.Row, error) {
+// Get implements infra.Table.
+func (t *Table) Get(ctx context.Context, key string) (infra.Row, error) {
 	t.count(func(c *TableCounts) { c.Reads[first(key)]++; c.RowsRead[first(key)]++ })
 	return t.Table.Get(ctx, key)
 }
 
-// Scan implements platform.Table.
-func (t *Table) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+// Scan implements infra.Table.
+func (t *Table) Scan(ctx context.Context, prefix, after string, limit int) ([]infra.Row, error) {
 	rows, err := t.Table.Scan(ctx, prefix, after, limit)
 	t.count(func(c *TableCounts) { c.Reads[first(prefix)]++; c.RowsRead[first(prefix)] += len(rows) })
 	return rows, err
 }
 
-// Commit implements platform.Table. A transaction counts as one commit of the
+// Commit implements infra.Table. A transaction counts as one commit of the
 // key that it writes first.
-func (t *Table) Commit(ctx context.Context, txn platform.Txn) ([]uint64, error) {
+func (t *Table) Commit(ctx context.Context, txn infra.Txn) ([]uint64, error) {
 	t.count(func(c *TableCounts) {
 		c.Commits[first(txn.Writes[0].Key)]++
 		for _, w := range txn.Writes {
@@ -65,7 +65,7 @@
 		}
 	})
 	versions, err := t.Table.Commit(ctx, txn)
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, infra.ErrConflict) {
 		t.count(func(c *TableCounts) { c.Conflicts[first(txn.Writes[0].Key)]++ })
 	}
 	return versions, err
--- a/bench/capacity/meter/table_test.go
+++ b/bench/capacity/meter/table_test.go
@@ -6,8 +6,8 @@
 
 	. "github.com/onsi/gomega"
 
-	"gentiantide.example/gentiantide/internal/platform"
-	"gentiantide.example/gentiantide/internal/platform/platformtest"
+	"gentiantide.example/gentiantide/internal/infra"
+	"gentiantide.example/gentiantide/internal/infra/infratest"
 )
 
 // Guards against counts that miss a row of a transaction or take a failed one
@@ -15,15 +15,15 @@
 func TestTableCounts(t *testing.T) {
 	g := NewWithT(t)
 	ctx := context.Background()
-	table := NewTable(platformtest.NewTable())
-	txn := platform.Txn{
-		Conditions: []platform.Condition{{Key: "range/a/1"}},
-		Writes:     []platform.Write{{Key: "range/a/1", Value: []byte{1}}, {Key: "job/a", Value: []byte{1}}},
+	table := NewTable(infratest.NewTable())
+	txn := infra.Txn{
+		Conditions: []infra.Condition{{Key: "range/a/1"}},
+		Writes:     []infra.Write{{Key: "range/a/1", Value: []byte{1}}, {Key: "job/a", Value: []byte{1}}},
 	}
 	_, err := table.Commit(ctx, txn)
 	g.Expect(err).NotTo(HaveOccurred())
 	_, err = table.Commit(ctx, txn)
-	g.Expect(err).To(MatchError(platform.ErrConflict))
+	g.Expect(err).To(MatchError(infra.ErrConflict))
 	_, err = table.Scan(ctx, "range/", "", 10)
 	g.Expect(err).NotTo(HaveOccurred())
 	counts := table.Counts()
--- a/bench/capacity/roles/batch.go
+++ b/bench/capacity/roles/batch.go
@@ -17,7 +17,7 @@
 	"gentiantide.example/gentiantide/internal/batch/intake"
 	"gentiantide.example/gentiantide/internal/batch/store"
 	"gentiantide.example/gentiantide/internal/core"
-	"gentiantide.example/gentiantide/internal/platform/platformtest"
+	"gentiantide.example/gentiantide/internal/infra/infratest"
 )
 
 // Batch measures jobs against items, the scans against open jobs, leases
@@ -224,8 +224,8 @@
 	cpu := &slope.Slope{Name: "accept.cpu_per_item", Unit: "us"}
 	puts := &slope.Slope{Name: "accept.object_puts_per_item", Unit: "1"}
 	for _, items := range []int{10_000, 50_000, 200_000} {
-		objects := &meter.Objects{Objects: platformtest.NewObjects(), Discard: true}
-		in := intake.New(intake.Params{Store: store.New(platformtest.NewTable(), objects, batch.DefaultConfig()),
+		objects := &meter.Objects{Objects: infratest.NewObjects(), Discard: true}
+		in := intake.New(intake.Params{Store: store.New(infratest.NewTable(), objects, batch.DefaultConfig()),
 			Config: batch.DefaultConfig(), Log: slog.New(slog.DiscardHandler), Scope: tally.NoopScope})
 		before, used := meter.Heap(), meter.CPU()
 		peak := watchHeap()
--- a/bench/capacity/roles/batchnodes.go
+++ b/bench/capacity/roles/batchnodes.go
@@ -18,9 +18,9 @@
 	"gentiantide.example/gentiantide/internal/batch/records"
 	"gentiantide.example/gentiantide/internal/batch/service"
 	"gentiantide.example/gentiantide/internal/core"
+	"gentiantide.example/gentiantide/internal/infra/infratest"
 	"gentiantide.example/gentiantide/internal/membership"
 	"gentiantide.example/gentiantide/internal/peer"
-	"gentiantide.example/gentiantide/internal/platform/platformtest"
 )
 
 const itemURL = "/v1/chat/completions"
@@ -37,7 +37,7 @@
 // newBatchNodes starts the batch roles of n nodes in each region with the
 // timings of the product. Nodes of different regions do not know each other.
 func newBatchNodes(regions, n int, cfg batch.Config, run batch.RunnerFunc) (*batchNodes, error) {
-	b := &batchNodes{table: meter.NewTable(platformtest.NewTable()), objects: &meter.Objects{Objects: platformtest.NewObjects()}}
+	b := &batchNodes{table: meter.NewTable(infratest.NewTable()), objects: &meter.Objects{Objects: infratest.NewObjects()}}
 	for region := range regions {
 		if err := b.addRegion(region, n, cfg, run); err != nil {
 			b.close()
--- a/bench/capacity/roles/fleet.go
+++ b/bench/capacity/roles/fleet.go
@@ -14,9 +14,9 @@
 	"gentiantide.example/gentiantide/internal/core"
 	"gentiantide.example/gentiantide/internal/directory"
 	"gentiantide.example/gentiantide/internal/httpsend"
+	"gentiantide.example/gentiantide/internal/infra"
+	"gentiantide.example/gentiantide/internal/infra/httpfleet"
 	"gentiantide.example/gentiantide/internal/membership"
-	"gentiantide.example/gentiantide/internal/platform"
-	"gentiantide.example/gentiantide/internal/platform/httpfleet"
 )
 
 // Fleet measures polls of the fleet list and of backend servers. The stand-ins
@@ -38,12 +38,12 @@
 
 // fleetList returns a list in the proportions of the design: 2 nodes for each
 // 9 backend servers, in 3 regions.
-func fleetList(entries int) []platform.VM {
-	var out []platform.VM
+func fleetList(entries int) []infra.VM {
+	var out []infra.VM
 	for i := range entries {
 		vm := cluster.Replica(i%4, i)
 		if i%11 < 2 {
-			vm = platform.VM{ID: string(cluster.NodeID(i%4, i)), Kind: platform.KindNode, DataCentre: vm.DataCentre, Address: "10.0.0.1:7000"}
+			vm = infra.VM{ID: string(cluster.NodeID(i%4, i)), Kind: infra.KindNode, DataCentre: vm.DataCentre, Address: "10.0.0.1:7000"}
 		}
 		vm.Region = []string{cluster.Region, "luzon-north", "delta-west"}[i%3]
 		out = append(out, vm)
@@ -77,7 +77,7 @@
 }
 
 // applyFleet measures what a node does with each list, as package node does.
-func applyFleet(vms []platform.VM) time.Duration {
+func applyFleet(vms []infra.VM) time.Duration {
 	members := membership.NewService(membership.Identity{ID: cluster.NodeID(0, 0), DataCentre: cluster.Centre(0), Region: cluster.Region},
 		&quietNetwork{newSilent(cluster.NodeID(0, 0))}, nil, membership.Hooks{}, slog.New(slog.DiscardHandler))
 	view, snapshot := static(4, 33), cluster.Settings()
@@ -86,7 +86,7 @@
 	return meter.PerCall(20, enough, func() {
 		var nodes []membership.Member
 		for _, vm := range vms {
-			if vm.Kind == platform.KindNode && vm.Region == cluster.Region {
+			if vm.Kind == infra.KindNode && vm.Region == cluster.Region {
 				nodes = append(nodes, membership.Member{ID: cluster.NodeID(0, len(nodes)), DataCentre: cluster.Centre(0), Region: cluster.Region, Address: vm.Address})
 			}
 		}
--- a/bench/capacity/roles/intents.go
+++ b/bench/capacity/roles/intents.go
@@ -7,8 +7,8 @@
 
 	"gentiantide.example/gentiantide/bench/capacity/meter"
 	"gentiantide.example/gentiantide/bench/capacity/slope"
+	"gentiantide.example/gentiantide/internal/infra/infratest"
 	"gentiantide.example/gentiantide/internal/intent"
-	"gentiantide.example/gentiantide/internal/platform/platformtest"
 )
 
 // Intents measures the calls of the table service for non-idempotent calls
@@ -18,7 +18,7 @@
 	reads := &slope.Slope{Name: "intent.reads_per_call", Unit: "1"}
 	resent := &slope.Slope{Name: "intent.reads_per_resend", Unit: "1"}
 	for _, n := range []int{10, 50, 200} {
-		table := meter.NewTable(platformtest.NewTable())
+		table := meter.NewTable(infratest.NewTable())
 		i := 0
 		store := intent.New(intent.Config{Table: table, NewID: func() string { i++; return fmt.Sprint(i) }})
 		for call := range n {
--- a/bench/capacity/roles/settings.go
+++ b/bench/capacity/roles/settings.go
@@ -12,10 +12,10 @@
 	"gentiantide.example/gentiantide/bench/capacity/cluster"
 	"gentiantide.example/gentiantide/bench/capacity/meter"
 	"gentiantide.example/gentiantide/bench/capacity/slope"
+	"gentiantide.example/gentiantide/internal/infra"
+	"gentiantide.example/gentiantide/internal/infra/infratest"
 	"gentiantide.example/gentiantide/internal/membership"
 	"gentiantide.example/gentiantide/internal/peer"
-	"gentiantide.example/gentiantide/internal/platform"
-	"gentiantide.example/gentiantide/internal/platform/platformtest"
 	"gentiantide.example/gentiantide/internal/settings"
 )
 
@@ -30,7 +30,7 @@
 // Settings measures the tree against its length, and changes.
 func Settings(c *Context) error {
 	s := settingsSlopes()
-	table := meter.NewTable(platformtest.NewTable())
+	table := meter.NewTable(infratest.NewTable())
 	writer, err := newManagers(table, 1)
 	if err != nil {
 		return err
@@ -153,7 +153,7 @@
 	managers   []*settings.Manager
 }
 
-func newManagers(table platform.Table, n int) (*managers, error) {
+func newManagers(table infra.Table, n int) (*managers, error) {
 	m := &managers{}
 	log := slog.New(slog.DiscardHandler)
 	view := static(1, n)
--- a/bench/harness/fleet.go
+++ b/bench/harness/fleet.go
@@ -12,7 +12,7 @@
 
 	"github.com/pkg/errors"
 
-	"gentiantide.example/gentiantide/internal/platform"
+	"gentiantide.example/gentiantide/internal/infra"
 )
 
 const (
@@ -22,7 +22,7 @@
 
 // Backend is one stand-in of a backend server.
 type Backend struct {
-	VM      platform.VM
+	VM      infra.VM
 	Process *Process
 }
 
@@ -143,8 +143,8 @@
 	if err != nil {
 		return err
 	}
-	*list = append(*list, &Backend{Process: p, VM: platform.VM{
-		ID: id, Kind: platform.KindBackend, DataCentre: dc, Region: f.options.Region,
+	*list = append(*list, &Backend{Process: p, VM: infra.VM{
+		ID: id, Kind: infra.KindBackend, DataCentre: dc, Region: f.options.Region,
 		Address: addresses[0], Deployment: deployment,
 	}})
 	return nil
@@ -173,9 +173,9 @@
 }
 
 func (f *Fleet) putFleetList() error {
-	var vms []platform.VM
+	var vms []infra.VM
 	for _, n := range f.Nodes {
-		vms = append(vms, platform.VM{ID: n.ID, Kind: platform.KindNode, DataCentre: n.DataCentre,
+		vms = append(vms, infra.VM{ID: n.ID, Kind: infra.KindNode, DataCentre: n.DataCentre,
 			Region: f.options.Region, Address: n.Peers})
 	}
 	for _, b := range append(append([]*Backend(nil), f.Engines...), f.PlainServers...) {
--- a/bench/integration/cluster_test.go
+++ b/bench/integration/cluster_test.go
@@ -25,8 +25,8 @@
 	"gentiantide.example/gentiantide/internal/config"
 	"gentiantide.example/gentiantide/internal/core"
 	"gentiantide.example/gentiantide/internal/httpapi/operators"
+	"gentiantide.example/gentiantide/internal/infra"
 	"gentiantide.example/gentiantide/internal/node"
-	"gentiantide.example/gentiantide/internal/platform"
 )
 
 // eventually bounds waits for a state; it is no assertion about speed.
@@ -67,7 +67,7 @@
 	c := &cluster{t: t, g: gomega.NewWithT(t), client: client.New(),
 		table: table.New(table.DefaultParams()), objects: objects.New(objects.DefaultParams()), fleet: fleet.New(fleet.Params{})}
 	tableURL, objectsURL, fleetURL := c.serve(c.table), c.serve(c.objects), c.serve(c.fleet)
-	var vms []platform.VM
+	var vms []infra.VM
 	for _, dc := range dataCentres {
 		vms = append(vms, c.backends(dc)...)
 	}
@@ -78,7 +78,7 @@
 		addresses, err := harness.FreeAddresses(3)
 		c.g.Expect(err).NotTo(gomega.HaveOccurred())
 		id := fmt.Sprint(dc, "-node-", i%nodesPerCentre)
-		vms = append(vms, platform.VM{ID: id, Kind: platform.KindNode, DataCentre: dc, Region: "r", Address: addresses[2]})
+		vms = append(vms, infra.VM{ID: id, Kind: infra.KindNode, DataCentre: dc, Region: "r", Address: addresses[2]})
 		seeds = append(seeds, addresses[2])
 		files = append(files, fmt.Sprintf(`{"id": %q, "data_centre": %q, "region": "r",
 			"listen": {"callers": %q, "operators": %q, "peers": %q},
@@ -117,10 +117,10 @@
 	return server.URL
 }
 
-func (c *cluster) backends(dc string) []platform.VM {
-	var vms []platform.VM
+func (c *cluster) backends(dc string) []infra.VM {
+	var vms []infra.VM
 	add := func(id, deployment string, handler http.Handler) {
-		vms = append(vms, platform.VM{ID: id, Kind: platform.KindBackend, DataCentre: dc, Region: "r",
+		vms = append(vms, infra.VM{ID: id, Kind: infra.KindBackend, DataCentre: dc, Region: "r",
 			Address: strings.TrimPrefix(c.serve(handler), "http://"), Deployment: deployment})
 	}
 	for i := range 2 {
--- a/bench/standin/fleet/adapter_test.go
+++ b/bench/standin/fleet/adapter_test.go
@@ -7,8 +7,8 @@
 
 	"github.com/onsi/gomega"
 
-	"gentiantide.example/gentiantide/internal/platform"
-	"gentiantide.example/gentiantide/internal/platform/httpfleet"
+	"gentiantide.example/gentiantide/internal/infra"
+	"gentiantide.example/gentiantide/internal/infra/httpfleet"
 )
 
 // countingHandler counts the bytes of answers.
@@ -33,26 +33,26 @@
 func TestAdapterReadsOnlyChanges(t *testing.T) {
 	g := gomega.NewWithT(t)
 	s := New(Params{})
-	a := platform.VM{ID: "a", Kind: platform.KindNode, Address: "127.0.0.1:1"}
-	s.Set([]platform.VM{a})
+	a := infra.VM{ID: "a", Kind: infra.KindNode, Address: "127.0.0.1:1"}
+	s.Set([]infra.VM{a})
 	counting := &countingHandler{Handler: s}
 	server := httptest.NewServer(counting)
 	defer server.Close()
 	list := httpfleet.New(server.URL, 0)
 	defer list.Close()
 
-	g.Expect(list.List(t.Context())).To(gomega.Equal([]platform.VM{a}))
+	g.Expect(list.List(t.Context())).To(gomega.Equal([]infra.VM{a}))
 	first := counting.bytes
 	g.Expect(first).To(gomega.BeNumerically(">", 0))
-	g.Expect(list.List(t.Context())).To(gomega.Equal([]platform.VM{a}))
+	g.Expect(list.List(t.Context())).To(gomega.Equal([]infra.VM{a}))
 	g.Expect(counting.bytes).To(gomega.Equal(first))
 
 	a.Leaving = true
-	s.Set([]platform.VM{a})
-	g.Expect(list.List(t.Context())).To(gomega.Equal([]platform.VM{a}))
+	s.Set([]infra.VM{a})
+	g.Expect(list.List(t.Context())).To(gomega.Equal([]infra.VM{a}))
 	s.Fault.Set(Fault{Down: true})
 	_, err := list.List(t.Context())
-	g.Expect(err).To(gomega.MatchError(platform.ErrUnavailable))
+	g.Expect(err).To(gomega.MatchError(infra.ErrUnavailable))
 	s.Fault.Set(Fault{})
-	g.Expect(list.List(t.Context())).To(gomega.Equal([]platform.VM{a}))
+	g.Expect(list.List(t.Context())).To(gomega.Equal([]infra.VM{a}))
 }
--- a/bench/standin/fleet/change.go
+++ b/bench/standin/fleet/change.go
@@ -4,13 +4,13 @@
 	"fmt"
 	"slices"
 
-	"gentiantide.example/gentiantide/internal/platform"
+	"gentiantide.example/gentiantide/internal/infra"
 )
 
 // Change is the body of PATCH /fleet: exactly one of its fields is set.
 type Change struct {
 	// Add adds a VM or replaces the one with the same id.
-	Add *platform.VM `json:"add,omitempty"`
+	Add *infra.VM `json:"add,omitempty"`
 	// Remove is the id of a VM that is taken off the list.
 	Remove string `json:"remove,omitempty"`
 	// Leaving is the id of a VM that is marked as leaving.
@@ -18,7 +18,7 @@
 }
 
 // apply returns the changed list; the old one stays as it is.
-func (c Change) apply(old []platform.VM) ([]platform.VM, error) {
+func (c Change) apply(old []infra.VM) ([]infra.VM, error) {
 	set := 0
 	for _, given := range []bool{c.Add != nil, c.Remove != "", c.Leaving != ""} {
 		if given {
@@ -33,10 +33,10 @@
 		if err := check(*c.Add); err != nil {
 			return nil, err
 		}
-		vms = slices.DeleteFunc(vms, func(vm platform.VM) bool { return vm.ID == c.Add.ID })
+		vms = slices.DeleteFunc(vms, func(vm infra.VM) bool { return vm.ID == c.Add.ID })
 		return append(vms, *c.Add), nil
 	}
-	i := slices.IndexFunc(vms, func(vm platform.VM) bool { return vm.ID == c.Remove+c.Leaving })
+	i := slices.IndexFunc(vms, func(vm infra.VM) bool { return vm.ID == c.Remove+c.Leaving })
 	if i < 0 {
 		return nil, fmt.Errorf("no VM %q", c.Remove+c.Leaving)
 	}
@@ -47,19 +47,19 @@
 	return slices.Delete(vms, i, i+1), nil
 }
 
-func check(vm platform.VM) error {
+func check(vm infra.VM) error {
 	switch {
 	case vm.ID == "":
 		return fmt.Errorf("a VM has no id")
 	case vm.Address == "":
 		return fmt.Errorf("VM %q has no address", vm.ID)
-	case vm.Kind != platform.KindNode && vm.Kind != platform.KindBackend:
+	case vm.Kind != infra.KindNode && vm.Kind != infra.KindBackend:
 		return fmt.Errorf("VM %q has the unknown kind %q", vm.ID, vm.Kind)
 	}
 	return nil
 }
 
-func checkAll(vms []platform.VM) error {
+func checkAll(vms []infra.VM) error {
 	seen := make(map[string]bool, len(vms))
 	for _, vm := range vms {
 		if err := check(vm); err != nil {
--- a/bench/standin/fleet/history.go
+++ b/bench/standin/fleet/history.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"gentiantide.example/gentiantide/internal/platform"
+	"gentiantide.example/gentiantide/internal/infra"
 )
 
 // keep is how long old lists are kept; it bounds the lag that can be shown.
@@ -12,7 +12,7 @@
 
 type version struct {
 	since time.Time
-	vms   []platform.VM
+	vms   []infra.VM
 }
 
 // history is the list over time, oldest first.
@@ -20,7 +20,7 @@
 	versions []version
 }
 
-func (h *history) latest() []platform.VM {
+func (h *history) latest() []infra.VM {
 	if len(h.versions) == 0 {
 		return nil
 	}
@@ -28,7 +28,7 @@
 }
 
 // set adds a version and drops those that no reader can see any more.
-func (h *history) set(now time.Time, vms []platform.VM) {
+func (h *history) set(now time.Time, vms []infra.VM) {
 	h.versions = append(h.versions, version{since: now, vms: vms})
 	for len(h.versions) > 1 && now.Sub(h.versions[1].since) > keep {
 		h.versions = slices.Delete(h.versions, 0, 1)
@@ -36,11 +36,11 @@
 }
 
 // at returns the list that was in force at a time, or an empty one.
-func (h *history) at(t time.Time) []platform.VM {
+func (h *history) at(t time.Time) []infra.VM {
 	for i := len(h.versions) - 1; i >= 0; i-- {
 		if !h.versions[i].since.After(t) {
 			return h.versions[i].vms
 		}
 	}
-	return []platform.VM{}
+	return []infra.VM{}
 }
--- a/bench/standin/fleet/server.go
+++ b/bench/standin/fleet/server.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"gentiantide.example/gentiantide/bench/standin/httpkit"
-	"gentiantide.example/gentiantide/internal/platform"
+	"gentiantide.example/gentiantide/internal/infra"
 )
 
 const maxList = 8 << 20
@@ -42,9 +42,9 @@
 
 // Set replaces the whole list. The first list is visible at once: the fleet is
 // taken to have existed before the service started.
-func (s *Server) Set(vms []platform.VM) {
+func (s *Server) Set(vms []infra.VM) {
 	if vms == nil {
-		vms = []platform.VM{}
+		vms = []infra.VM{}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -56,7 +56,7 @@
 }
 
 // Visible returns the list as callers see it now.
-func (s *Server) Visible() []platform.VM {
+func (s *Server) Visible() []infra.VM {
 	lag := s.params.Lag + time.Duration(s.Fault.Get().ExtraLag)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -85,7 +85,7 @@
 }
 
 func (s *Server) put(w http.ResponseWriter, r *http.Request) {
-	vms := []platform.VM{}
+	vms := []infra.VM{}
 	if !httpkit.ReadJSON(w, r, maxList, &vms) {
 		return
 	}
--- a/bench/standin/fleet/server_test.go
+++ b/bench/standin/fleet/server_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/onsi/gomega"
 
-	"gentiantide.example/gentiantide/internal/platform"
+	"gentiantide.example/gentiantide/internal/infra"
 )
 
 func do(s *Server, method, body string) *httptest.ResponseRecorder {
@@ -26,7 +26,7 @@
 		g := gomega.NewWithT(t)
 		s := New(Params{Lag: 3 * time.Second})
 		list := func() string {
-			var vms []platform.VM
+			var vms []infra.VM
 			g.Expect(json.Unmarshal(do(s, "GET", "").Body.Bytes(), &vms)).To(gomega.Succeed())
 			names := ""
 			for _, vm := range vms {
--- a/bench/standin/httpkit/json.go
+++ b/bench/standin/httpkit/json.go
@@ -6,7 +6,7 @@
 	"io"
 	"net/http"
 
-	"gentiantide.example/gentiantide/internal/platform/httpoutcome"
+	"gentiantide.example/gentiantide/internal/infra/httpoutcome"
 )
 
 // ReadBody reads a whole body of at most limit bytes. It answers 413 or 400
--- a/bench/standin/objects/server.go
+++ b/bench/standin/objects/server.go
@@ -9,9 +9,9 @@
 
 	"gentiantide.example/gentiantide/bench/standin/httpkit"
 	"gentiantide.example/gentiantide/bench/standin/ratelimit"
-	"gentiantide.example/gentiantide/internal/platform"
-	"gentiantide.example/gentiantide/internal/platform/httpoutcome"
-	"gentiantide.example/gentiantide/internal/platform/platformtest"
+	"gentiantide.example/gentiantide/internal/infra"
+	"gentiantide.example/gentiantide/internal/infra/httpoutcome"
+	"gentiantide.example/gentiantide/internal/infra/infratest"
 )
 
 // MaxObject is the largest object in bytes.
@@ -20,7 +20,7 @@
 // Server is the object store. It is an http.Handler.
 type Server struct {
 	// Objects is the state served; tests may inspect it.
-	Objects *platformtest.Objects
+	Objects *infratest.Objects
 	// Fault is the fault plan in force.
 	Fault httpkit.Fault[Fault]
 
@@ -36,7 +36,7 @@
 // New returns a server with an empty store.
 func New(p Params) *Server {
 	s := &Server{
-		Objects: platformtest.NewObjects(),
+		Objects: infratest.NewObjects(),
 		mux:     http.NewServeMux(),
 		dice:    httpkit.NewDice(p.Seed),
 		reads:   ratelimit.NewBucket(p.ReadsPerSecond, burst, p.MaxWait),
@@ -111,7 +111,7 @@
 	}
 	// The service finishes a write that it accepted even if the caller leaves.
 	err := s.Objects.Put(context.WithoutCancel(r.Context()), key, data)
-	if err == nil || errors.Is(err, platform.ErrUnknown) {
+	if err == nil || errors.Is(err, infra.ErrUnknown) {
 		s.putCount.Add(1)
 		s.bytesWritten.Add(int64(len(data)))
 	}
@@ -120,7 +120,7 @@
 
 func (s *Server) delete(w http.ResponseWriter, r *http.Request, key string) {
 	err := s.Objects.Delete(context.WithoutCancel(r.Context()), key)
-	if err == nil || errors.Is(err, platform.ErrUnknown) {
+	if err == nil || errors.Is(err, infra.ErrUnknown) {
 		s.deleteCount.Add(1)
 	}
 	s.finish(w, err)
@@ -136,9 +136,9 @@
 
 func (s *Server) fail(w http.ResponseWriter, err error) {
 	switch {
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, infra.ErrNotFound):
 		httpkit.Error(w, http.StatusNotFound, httpoutcome.CodeNotFound, "no such object")
-	case errors.Is(err, platform.ErrUnknown):
+	case errors.Is(err, infra.ErrUnknown):
 		s.answersLost.Add(1)
 		httpkit.Drop()
 	default:
--- a/bench/standin/objects/server_test.go
+++ b/bench/standin/objects/server_test.go
@@ -12,8 +12,8 @@
 
 	"github.com/onsi/gomega"
 
-	"gentiantide.example/gentiantide/internal/platform"
-	"gentiantide.example/gentiantide/internal/platform/httpobjects"
+	"gentiantide.example/gentiantide/internal/infra"
+	"gentiantide.example/gentiantide/internal/infra/httpobjects"
 )
 
 // Guards against objects or keys that change on the wire, at both ends of the
@@ -31,7 +31,7 @@
 		g.Expect(bytes.Equal(got, data)).To(gomega.BeTrue(), key)
 		g.Expect(store.Delete(t.Context(), key)).To(gomega.Succeed())
 		_, err = store.Get(t.Context(), key)
-		g.Expect(err).To(gomega.MatchError(platform.ErrNotFound))
+		g.Expect(err).To(gomega.MatchError(infra.ErrNotFound))
 	}
 	g.Expect(store.Put(t.Context(), "k", append(large, 0))).NotTo(gomega.Succeed())
 	g.Expect(MaxObject).To(gomega.Equal(httpobjects.MaxObject))
@@ -55,11 +55,11 @@
 
 	store := httpobjects.New(web.URL, 0)
 	_, err = store.Get(t.Context(), "part")
-	g.Expect(err).To(gomega.MatchError(platform.ErrNotFound))
+	g.Expect(err).To(gomega.MatchError(infra.ErrNotFound))
 	server.Fault.Set(Fault{LoseAnswers: 1})
-	g.Expect(store.Put(t.Context(), "k", []byte("v"))).To(gomega.MatchError(platform.ErrUnknown))
+	g.Expect(store.Put(t.Context(), "k", []byte("v"))).To(gomega.MatchError(infra.ErrUnknown))
 	server.Fault.Set(Fault{Down: true})
-	g.Expect(store.Put(t.Context(), "l", []byte("v"))).To(gomega.MatchError(platform.ErrUnavailable))
+	g.Expect(store.Put(t.Context(), "l", []byte("v"))).To(gomega.MatchError(infra.ErrUnavailable))
 	server.Fault.Set(Fault{})
 	g.Expect(store.Get(t.Context(), "k")).To(gomega.Equal([]byte("v")))
 	g.Expect(server.Stats().Puts).To(gomega.Equal(int64(1)))
--- a/bench/standin/table/fault.go
+++ b/bench/standin/table/fault.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"gentiantide.example/gentiantide/bench/standin/httpkit"
-	"gentiantide.example/gentiantide/internal/platform/platformtest"
+	"gentiantide.example/gentiantide/internal/infra/infratest"
 )
 
 // Fault is what POST /fault commands.
@@ -24,8 +24,8 @@
 	DropBefore httpkit.Share `json:"drop_before,omitempty"`
 }
 
-func (f Fault) plan() platformtest.FaultPlan {
-	return platformtest.FaultPlan{
+func (f Fault) plan() infratest.FaultPlan {
+	return infratest.FaultPlan{
 		Down:         f.Down,
 		Delay:        time.Duration(f.Delay),
 		LoseAnswers:  float64(f.LoseAnswers),
--- a/bench/standin/table/server.go
+++ b/bench/standin/table/server.go
@@ -9,10 +9,10 @@
 
 	"gentiantide.example/gentiantide/bench/standin/httpkit"
 	"gentiantide.example/gentiantide/bench/standin/ratelimit"
-	"gentiantide.example/gentiantide/internal/platform"
-	"gentiantide.example/gentiantide/internal/platform/httpoutcome"
-	"gentiantide.example/gentiantide/internal/platform/httptable"
-	"gentiantide.example/gentiantide/internal/platform/platformtest"
+	"gentiantide.example/gentiantide/internal/infra"
+	"gentiantide.example/gentiantide/internal/infra/httpoutcome"
+	"gentiantide.example/gentiantide/internal/infra/httptable"
+	"gentiantide.example/gentiantide/internal/infra/infratest"
 )
 
 const (
@@ -24,7 +24,7 @@
 // Server is the table service. It is an http.Handler.
 type Server struct {
 	// Table is the state served; tests may inspect it.
-	Table *platformtest.Table
+	Table *infratest.Table
 	// Fault is the fault plan in force.
 	Fault httpkit.Fault[Fault]
 
@@ -39,7 +39,7 @@
 // New returns a server with an empty table.
 func New(p Params) *Server {
 	s := &Server{
-		Table:  platformtest.NewTable(),
+		Table:  infratest.NewTable(),
 		mux:    http.NewServeMux(),
 		dice:   httpkit.NewDice(p.Seed),
 		reads:  ratelimit.NewBucket(p.ReadsPerSecond, burst, p.MaxWait),
@@ -140,30 +140,30 @@
 	httpkit.WriteJSON(w, http.StatusOK, httptable.Versions{Versions: versions})
 }
 
-func transaction(body httptable.Transaction) (platform.Txn, string) {
-	txn := platform.Txn{}
+func transaction(body httptable.Transaction) (infra.Txn, string) {
+	txn := infra.Txn{}
 	for _, c := range body.Conditions {
 		if c.Key == "" {
 			return txn, "a condition has no key"
 		}
-		txn.Conditions = append(txn.Conditions, platform.Condition(c))
+		txn.Conditions = append(txn.Conditions, infra.Condition(c))
 	}
 	for _, write := range body.Writes {
 		if write.Key == "" {
 			return txn, "a write has no key"
 		}
-		txn.Writes = append(txn.Writes, platform.Write(write))
+		txn.Writes = append(txn.Writes, infra.Write(write))
 	}
 	return txn, ""
 }
 
 func (s *Server) fail(w http.ResponseWriter, err error) {
 	switch {
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, infra.ErrNotFound):
 		httpkit.Error(w, http.StatusNotFound, httpoutcome.CodeNotFound, "no such row")
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, infra.ErrConflict):
 		httpkit.Error(w, http.StatusConflict, httpoutcome.CodeConflict, "a condition does not hold")
-	case errors.Is(err, platform.ErrUnknown):
+	case errors.Is(err, infra.ErrUnknown):
 		s.answersLost.Add(1)
 		httpkit.Drop()
 	default:
--- a/bench/standin/table/server_test.go
+++ b/bench/standin/table/server_test.go
@@ -12,9 +12,9 @@
 
 	"gentiantide.example/gentiantide/bench/standin/httpkit"
 	_ "gentiantide.example/gentiantide/internal/fixedseed"
-	"gentiantide.example/gentiantide/internal/platform"
-	"gentiantide.example/gentiantide/internal/platform/httptable"
-	"gentiantide.example/gentiantide/internal/platform/platformtest"
+	"gentiantide.example/gentiantide/internal/infra"
+	"gentiantide.example/gentiantide/internal/infra/httptable"
+	"gentiantide.example/gentiantide/internal/infra/infratest"
 )
 
 func start(t *testing.T, timeout time.Duration) (*Server, *httptable.Table) {
@@ -26,10 +26,10 @@
 	return server, table
 }
 
-func set(key string, version uint64) platform.Txn {
-	return platform.Txn{
-		Conditions: []platform.Condition{{Key: key, Version: version}},
-		Writes:     []platform.Write{{Key: key, Value: []byte("v")}},
+func set(key string, version uint64) infra.Txn {
+	return infra.Txn{
+		Conditions: []infra.Condition{{Key: key, Version: version}},
+		Writes:     []infra.Write{{Key: key, Value: []byte("v")}},
 	}
 }
 
@@ -41,16 +41,16 @@
 		want    error
 		applied int64
 	}{
-		"down":        {Fault{Down: true}, platform.ErrUnavailable, 0},
-		"refused":     {Fault{RefuseWrites: 1}, platform.ErrUnavailable, 0},
-		"lost answer": {Fault{LoseAnswers: 1}, platform.ErrUnknown, 1},
-		"dropped":     {Fault{DropBefore: 1}, platform.ErrUnknown, 0},
+		"down":        {Fault{Down: true}, infra.ErrUnavailable, 0},
+		"refused":     {Fault{RefuseWrites: 1}, infra.ErrUnavailable, 0},
+		"lost answer": {Fault{LoseAnswers: 1}, infra.ErrUnknown, 1},
+		"dropped":     {Fault{DropBefore: 1}, infra.ErrUnknown, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
 			server, table := start(t, 0)
 			_, err := table.Get(t.Context(), "warm") // the fault meets a reused connection
-			g.Expect(err).To(gomega.MatchError(platform.ErrNotFound))
+			g.Expect(err).To(gomega.MatchError(infra.ErrNotFound))
 			server.Fault.Set(c.fault)
 			_, err = table.Commit(t.Context(), set("k", 0))
 			g.Expect(err).To(gomega.MatchError(c.want))
@@ -66,7 +66,7 @@
 	server, table := start(t, 20*time.Millisecond)
 	server.Fault.Set(Fault{Delay: httpkit.Duration(150 * time.Millisecond)})
 	_, err := table.Commit(t.Context(), set("k", 0))
-	g.Expect(err).To(gomega.MatchError(platform.ErrUnknown))
+	g.Expect(err).To(gomega.MatchError(infra.ErrUnknown))
 	g.Eventually(server.Table.Commits).Should(gomega.Equal(int64(1)))
 }
 
@@ -78,21 +78,21 @@
 	rapid.Check(t, func(t *rapid.T) {
 		ctx := t.Context()
 		base++
-		model := platformtest.NewTable()
+		model := infratest.NewTable()
 		prefix := rapid.StringMatching(`[a&=%/?# ü]{1,3}`).Draw(t, "prefix") + strings.Repeat("-", base)
 		versions := map[string]uint64{} // of the served table
 		t.Repeat(map[string]func(*rapid.T){
 			"commit": func(t *rapid.T) {
 				key := prefix + rapid.SampledFrom([]string{"", "/1", "/2", "+", "%2F"}).Draw(t, "key")
 				stale := rapid.Bool().Draw(t, "stale")
-				write := platform.Write{Key: key, Value: rapid.SliceOf(rapid.Byte()).Draw(t, "value"), Delete: rapid.Bool().Draw(t, "delete")}
+				write := infra.Write{Key: key, Value: rapid.SliceOf(rapid.Byte()).Draw(t, "value"), Delete: rapid.Bool().Draw(t, "delete")}
 				row, _ := model.Get(ctx, key)
 				wanted, served := row.Version, versions[key]
 				if stale {
 					wanted, served = wanted+1000, served+1000
 				}
-				_, want := model.Commit(ctx, platform.Txn{Conditions: []platform.Condition{{Key: key, Version: wanted}}, Writes: []platform.Write{write}})
-				got, err := table.Commit(ctx, platform.Txn{Conditions: []platform.Condition{{Key: key, Version: served}}, Writes: []platform.Write{write}})
+				_, want := model.Commit(ctx, infra.Txn{Conditions: []infra.Condition{{Key: key, Version: wanted}}, Writes: []infra.Write{write}})
+				got, err := table.Commit(ctx, infra.Txn{Conditions: []infra.Condition{{Key: key, Version: served}}, Writes: []infra.Write{write}})
 				gomega.NewWithT(t).Expect(err == nil).To(gomega.Equal(want == nil))
 				if err == nil {
 					versions[key] = got[0]
--- a/bench/standin/weights/server.go
+++ b/bench/standin/weights/server.go
@@ -10,8 +10,8 @@
 
 	"gentiantide.example/gentiantide/bench/standin/httpkit"
 	"gentiantide.example/gentiantide/bench/standin/ratelimit"
-	"gentiantide.example/gentiantide/internal/platform/httpoutcome"
-	"gentiantide.example/gentiantide/internal/platform/httpweights"
+	"gentiantide.example/gentiantide/internal/infra/httpoutcome"
+	"gentiantide.example/gentiantide/internal/infra/httpweights"
 )
 
 const (
--- a/bench/standin/weights/server_test.go
+++ b/bench/standin/weights/server_test.go
@@ -10,8 +10,8 @@
 
 	"github.com/onsi/gomega"
 
-	"gentiantide.example/gentiantide/internal/platform"
-	"gentiantide.example/gentiantide/internal/platform/httpweights"
+	"gentiantide.example/gentiantide/internal/infra"
+	"gentiantide.example/gentiantide/internal/infra/httpweights"
 )
 
 // Guards against an absent model that has a size, and against a truncated
@@ -24,7 +24,7 @@
 	store := httpweights.New(web.URL, 0)
 	g.Expect(store.Stat(t.Context(), "m", "1")).To(gomega.Equal(int64(300_000)))
 	_, err := store.Stat(t.Context(), "m", "2")
-	g.Expect(err).To(gomega.MatchError(platform.ErrNotFound))
+	g.Expect(err).To(gomega.MatchError(infra.ErrNotFound))
 	server.Fault.Set(Fault{CutAfter: 100_000})
 	resp, err := http.Get(web.URL + "/weights?model=m&version=1")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
@@ -33,7 +33,7 @@
 	g.Expect(err).To(gomega.MatchError(io.ErrUnexpectedEOF))
 	server.Fault.Set(Fault{Down: true})
 	_, err = store.Stat(t.Context(), "m", "1")
-	g.Expect(err).To(gomega.MatchError(platform.ErrUnavailable))
+	g.Expect(err).To(gomega.MatchError(infra.ErrUnavailable))
 }
 
 // Guards against a rate that each stream has for itself: the store's rate is
--- a/internal/batch/coordinator/ending.go
+++ b/internal/batch/coordinator/ending.go
@@ -9,7 +9,7 @@
 
 	"gentiantide.example/gentiantide/internal/batch/records"
 	"gentiantide.example/gentiantide/internal/core"
-	"gentiantide.example/gentiantide/internal/platform"
+	"gentiantide.example/gentiantide/internal/infra"
 )
 
 // errNotDone means that a job has a range that is not done.
@@ -56,7 +56,7 @@
 func (c *Coordinator) count(ctx context.Context, job *records.Job, all bool) (done, failed int, err error) {
 	first := 0
 	prefix := records.RangePrefix(job.ID)
-	err = c.p.Store.Each(ctx, prefix, "", func(row platform.Row) error {
+	err = c.p.Store.Each(ctx, prefix, "", func(row infra.Row) error {
 		r, err := records.Decode[records.Range](row.Value)
 		if err != nil {
 			return err
@@ -81,9 +81,9 @@
 func (c *Coordinator) end(ctx context.Context, j *jobInfo, job records.Job, version uint64, done, failed int) error {
 	job.Completed, job.Failed, job.EndedAt = done-failed, failed, time.Now().UTC()
 	key := records.JobKey(job.ID)
-	_, err := c.p.Store.Commit(ctx, platform.Txn{
-		Conditions: []platform.Condition{{Key: key, Version: version}},
-		Writes: []platform.Write{
+	_, err := c.p.Store.Commit(ctx, infra.Txn{
+		Conditions: []infra.Condition{{Key: key, Version: version}},
+		Writes: []infra.Write{
 			{Key: key, Value: records.Encode(job)},
 			{Key: records.OpenKey(job.ID, c.p.Config.Shards), Delete: true},
 		},
@@ -104,7 +104,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	j.ending, j.stale = false, true
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, infra.ErrConflict) {
 		j.openVersion = 0 // read the job row again
 	}
 }
@@ -182,9 +182,9 @@
 		return true
 	}
 	key := records.LeaseKey(h.session)
-	_, err := c.p.Store.CommitOnce(ctx, platform.Txn{
-		Conditions: []platform.Condition{{Key: key, Version: h.leaseVersion}},
-		Writes:     []platform.Write{{Key: key, Delete: true}},
+	_, err := c.p.Store.CommitOnce(ctx, infra.Txn{
+		Conditions: []infra.Condition{{Key: key, Version: h.leaseVersion}},
+		Writes:     []infra.Write{{Key: key, Delete: true}},
 	})
 	if err == nil {
 		c.p.Log.Info("batch lease lapsed", "session", h.session, "node", h.node)
--- a/internal/batch/coordinator/scan.go
+++ b/internal/batch/coordinator/scan.go
@@ -9,7 +9,7 @@
 	"gentiantide.example/gentiantide/internal/batch/lease"
 	"gentiantide.example/gentiantide/internal/batch/records"
 	"gentiantide.example/gentiantide/internal/core"
-	"gentiantide.example/gentiantide/internal/platform"
+	"gentiantide.example/gentiantide/internal/infra"
 )
 
 // scan reads the open jobs of the own shards, their ranges where needed, and
@@ -68,7 +68,7 @@
 // scanShard reads the index rows of a shard and the jobs that changed.
 func (c *Coordinator) scanShard(ctx context.Context, shard int) error {
 	open := make(map[core.JobID]uint64)
-	err := c.p.Store.Each(ctx, records.OpenPrefix(shard), "", func(row platform.Row) error {
+	err := c.p.Store.Each(ctx, records.OpenPrefix(shard), "", func(row infra.Row) error {
 		open[records.OpenJob(row.Key)] = row.Version
 		return nil
 	})
@@ -123,7 +123,7 @@
 
 func (c *Coordinator) readJobRow(ctx context.Context, j *jobInfo, openVersion uint64) error {
 	row, err := c.p.Store.Table.Get(ctx, records.JobKey(j.id))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, infra.ErrNotFound) {
 		return nil
 	}
 	if err != nil {
@@ -151,7 +151,7 @@
 	j.stale = false
 	version := j.version
 	c.mu.Unlock()
-	err := c.p.Store.Each(ctx, prefix, after, func(row platform.Row) error {
+	err := c.p.Store.Each(ctx, prefix, after, func(row infra.Row) error {
 		r, err := records.Decode[records.Range](row.Value)
 		if err != nil {
 			return err
@@ -196,7 +196,7 @@
 // scanLeases reads all leases and judges the holders of the claimed ranges.
 func (c *Coordinator) scanLeases(ctx context.Context, claimed []sighted) error {
 	var rows []lease.Seen
-	err := c.p.Store.Each(ctx, records.LeasePrefix, "", func(row platform.Row) error {
+	err := c.p.Store.Each(ctx, records.LeasePrefix, "", func(row infra.Row) error {
 		rows = append(rows, lease.Seen{Session: row.Key[len(records.LeasePrefix):], Version: row.Version})
 		return nil
 	})
--- a/internal/batch/intake/cancel.go
+++ b/internal/batch/intake/cancel.go
@@ -8,7 +8,7 @@
 
 	"gentiantide.example/gentiantide/internal/batch/records"
 	"gentiantide.example/gentiantide/internal/core"
-	"gentiantide.example/gentiantide/internal/platform"
+	"gentiantide.example/gentiantide/internal/infra"
 )
 
 // Cancel puts a job into cancelling; from then on no claim and no commit of it
@@ -24,9 +24,9 @@
 		}
 		job.State, job.CancellingAt = records.JobCancelling, time.Now().UTC()
 		key := records.JobKey(id)
-		_, err := in.p.Store.Commit(ctx, platform.Txn{
-			Conditions: []platform.Condition{{Key: key, Version: version}},
-			Writes: []platform.Write{
+		_, err := in.p.Store.Commit(ctx, infra.Txn{
+			Conditions: []infra.Condition{{Key: key, Version: version}},
+			Writes: []infra.Write{
 				{Key: key, Value: records.Encode(job)},
 				{Key: records.OpenKey(id, in.p.Config.Shards), Value: records.Encode(records.Open{State: job.State})},
 			},
@@ -36,9 +36,9 @@
 			in.p.Log.Info("batch job cancelling", "job", id, "org", org)
 			in.p.Notify(id)
 			return job, nil
-		case errors.Is(err, platform.ErrUnavailable):
+		case errors.Is(err, infra.ErrUnavailable):
 			return job, unavailable("the table service is unavailable; the batch was not cancelled")
-		case !errors.Is(err, platform.ErrConflict):
+		case !errors.Is(err, infra.ErrConflict):
 			return job, core.Fail(core.CodeStoreUnavailable, "the table service did not confirm the cancellation; repeat it")
 		}
 	}
--- a/internal/batch/intake/create.go
+++ b/internal/batch/intake/create.go
@@ -8,7 +8,7 @@
 
 	"gentiantide.example/gentiantide/internal/batch/records"
 	"gentiantide.example/gentiantide/internal/core"
-	"gentiantide.example/gentiantide/internal/platform"
+	"gentiantide.example/gentiantide/internal/infra"
 )
 
 // Create accepts a job, or returns the one that an earlier request with the
@@ -40,9 +40,9 @@
 	}
 	m.Touched, m.Jobs = job.Created, m.Jobs+1
 	_, err := in.p.Store.Commit(ctx, in.createTxn(&job, &m, version), nil)
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, infra.ErrConflict) {
 		_, readErr := in.p.Store.Get(ctx, records.JobKey(job.ID))
-		if errors.Is(readErr, platform.ErrNotFound) && ctx.Err() == nil {
+		if errors.Is(readErr, infra.ErrNotFound) && ctx.Err() == nil {
 			return records.Job{}, nil, false
 		}
 		found, refusal := in.existing(ctx, &job)
@@ -52,11 +52,11 @@
 	return created, refusal, true
 }
 
-func (in *Intake) createTxn(job *records.Job, m *records.Manifest, fileVersion uint64) platform.Txn {
+func (in *Intake) createTxn(job *records.Job, m *records.Manifest, fileVersion uint64) infra.Txn {
 	key, fileKey := records.JobKey(job.ID), records.FileKey(m.ID)
-	return platform.Txn{
-		Conditions: []platform.Condition{{Key: key}, {Key: fileKey, Version: fileVersion}},
-		Writes: []platform.Write{
+	return infra.Txn{
+		Conditions: []infra.Condition{{Key: key}, {Key: fileKey, Version: fileVersion}},
+		Writes: []infra.Write{
 			{Key: key, Value: records.Encode(job)},
 			{Key: records.OpenKey(job.ID, in.p.Config.Shards), Value: records.Encode(records.Open{State: job.State})},
 			{Key: fileKey, Value: records.Encode(m)},
@@ -70,7 +70,7 @@
 	case err == nil:
 		in.accepted(job)
 		return *job, nil
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, infra.ErrUnavailable):
 		return records.Job{}, unavailable("the table service is unavailable; the batch was not accepted")
 	default:
 		return records.Job{}, core.Fail(core.CodeStoreUnavailable,
--- a/internal/batch/intake/file.go
+++ b/internal/batch/intake/file.go
@@ -8,7 +8,7 @@
 
 	"gentiantide.example/gentiantide/internal/batch/records"
 	"gentiantide.example/gentiantide/internal/core"
-	"gentiantide.example/gentiantide/internal/platform"
+	"gentiantide.example/gentiantide/internal/infra"
 )
 
 // File returns the manifest of an organisation's file.
@@ -31,7 +31,7 @@
 	ctx, cancel := context.WithTimeout(ctx, in.p.Config.AcceptTimeout)
 	defer cancel()
 	row, err := in.p.Store.Get(ctx, records.FileKey(id))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, infra.ErrNotFound) {
 		return records.Manifest{}, 0, nil
 	}
 	if err != nil {
@@ -57,14 +57,14 @@
 		}
 		m.Touched = time.Now().UTC()
 		key := records.FileKey(id)
-		_, err := in.p.Store.Commit(ctx, platform.Txn{
-			Conditions: []platform.Condition{{Key: key, Version: version}},
-			Writes:     []platform.Write{{Key: key, Value: records.Encode(m)}},
+		_, err := in.p.Store.Commit(ctx, infra.Txn{
+			Conditions: []infra.Condition{{Key: key, Version: version}},
+			Writes:     []infra.Write{{Key: key, Value: records.Encode(m)}},
 		}, nil)
 		switch {
 		case err == nil:
 			return m, true, nil
-		case !errors.Is(err, platform.ErrConflict):
+		case !errors.Is(err, infra.ErrConflict):
 			return m, false, unavailable("the table service is unavailable; resend the file with the same key")
 		}
 	}
--- a/internal/batch/intake/intake.go
+++ b/internal/batch/intake/intake.go
@@ -12,7 +12,7 @@
 	"gentiantide.example/gentiantide/internal/batch/records"
 	"gentiantide.example/gentiantide/internal/batch/store"
 	"gentiantide.example/gentiantide/internal/core"
-	"gentiantide.example/gentiantide/internal/platform"
+	"gentiantide.example/gentiantide/internal/infra"
 )
 
 // Params is what an Intake is made of.
@@ -40,7 +40,7 @@
 	ctx, cancel := context.WithTimeout(ctx, in.p.Config.AcceptTimeout)
 	defer cancel()
 	row, err := in.p.Store.Get(ctx, records.JobKey(id))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, infra.ErrNotFound) {
 		return records.Job{}, 0, noJob(id)
 	}
 	if err != nil {
@@ -62,7 +62,7 @@
 	if !job.EndedAt.IsZero() {
 		return job.Completed + job.Failed, job.Failed, nil
 	}
-	err := in.p.Store.Each(ctx, records.RangePrefix(job.ID), "", func(row platform.Row) error {
+	err := in.p.Store.Each(ctx, records.RangePrefix(job.ID), "", func(row infra.Row) error {
 		r, err := records.Decode[records.Range](row.Value)
 		if err != nil {
 			return err
@@ -86,7 +86,7 @@
 	if after != "" {
 		start = records.JobKey(after)
 	}
-	err := in.p.Store.Each(ctx, records.JobKey(core.JobID(records.OrgJobPrefix(org))), start, func(row platform.Row) error {
+	err := in.p.Store.Each(ctx, records.JobKey(core.JobID(records.OrgJobPrefix(org))), start, func(row infra.Row) error {
 		if len(jobs) > limit {
 			return stop
 		}
--- a/internal/batch/intake/upload.go
+++ b/internal/batch/intake/upload.go
@@ -15,7 +15,7 @@
 
 	"gentiantide.example/gentiantide/internal/batch/records"
 	"gentiantide.example/gentiantide/internal/core"
-	"gentiantide.example/gentiantide/internal/platform"
+	"gentiantide.example/gentiantide/internal/infra"
 )
 
 // Upload is a file whose parts are stored but which is not accepted yet.
@@ -76,9 +76,9 @@
 	defer cancel()
 	row := u.manifest
 	row.Open, row.Touched = true, time.Now().UTC()
-	version, err := u.in.p.Store.Commit(ctx, platform.Txn{
-		Conditions: []platform.Condition{{Key: u.row}},
-		Writes:     []platform.Write{{Key: u.row, Value: records.Encode(row)}},
+	version, err := u.in.p.Store.Commit(ctx, infra.Txn{
+		Conditions: []infra.Condition{{Key: u.row}},
+		Writes:     []infra.Write{{Key: u.row, Value: records.Encode(row)}},
 	}, nil)
 	if err != nil {
 		return unavailable("the table service is unavailable; the file was not accepted")
@@ -141,7 +141,7 @@
 	earlier := u.earlier
 	if !earlier {
 		err := u.accept(ctx)
-		if err != nil && !errors.Is(err, platform.ErrConflict) {
+		if err != nil && !errors.Is(err, infra.ErrConflict) {
 			return m, core.Fail(core.CodeStoreUnavailable, "the table service did not confirm the file; resend it with the same key")
 		}
 		earlier = err != nil
@@ -165,17 +165,17 @@
 }
 
 // accept turns the row of the upload into that of the file; with a key, the
-// latter is another one. Errors: platform.ErrConflict (a file with the key exists, or the upload expired),
-// platform.ErrUnavailable, platform.ErrUnknown.
+// latter is another one. Errors: infra.ErrConflict (a file with the key exists, or the upload expired),
+// infra.ErrUnavailable, infra.ErrUnknown.
 func (u *Upload) accept(ctx context.Context) error {
 	key := records.FileKey(u.manifest.ID)
-	txn := platform.Txn{
-		Conditions: []platform.Condition{{Key: u.row, Version: u.version}},
-		Writes:     []platform.Write{{Key: key, Value: records.Encode(u.manifest)}},
+	txn := infra.Txn{
+		Conditions: []infra.Condition{{Key: u.row, Version: u.version}},
+		Writes:     []infra.Write{{Key: key, Value: records.Encode(u.manifest)}},
 	}
 	if key != u.row {
-		txn.Conditions = append(txn.Conditions, platform.Condition{Key: key})
-		txn.Writes = append(txn.Writes, platform.Write{Key: u.row, Delete: true})
+		txn.Conditions = append(txn.Conditions, infra.Condition{Key: key})
+		txn.Writes = append(txn.Writes, infra.Write{Key: u.row, Delete: true})
 	}
 	_, err := u.in.p.Store.Commit(ctx, txn, nil)
 	return err
--- a/internal/batch/lease/keeper.go
+++ b/internal/batch/lease/keeper.go
@@ -13,7 +13,7 @@
 	"gentiantide.example/gentiantide/internal/batch/records"
 	"gentiantide.example/gentiantide/internal/batch/store"
 	"gentiantide.example/gentiantide/internal/core"
-	"gentiantide.example/gentiantide/internal/platform"
+	"gentiantide.example/gentiantide/internal/infra"
 )
 
 // Keeper opens sessions for the own node and renews them.
@@ -70,7 +70,7 @@
 // Errors: as for store.Commit.
 func (k *Keeper) Acquire(ctx context.Context) (*Session, error) {
 	if !k.enter(ctx) {
-		return nil, platform.ErrUnavailable
+		return nil, infra.ErrUnavailable
 	}
 	defer k.leave()
 	if s := k.Current(); s != nil {
@@ -98,7 +98,7 @@
 	k.mu.Unlock()
 	if shut {
 		s.end()
-		return nil, platform.ErrUnavailable
+		return nil, infra.ErrUnavailable
 	}
 	go k.keep(s)
 	return s, nil
@@ -118,7 +118,7 @@
 			return
 		}
 		err := k.renew(s)
-		if s.State() == Lost || errors.Is(err, platform.ErrConflict) {
+		if s.State() == Lost || errors.Is(err, infra.ErrConflict) {
 			k.log.Warn("batch lease lost", "session", s.ID)
 			return
 		}
@@ -146,15 +146,15 @@
 func (k *Keeper) write(ctx context.Context, s *Session, version, counter uint64) error {
 	key := records.LeaseKey(s.ID)
 	value := records.Encode(records.Lease{Node: k.node, Session: s.ID, Counter: counter})
-	txn := platform.Txn{
-		Conditions: []platform.Condition{{Key: key, Version: version}},
-		Writes:     []platform.Write{{Key: key, Value: value}},
+	txn := infra.Txn{
+		Conditions: []infra.Condition{{Key: key, Version: version}},
+		Writes:     []infra.Write{{Key: key, Value: value}},
 	}
 	var firstUnknown time.Time
 	for n := 0; ; n++ {
 		began := time.Now()
 		v, err := k.store.CommitOnce(ctx, txn)
-		if errors.Is(err, platform.ErrConflict) && !firstUnknown.IsZero() {
+		if errors.Is(err, infra.ErrConflict) && !firstUnknown.IsZero() {
 			v, err = k.readBack(ctx, key, value)
 			began = firstUnknown
 		}
@@ -162,10 +162,10 @@
 			s.renewedAt(v, counter, began)
 			return nil
 		}
-		if errors.Is(err, platform.ErrConflict) || ctx.Err() != nil {
+		if errors.Is(err, infra.ErrConflict) || ctx.Err() != nil {
 			return err
 		}
-		if errors.Is(err, platform.ErrUnknown) && firstUnknown.IsZero() {
+		if errors.Is(err, infra.ErrUnknown) && firstUnknown.IsZero() {
 			firstUnknown = began
 		}
 		sleep(ctx, batch.Backoff(k.cfg.StoreBackoff, k.cfg.StoreBackoffMax, n))
@@ -174,8 +174,8 @@
 
 func (k *Keeper) readBack(ctx context.Context, key string, value []byte) (uint64, error) {
 	row, err := k.store.Get(ctx, key)
-	if errors.Is(err, platform.ErrNotFound) || (err == nil && !bytes.Equal(row.Value, value)) {
-		return 0, platform.ErrConflict
+	if errors.Is(err, infra.ErrNotFound) || (err == nil && !bytes.Equal(row.Value, value)) {
+		return 0, infra.ErrConflict
 	}
 	return row.Version, err
 }
@@ -185,7 +185,7 @@
 // row that cannot be deleted lapses.
 func (k *Keeper) Close(ctx context.Context) error {
 	if !k.enter(ctx) {
-		return platform.ErrUnavailable
+		return infra.ErrUnavailable
 	}
 	defer k.leave()
 	s := k.Current()
@@ -198,9 +198,9 @@
 	version := s.version
 	s.mu.Unlock()
 	key := records.LeaseKey(s.ID)
-	_, err := k.store.CommitOnce(ctx, platform.Txn{
-		Conditions: []platform.Condition{{Key: key, Version: version}},
-		Writes:     []platform.Write{{Key: key, Delete: true}},
+	_, err := k.store.CommitOnce(ctx, infra.Txn{
+		Conditions: []infra.Condition{{Key: key, Version: version}},
+		Writes:     []infra.Write{{Key: key, Delete: true}},
 	})
 	return err
 }
--- a/internal/batch/results/reader.go
+++ b/internal/batch/results/reader.go
@@ -11,7 +11,7 @@
 
 	"gentiantide.example/gentiantide/internal/batch/records"
 	"gentiantide.example/gentiantide/internal/batch/store"
-	"gentiantide.example/gentiantide/internal/platform"
+	"gentiantide.example/gentiantide/internal/infra"
 )
 
 // Selection says which result lines are read.
@@ -57,7 +57,7 @@
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	row, err := r.store.Get(ctx, records.JobKey(job.ID))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, infra.ErrNotFound) {
 		return ErrExpired
 	}
 	if err != nil {
@@ -71,7 +71,7 @@
 }
 
 func (r *Reader) write(ctx context.Context, job *records.Job, sel Selection, w io.Writer) error {
-	return r.store.Each(ctx, records.RangePrefix(job.ID), "", func(row platform.Row) error {
+	return r.store.Each(ctx, records.RangePrefix(job.ID), "", func(row infra.Row) error {
 		rng, err := records.Decode[records.Range](row.Value)
 		if err != nil {
 			return err
--- a/internal/batch/service/cancel_test.go
+++ b/internal/batch/service/cancel_test.go
@@ -10,18 +10,18 @@
 
 	"gentiantide.example/gentiantide/internal/batch"
 	"gentiantide.example/gentiantide/internal/batch/records"
-	"gentiantide.example/gentiantide/internal/platform"
+	"gentiantide.example/gentiantide/internal/infra"
 )
 
 // lateTable delivers the first transaction that names results late, although
 // its sender has given up on it.
 type lateTable struct {
-	platform.Table
+	infra.Table
 	held    chan struct{} // closed when the transaction is held back
 	deliver chan struct{}
 }
 
-func (l *lateTable) Commit(ctx context.Context, txn platform.Txn) ([]uint64, error) {
+func (l *lateTable) Commit(ctx context.Context, txn infra.Txn) ([]uint64, error) {
 	if l.holds(txn) {
 		close(l.held)
 		<-l.deliver
@@ -29,7 +29,7 @@
 	return l.Table.Commit(context.WithoutCancel(ctx), txn)
 }
 
-func (l *lateTable) holds(txn platform.Txn) bool {
+func (l *lateTable) holds(txn infra.Txn) bool {
 	select {
 	case <-l.held:
 		return false
--- a/internal/batch/service/cluster_test.go
+++ b/internal/batch/service/cluster_test.go
@@ -22,10 +22,10 @@
 	"gentiantide.example/gentiantide/internal/batch/batchhttp"
 	"gentiantide.example/gentiantide/internal/batch/results"
 	"gentiantide.example/gentiantide/internal/core"
+	"gentiantide.example/gentiantide/internal/infra"
+	"gentiantide.example/gentiantide/internal/infra/infratest"
 	"gentiantide.example/gentiantide/internal/membership"
 	"gentiantide.example/gentiantide/internal/peer"
-	"gentiantide.example/gentiantide/internal/platform"
-	"gentiantide.example/gentiantide/internal/platform/platformtest"
 )
 
 // gate blocks the calls of a paused node.
@@ -75,23 +75,23 @@
 // gatedTable stalls the calls of a paused node after its lease checks and
 // before they reach the table.
 type gatedTable struct {
-	platform.Table
+	infra.Table
 	g *gate
 }
 
-func (t gatedTable) Get(ctx context.Context, key string) (platform.Row, error) {
+func (t gatedTable) Get(ctx context.Context, key string) (infra.Row, error) {
 	t.g.wait()
 	return t.Table.Get(ctx, key)
 }
 
-func (t gatedTable) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (t gatedTable) Scan(ctx context.Context, prefix, after string, limit int) ([]infra.Row, error) {
 	t.g.wait()
 	return t.Table.Scan(ctx, prefix, after, limit)
 }
 
 // Commit lets a transaction through that was on its way when the node paused,
 // even if the caller's context ended meanwhile: the network delivers it late.
-func (t gatedTable) Commit(ctx context.Context, txn platform.Txn) ([]uint64, error) {
+func (t gatedTable) Commit(ctx context.Context, txn infra.Txn) ([]uint64, error) {
 	t.g.wait()
 	return t.Table.Commit(context.WithoutCancel(ctx), txn)
 }
@@ -167,9 +167,9 @@
 // cluster is several nodes over one table and one object store.
 type cluster struct {
 	cfg     batch.Config
-	table   *platformtest.Table
-	view    platform.Table // what the nodes use
-	objects *platformtest.Objects
+	table   *infratest.Table
+	view    infra.Table // what the nodes use
+	objects *infratest.Objects
 	hub     *hub
 	run     func(node core.NodeID, ctx context.Context, item batch.Item) batch.Outcome
 	nodes   []*testNode
@@ -178,9 +178,9 @@
 }
 
 func newCluster(cfg batch.Config, run func(core.NodeID, context.Context, batch.Item) batch.Outcome) *cluster {
-	table := platformtest.NewTable()
+	table := infratest.NewTable()
 	c := &cluster{
-		cfg: cfg, table: table, view: table, objects: platformtest.NewObjects(),
+		cfg: cfg, table: table, view: table, objects: infratest.NewObjects(),
 		hub: &hub{nodes: make(map[core.NodeID]*messenger)}, run: run,
 		log: slog.New(slog.DiscardHandler),
 	}
--- a/internal/batch/service/faults_test.go
+++ b/internal/batch/service/faults_test.go
@@ -15,7 +15,7 @@
 	"gentiantide.example/gentiantide/internal/batch/records"
 	"gentiantide.example/gentiantide/internal/core"
 	_ "gentiantide.example/gentiantide/internal/fixedseed"
-	"gentiantide.example/gentiantide/internal/platform/platformtest"
+	"gentiantide.example/gentiantide/internal/infra/infratest"
 )
 
 // init lowers the default number of scripts, since one run under the race
@@ -133,14 +133,14 @@
 	case "resume":
 		n.g.resume()
 	case "table-down":
-		w.table.Set(platformtest.FaultPlan{Down: true})
+		w.table.Set(infratest.FaultPlan{Down: true})
 	case "objects-down":
-		w.objects.Set(platformtest.FaultPlan{Down: true})
+		w.objects.Set(infratest.FaultPlan{Down: true})
 	case "lose-answers":
-		w.table.Set(platformtest.FaultPlan{LoseAnswers: 0.3})
-		w.objects.Set(platformtest.FaultPlan{LoseAnswers: 0.3})
+		w.table.Set(infratest.FaultPlan{LoseAnswers: 0.3})
+		w.objects.Set(infratest.FaultPlan{LoseAnswers: 0.3})
 	case "refuse-writes":
-		w.table.Set(platformtest.FaultPlan{RefuseWrites: 0.3, Delay: 300 * time.Millisecond})
+		w.table.Set(infratest.FaultPlan{RefuseWrites: 0.3, Delay: 300 * time.Millisecond})
 	case "late-writes":
 		w.observed.setLate(3)
 	case "heal":
@@ -150,8 +150,8 @@
 }
 
 func (w *world) heal() {
-	w.table.Set(platformtest.FaultPlan{})
-	w.objects.Set(platformtest.FaultPlan{})
+	w.table.Set(infratest.FaultPlan{})
+	w.objects.Set(infratest.FaultPlan{})
 	w.observed.setLate(0)
 }
 
--- a/internal/batch/service/oracle_test.go
+++ b/internal/batch/service/oracle_test.go
@@ -10,7 +10,7 @@
 	"gentiantide.example/gentiantide/internal/batch"
 	"gentiantide.example/gentiantide/internal/batch/records"
 	"gentiantide.example/gentiantide/internal/core"
-	"gentiantide.example/gentiantide/internal/platform"
+	"gentiantide.example/gentiantide/internal/infra"
 )
 
 // oracle plays the backend servers and checks each execution and each applied
@@ -88,7 +88,7 @@
 }
 
 // applied checks a transaction that has taken effect.
-func (o *oracle) applied(txn platform.Txn) {
+func (o *oracle) applied(txn infra.Txn) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for _, w := range txn.Writes {
@@ -140,7 +140,7 @@
 // observedTable reports applied transactions to the oracle. While late is
 // above 0, every late-th commit is answered as unknown and applied later.
 type observedTable struct {
-	platform.Table
+	infra.Table
 	o  *oracle
 	mu sync.Mutex
 	// turn admits one commit at a time. It is a channel, since a goroutine
@@ -163,23 +163,23 @@
 	return t.late > 0 && t.n%t.late == 0
 }
 
-func (t *observedTable) Commit(ctx context.Context, txn platform.Txn) ([]uint64, error) {
+func (t *observedTable) Commit(ctx context.Context, txn infra.Txn) ([]uint64, error) {
 	if t.isLate() {
 		go func() {
 			time.Sleep(700 * time.Millisecond)
 			_, _ = t.commit(context.Background(), txn)
 		}()
-		return nil, platform.ErrUnknown
+		return nil, infra.ErrUnknown
 	}
 	return t.commit(ctx, txn)
 }
 
 // commit shows the oracle the transactions in the order of their effect.
-func (t *observedTable) commit(ctx context.Context, txn platform.Txn) ([]uint64, error) {
+func (t *observedTable) commit(ctx context.Context, txn infra.Txn) ([]uint64, error) {
 	t.turn <- struct{}{}
 	defer func() { <-t.turn }()
 	versions, err := t.Table.Commit(ctx, txn)
-	if err == nil || err == platform.ErrUnknown {
+	if err == nil || err == infra.ErrUnknown {
 		t.o.applied(txn)
 	}
 	return versions, err
--- a/internal/batch/service/service.go
+++ b/internal/batch/service/service.go
@@ -18,17 +18,17 @@
 	"gentiantide.example/gentiantide/internal/batch/store"
 	"gentiantide.example/gentiantide/internal/batch/worker"
 	"gentiantide.example/gentiantide/internal/core"
+	"gentiantide.example/gentiantide/internal/infra"
 	"gentiantide.example/gentiantide/internal/membership"
 	"gentiantide.example/gentiantide/internal/peer"
-	"gentiantide.example/gentiantide/internal/platform"
 	"gentiantide.example/gentiantide/internal/settings"
 )
 
 // Params is what a Service is made of.
 type Params struct {
 	Config  batch.Config
-	Table   platform.Table
-	Objects platform.Objects
+	Table   infra.Table
+	Objects infra.Objects
 	// Messenger must not be started yet: New registers handlers.
 	Messenger peer.Messenger
 	Members   func() *membership.View
--- a/internal/batch/store/store.go
+++ b/internal/batch/store/store.go
@@ -8,7 +8,7 @@
 	"github.com/pkg/errors"
 
 	"gentiantide.example/gentiantide/internal/batch"
-	"gentiantide.example/gentiantide/internal/platform"
+	"gentiantide.example/gentiantide/internal/infra"
 )
 
 // Guard is asked before each attempt of a write; an error ends the attempts.
@@ -16,13 +16,13 @@
 
 // Store repeats calls with back-off.
 type Store struct {
-	Table   platform.Table
-	Objects platform.Objects
+	Table   infra.Table
+	Objects infra.Objects
 	cfg     batch.Config
 }
 
 // New returns a Store.
-func New(table platform.Table, objects platform.Objects, cfg batch.Config) *Store {
+func New(table infra.Table, objects infra.Objects, cfg batch.Config) *Store {
 	return &Store{Table: table, Objects: objects, cfg: cfg}
 }
 
@@ -30,39 +30,39 @@
 // write, which must set a row to a value that no other transaction writes.
 // It repeats until the outcome is known.
 //
-// Errors: platform.ErrConflict (this transaction is not in force: it was not
-// applied, or its row was written again since), platform.ErrUnavailable (ctx
-// ended, nothing was written), platform.ErrUnknown (ctx ended, the outcome is
+// Errors: infra.ErrConflict (this transaction is not in force: it was not
+// applied, or its row was written again since), infra.ErrUnavailable (ctx
+// ended, nothing was written), infra.ErrUnknown (ctx ended, the outcome is
 // unknown), or the guard's error.
-func (s *Store) Commit(ctx context.Context, txn platform.Txn, guard Guard) (uint64, error) {
+func (s *Store) Commit(ctx context.Context, txn infra.Txn, guard Guard) (uint64, error) {
 	unknown := false
 	for n := 0; ; n++ {
 		if err := check(guard); err != nil {
 			return 0, err
 		}
 		version, err := s.commitOnce(ctx, txn)
-		if errors.Is(err, platform.ErrConflict) && unknown {
+		if errors.Is(err, infra.ErrConflict) && unknown {
 			version, err = s.readBack(ctx, txn.Writes[0])
 		}
-		if err == nil || errors.Is(err, platform.ErrConflict) {
+		if err == nil || errors.Is(err, infra.ErrConflict) {
 			return version, err
 		}
-		unknown = unknown || errors.Is(err, platform.ErrUnknown)
+		unknown = unknown || errors.Is(err, infra.ErrUnknown)
 		if !s.pause(ctx, n) {
 			if unknown {
-				return 0, platform.ErrUnknown
+				return 0, infra.ErrUnknown
 			}
-			return 0, platform.ErrUnavailable
+			return 0, infra.ErrUnavailable
 		}
 	}
 }
 
 // CommitOnce applies a transaction without repeating it.
-func (s *Store) CommitOnce(ctx context.Context, txn platform.Txn) (uint64, error) {
+func (s *Store) CommitOnce(ctx context.Context, txn infra.Txn) (uint64, error) {
 	return s.commitOnce(ctx, txn)
 }
 
-func (s *Store) commitOnce(ctx context.Context, txn platform.Txn) (uint64, error) {
+func (s *Store) commitOnce(ctx context.Context, txn infra.Txn) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.cfg.CallTimeout)
 	defer cancel()
 	versions, err := s.Table.Commit(ctx, txn)
@@ -75,42 +75,42 @@
 // readBack decides about a write whose answer was lost and whose repetition
 // failed on its conditions. Row versions never repeat, so the first attempt
 // cannot take effect any more unless it already has.
-func (s *Store) readBack(ctx context.Context, w platform.Write) (uint64, error) {
+func (s *Store) readBack(ctx context.Context, w infra.Write) (uint64, error) {
 	row, err := s.getOnce(ctx, w.Key)
-	if errors.Is(err, platform.ErrNotFound) {
-		return 0, platform.ErrConflict
+	if errors.Is(err, infra.ErrNotFound) {
+		return 0, infra.ErrConflict
 	}
 	if err != nil {
 		return 0, err
 	}
 	if !bytes.Equal(row.Value, w.Value) {
-		return 0, platform.ErrConflict
+		return 0, infra.ErrConflict
 	}
 	return row.Version, nil
 }
 
-func (s *Store) getOnce(ctx context.Context, key string) (platform.Row, error) {
+func (s *Store) getOnce(ctx context.Context, key string) (infra.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.cfg.CallTimeout)
 	defer cancel()
 	return s.Table.Get(ctx, key)
 }
 
 // Get reads a row and repeats until it is found, absent, or ctx ends.
-// Errors: platform.ErrNotFound, platform.ErrUnavailable.
-func (s *Store) Get(ctx context.Context, key string) (platform.Row, error) {
+// Errors: infra.ErrNotFound, infra.ErrUnavailable.
+func (s *Store) Get(ctx context.Context, key string) (infra.Row, error) {
 	for n := 0; ; n++ {
 		row, err := s.getOnce(ctx, key)
-		if err == nil || errors.Is(err, platform.ErrNotFound) {
+		if err == nil || errors.Is(err, infra.ErrNotFound) {
 			return row, err
 		}
 		if !s.pause(ctx, n) {
-			return platform.Row{}, platform.ErrUnavailable
+			return infra.Row{}, infra.ErrUnavailable
 		}
 	}
 }
 
 // Put writes an object and repeats until it is written or ctx ends.
-// Errors: platform.ErrUnavailable, or the guard's error.
+// Errors: infra.ErrUnavailable, or the guard's error.
 func (s *Store) Put(ctx context.Context, key string, data []byte, guard Guard) error {
 	for n := 0; ; n++ {
 		if err := check(guard); err != nil {
@@ -120,7 +120,7 @@
 			return nil
 		}
 		if !s.pause(ctx, n) {
-			return platform.ErrUnavailable
+			return infra.ErrUnavailable
 		}
 	}
 }
@@ -132,15 +132,15 @@
 }
 
 // GetObject reads an object and repeats until it is found, absent, or ctx ends.
-// Errors: platform.ErrNotFound, platform.ErrUnavailable.
+// Errors: infra.ErrNotFound, infra.ErrUnavailable.
 func (s *Store) GetObject(ctx context.Context, key string) ([]byte, error) {
 	for n := 0; ; n++ {
 		data, err := s.getObjectOnce(ctx, key)
-		if err == nil || errors.Is(err, platform.ErrNotFound) {
+		if err == nil || errors.Is(err, infra.ErrNotFound) {
 			return data, err
 		}
 		if !s.pause(ctx, n) {
-			return nil, platform.ErrUnavailable
+			return nil, infra.ErrUnavailable
 		}
 	}
 }
@@ -153,7 +153,7 @@
 
 // Each calls f for every row with a prefix whose key is greater than after, in
 // key order, until f returns an error. It does not repeat failed reads.
-func (s *Store) Each(ctx context.Context, prefix, after string, f func(platform.Row) error) error {
+func (s *Store) Each(ctx context.Context, prefix, after string, f func(infra.Row) error) error {
 	const page = 500
 	for {
 		rows, err := s.scanOnce(ctx, prefix, after, page)
@@ -172,7 +172,7 @@
 	}
 }
 
-func (s *Store) scanOnce(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (s *Store) scanOnce(ctx context.Context, prefix, after string, limit int) ([]infra.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.cfg.CallTimeout)
 	defer cancel()
 	return s.Table.Scan(ctx, prefix, after, limit)
--- a/internal/batch/worker/claim.go
+++ b/internal/batch/worker/claim.go
@@ -15,7 +15,7 @@
 	"gentiantide.example/gentiantide/internal/batch/ranges"
 	"gentiantide.example/gentiantide/internal/batch/records"
 	"gentiantide.example/gentiantide/internal/core"
-	"gentiantide.example/gentiantide/internal/platform"
+	"gentiantide.example/gentiantide/internal/infra"
 )
 
 // ask asks the next coordinator for a range if there is room. The lock is held.
@@ -125,17 +125,17 @@
 
 // claimTxn builds the transaction of a claim. A take-over also ends the lease
 // of the session that held the range.
-func claimTxn(o *coordinator.Offer, row records.Range) platform.Txn {
+func claimTxn(o *coordinator.Offer, row records.Range) infra.Txn {
 	key := records.RangeKey(o.Job, o.Range)
-	txn := platform.Txn{
-		Conditions: []platform.Condition{{Key: key, Version: o.Version}, {Key: records.JobKey(o.Job), Version: o.JobVersion}},
-		Writes:     []platform.Write{{Key: key, Value: records.Encode(row)}},
+	txn := infra.Txn{
+		Conditions: []infra.Condition{{Key: key, Version: o.Version}, {Key: records.JobKey(o.Job), Version: o.JobVersion}},
+		Writes:     []infra.Write{{Key: key, Value: records.Encode(row)}},
 	}
 	if o.Lapsed != "" {
 		leaseKey := records.LeaseKey(o.Lapsed)
-		txn.Conditions = append(txn.Conditions, platform.Condition{Key: leaseKey, Version: o.LeaseVersion})
+		txn.Conditions = append(txn.Conditions, infra.Condition{Key: leaseKey, Version: o.LeaseVersion})
 		if o.LeaseVersion > 0 {
-			txn.Writes = append(txn.Writes, platform.Write{Key: leaseKey, Delete: true})
+			txn.Writes = append(txn.Writes, infra.Write{Key: leaseKey, Delete: true})
 		}
 	}
 	return txn
@@ -185,7 +185,7 @@
 	if err != nil {
 		// Without its input the range cannot be run. It is held, so that it is
 		// not claimed over and over, and dropped when the node stops.
-		if errors.Is(err, platform.ErrUnavailable) {
+		if errors.Is(err, infra.ErrUnavailable) {
 			w.drop(r, "input unavailable until the lease ended")
 			return
 		}
--- a/internal/batch/worker/write.go
+++ b/internal/batch/worker/write.go
@@ -11,7 +11,7 @@
 	"gentiantide.example/gentiantide/internal/batch/ranges"
 	"gentiantide.example/gentiantide/internal/batch/records"
 	"gentiantide.example/gentiantide/internal/core"
-	"gentiantide.example/gentiantide/internal/platform"
+	"gentiantide.example/gentiantide/internal/infra"
 )
 
 // write is one write of a range row with what belongs to it.
@@ -134,14 +134,14 @@
 		}
 	}
 	key, jobKey := records.RangeKey(r.job.ID, r.id), records.JobKey(r.job.ID)
-	txn := platform.Txn{
-		Conditions: []platform.Condition{{Key: key, Version: r.version}, {Key: jobKey, Version: r.jobVersion}},
-		Writes:     []platform.Write{{Key: key, Value: records.Encode(p.row)}},
+	txn := infra.Txn{
+		Conditions: []infra.Condition{{Key: key, Version: r.version}, {Key: jobKey, Version: r.jobVersion}},
+		Writes:     []infra.Write{{Key: key, Value: records.Encode(p.row)}},
 	}
 	if p.split != nil {
 		childKey := records.RangeKey(r.job.ID, p.child)
-		txn.Conditions = append(txn.Conditions, platform.Condition{Key: childKey})
-		txn.Writes = append(txn.Writes, platform.Write{Key: childKey, Value: records.Encode(*p.split)})
+		txn.Conditions = append(txn.Conditions, infra.Condition{Key: childKey})
+		txn.Writes = append(txn.Writes, infra.Write{Key: childKey, Value: records.Encode(*p.split)})
 	}
 	return w.p.Store.Commit(r.ctx, txn, r.session.Guard)
 }
@@ -149,7 +149,7 @@
 // writeFailed gives a range up. The lock is held.
 func (w *Worker) writeFailed(r *openRange, err error) {
 	reason := "store unavailable until the lease ended"
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, infra.ErrConflict) {
 		reason = "range or job row changed"
 	} else if errors.Is(err, lease.ErrLost) {
 		reason = "lease lost"
--- a/internal/cli/settings_test.go
+++ b/internal/cli/settings_test.go
@@ -17,9 +17,9 @@
 
 	"gentiantide.example/gentiantide/internal/core"
 	"gentiantide.example/gentiantide/internal/httpapi/operators"
+	"gentiantide.example/gentiantide/internal/infra/infratest"
 	"gentiantide.example/gentiantide/internal/membership"
 	"gentiantide.example/gentiantide/internal/peer"
-	"gentiantide.example/gentiantide/internal/platform/platformtest"
 	"gentiantide.example/gentiantide/internal/settings"
 )
 
@@ -36,7 +36,7 @@
 // fixture runs command lines against a server.
 type fixture struct {
 	server *httptest.Server
-	table  *platformtest.Table
+	table  *infratest.Table
 	mu     sync.Mutex // guards fleet and fail
 	fleet  operators.Fleet
 	fail   func(w http.ResponseWriter, r *http.Request) bool
@@ -45,7 +45,7 @@
 }
 
 func newFixture(t *testing.T, mux *http.ServeMux) *fixture {
-	f := &fixture{table: platformtest.NewTable()}
+	f := &fixture{table: infratest.NewTable()}
 	manager := settings.NewManager(settings.Options{
 		Table: f.table, Messenger: alone{}, View: func() *membership.View { return membership.NewView("node-1", nil) },
 		Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
@@ -131,7 +131,7 @@
 		g.Expect(f.run(step.args...)).To(gomega.Equal(step.code), "%v: %s%s", step.args, &f.out, &f.errors)
 		g.Expect(f.out.String()+f.errors.String()).To(gomega.ContainSubstring(step.want), "%v", step.args)
 	}
-	f.table.Set(platformtest.FaultPlan{RefuseWrites: 1})
+	f.table.Set(infratest.FaultPlan{RefuseWrites: 1})
 	g.Expect(f.run("settings", "set", "/", "retry.budget=0")).To(gomega.Equal(exitUnavailable))
 	f.server.Close()
 	g.Expect(f.run("settings", "get")).To(gomega.Equal(exitUnavailable))
--- a/internal/directory/service.go
+++ b/internal/directory/service.go
@@ -9,8 +9,8 @@
 
 	"gentiantide.example/gentiantide/internal/backend"
 	"gentiantide.example/gentiantide/internal/core"
+	"gentiantide.example/gentiantide/internal/infra"
 	"gentiantide.example/gentiantide/internal/membership"
-	"gentiantide.example/gentiantide/internal/platform"
 	"gentiantide.example/gentiantide/internal/settings"
 )
 
@@ -49,7 +49,7 @@
 
 // entry is what the service knows of one replica.
 type entry struct {
-	vm        platform.VM
+	vm        infra.VM
 	polling   bool
 	failures  int
 	polled    backend.Load
@@ -75,11 +75,11 @@
 
 // SetFleet takes over the backend servers of the region from a fleet list. A
 // backend server that the list no longer names is gone.
-func (s *Service) SetFleet(vms []platform.VM) {
+func (s *Service) SetFleet(vms []infra.VM) {
 	s.mu.Lock()
 	listed := make(map[core.ReplicaID]struct{})
 	for _, vm := range vms {
-		if vm.Kind != platform.KindBackend || core.Region(vm.Region) != s.region {
+		if vm.Kind != infra.KindBackend || core.Region(vm.Region) != s.region {
 			continue
 		}
 		id := core.ReplicaID(vm.ID)
--- a/internal/directory/service_test.go
+++ b/internal/directory/service_test.go
@@ -13,8 +13,8 @@
 
 	"gentiantide.example/gentiantide/internal/backend"
 	"gentiantide.example/gentiantide/internal/core"
+	"gentiantide.example/gentiantide/internal/infra"
 	"gentiantide.example/gentiantide/internal/membership"
-	"gentiantide.example/gentiantide/internal/platform"
 	"gentiantide.example/gentiantide/internal/settings"
 )
 
@@ -67,7 +67,7 @@
 	})
 }
 
-var replicaVM = platform.VM{ID: "e1", Kind: platform.KindBackend, DataCentre: "dc", Region: "r", Address: "a1", Deployment: "d"}
+var replicaVM = infra.VM{ID: "e1", Kind: infra.KindBackend, DataCentre: "dc", Region: "r", Address: "a1", Deployment: "d"}
 
 // Guards against a dead backend server that stays in service, against one lost
 // poll that takes it out, and against one that never comes back.
@@ -76,7 +76,7 @@
 		g := gomega.NewWithT(t)
 		w := &world{self: "n1", prober: fakeProber{}, settings: deployment()}
 		s := w.service()
-		s.SetFleet([]platform.VM{replicaVM})
+		s.SetFleet([]infra.VM{replicaVM})
 		poll := func() {
 			s.pollOwned(t.Context())
 			synctest.Wait()
@@ -104,10 +104,10 @@
 	s := w.service()
 	leaving := replicaVM
 	leaving.Leaving = true
-	s.SetFleet([]platform.VM{leaving})
+	s.SetFleet([]infra.VM{leaving})
 	g.Expect(s.Current().Replica("e1").State).To(gomega.Equal(StateLeaving))
 
-	s.SetFleet([]platform.VM{replicaVM})
+	s.SetFleet([]infra.VM{replicaVM})
 	w.settings = deployment(settings.Backend{ID: "e1", Drain: true})
 	s.Refresh(time.Now())
 	g.Expect(s.Current().Replica("e1").State).To(gomega.Equal(StateLeaving))
@@ -115,7 +115,7 @@
 	// A node that does not own the replica and has not heard of the drain
 	// learns it from the owner's heartbeat.
 	o := notOwner().service()
-	o.SetFleet([]platform.VM{replicaVM})
+	o.SetFleet([]infra.VM{replicaVM})
 	o.OnStatus("n1", s.CentreStatus())
 	o.Refresh(time.Now())
 	g.Expect(o.Current().Replica("e1").State).To(gomega.Equal(StateLeaving))
@@ -125,7 +125,7 @@
 func TestPublishedStateExpires(t *testing.T) {
 	g := gomega.NewWithT(t)
 	s := notOwner().service()
-	s.SetFleet([]platform.VM{replicaVM})
+	s.SetFleet([]infra.VM{replicaVM})
 	s.OnStatus("other", encodeStatus([]Status{{Replica: "e1", State: StateDown, Slots: 8}}))
 	s.Refresh(time.Now())
 	g.Expect(s.Current().Replica("e1").State).To(gomega.Equal(StateDown))
--- a/internal/fleet/watcher.go
+++ b/internal/fleet/watcher.go
@@ -11,9 +11,9 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"gentiantide.example/gentiantide/internal/core"
+	"gentiantide.example/gentiantide/internal/infra"
 	"gentiantide.example/gentiantide/internal/membership"
 	"gentiantide.example/gentiantide/internal/peer"
-	"gentiantide.example/gentiantide/internal/platform"
 )
 
 // kindList asks another node for its copy of the fleet list.
@@ -27,17 +27,17 @@
 
 // Copy is one reading of the fleet list.
 type Copy struct {
-	VMs []platform.VM `msgpack:"v"`
+	VMs []infra.VM `msgpack:"v"`
 	// ReadAt is when the list was read from the platform, in nanoseconds.
 	ReadAt int64 `msgpack:"t"`
 }
 
 // Watcher reads the fleet list at intervals.
 type Watcher struct {
-	list     platform.FleetList
+	list     infra.FleetList
 	messages peer.Messenger
 	view     func() *membership.View
-	onChange func([]platform.VM)
+	onChange func([]infra.VM)
 	log      *slog.Logger
 
 	current     atomic.Pointer[Copy]
@@ -45,8 +45,8 @@
 }
 
 // NewWatcher returns a watcher. onChange gets each new list.
-func NewWatcher(list platform.FleetList, messages peer.Messenger, view func() *membership.View,
-	onChange func([]platform.VM), log *slog.Logger) *Watcher {
+func NewWatcher(list infra.FleetList, messages peer.Messenger, view func() *membership.View,
+	onChange func([]infra.VM), log *slog.Logger) *Watcher {
 	w := &Watcher{list: list, messages: messages, view: view, onChange: onChange, log: log}
 	messages.Handle(kindList, w.handleList)
 	return w
@@ -85,7 +85,7 @@
 }
 
 // take puts a list in force if it differs from the last one.
-func (w *Watcher) take(vms []platform.VM) {
+func (w *Watcher) take(vms []infra.VM) {
 	next := &Copy{VMs: vms, ReadAt: time.Now().UnixNano()}
 	if last := w.current.Load(); last != nil && slices.Equal(last.VMs, vms) {
 		w.current.Store(next)
--- a/internal/httpapi/callers/api_test.go
+++ b/internal/httpapi/callers/api_test.go
@@ -19,8 +19,8 @@
 
 	"gentiantide.example/gentiantide/internal/backend"
 	"gentiantide.example/gentiantide/internal/core"
+	"gentiantide.example/gentiantide/internal/infra/infratest"
 	"gentiantide.example/gentiantide/internal/intent"
-	"gentiantide.example/gentiantide/internal/platform/platformtest"
 	"gentiantide.example/gentiantide/internal/relay"
 	"gentiantide.example/gentiantide/internal/settings"
 )
@@ -76,7 +76,7 @@
 // fixture is an API over a fake relay and a real intent store.
 type fixture struct {
 	*fakeRelay
-	table *platformtest.Table
+	table *infratest.Table
 	mux   *http.ServeMux
 }
 
@@ -98,7 +98,7 @@
 		n++
 		return "id" + strconv.Itoa(n)
 	}
-	f := &fixture{fakeRelay: &fakeRelay{}, table: platformtest.NewTable(), mux: http.NewServeMux()}
+	f := &fixture{fakeRelay: &fakeRelay{}, table: infratest.NewTable(), mux: http.NewServeMux()}
 	store := intent.New(intent.Config{Table: f.table, NewID: id})
 	t.Cleanup(store.Close)
 	Register(f.mux, Config{
@@ -237,12 +237,12 @@
 	issue := func(body string, headers ...string) *httptest.ResponseRecorder {
 		return f.do("POST", "/permit-desk/issue", body, append(headers, headerKey, "k1")...)
 	}
-	f.table.Set(platformtest.FaultPlan{Down: true})
+	f.table.Set(infratest.FaultPlan{Down: true})
 	w := issue("a")
 	g.Expect(w.Code).To(gomega.Equal(503))
 	g.Expect(w.Body.String()).To(gomega.ContainSubstring(`"not_run":true`))
 	g.Expect(f.sends).To(gomega.BeZero())
-	f.table.Set(platformtest.FaultPlan{})
+	f.table.Set(infratest.FaultPlan{})
 
 	f.refusal = core.Refuse(core.CodeNoBackend, "unreachable")
 	g.Expect(issue("a").Code).To(gomega.Equal(503))
--- a/internal/httpapi/operators/server_test.go
+++ b/internal/httpapi/operators/server_test.go
@@ -13,9 +13,9 @@
 	"github.com/onsi/gomega"
 
 	"gentiantide.example/gentiantide/internal/core"
+	"gentiantide.example/gentiantide/internal/infra/infratest"
 	"gentiantide.example/gentiantide/internal/membership"
 	"gentiantide.example/gentiantide/internal/peer"
-	"gentiantide.example/gentiantide/internal/platform/platformtest"
 	"gentiantide.example/gentiantide/internal/settings"
 )
 
@@ -29,8 +29,8 @@
 }
 func (alone) Send(core.NodeID, string, any) error { return peer.ErrUnavailable }
 
-func newServer() (*platformtest.Table, *http.ServeMux) {
-	table := platformtest.NewTable()
+func newServer() (*infratest.Table, *http.ServeMux) {
+	table := infratest.NewTable()
 	manager := settings.NewManager(settings.Options{
 		Table: table, Messenger: alone{}, View: func() *membership.View { return membership.NewView("node-1", nil) },
 		Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
@@ -45,9 +45,9 @@
 func TestEndpoints(t *testing.T) {
 	g := gomega.NewWithT(t)
 	table, mux := newServer()
-	down, lost := platformtest.FaultPlan{Down: true}, platformtest.FaultPlan{RefuseWrites: 1}
+	down, lost := infratest.FaultPlan{Down: true}, infratest.FaultPlan{RefuseWrites: 1}
 	for _, step := range []struct {
-		plan               platformtest.FaultPlan
+		plan               infratest.FaultPlan
 		method, path, body string
 		status             int
 		want               string
--- a/internal/platform/httpfleet/fleet.go
+++ b/internal/infra/httpfleet/fleet.go
@@ -10,8 +10,8 @@
 	"time"
 
 	"gentiantide.example/gentiantide/internal/httpsend"
-	"gentiantide.example/gentiantide/internal/platform"
-	"gentiantide.example/gentiantide/internal/platform/httpoutcome"
+	"gentiantide.example/gentiantide/internal/infra"
+	"gentiantide.example/gentiantide/internal/infra/httpoutcome"
 )
 
 const (
@@ -21,7 +21,7 @@
 	maxAnswer = 8 << 20
 )
 
-// Fleet is a platform.FleetList behind HTTP. It asks with the entity tag of the
+// Fleet is a infra.FleetList behind HTTP. It asks with the entity tag of the
 // last answer: at the design scale the list is 330 KB and seldom changes, while
 // each node reads it every second.
 type Fleet struct {
@@ -31,10 +31,10 @@
 
 	mu   sync.Mutex
 	tag  string // of last; empty if the service sends none
-	last []platform.VM
+	last []infra.VM
 }
 
-var _ platform.FleetList = (*Fleet)(nil)
+var _ infra.FleetList = (*Fleet)(nil)
 
 // New returns a fleet list whose calls end after timeout (0: DefaultTimeout).
 func New(baseURL string, timeout time.Duration) *Fleet {
@@ -47,8 +47,8 @@
 // Close closes the idle connections.
 func (f *Fleet) Close() { f.client.Close() }
 
-// List implements platform.FleetList. The caller must not change the list.
-func (f *Fleet) List(ctx context.Context) ([]platform.VM, error) {
+// List implements infra.FleetList. The caller must not change the list.
+func (f *Fleet) List(ctx context.Context) ([]infra.VM, error) {
 	ctx, cancel := context.WithTimeout(ctx, f.timeout)
 	defer cancel()
 	tag, last := f.cached()
@@ -63,9 +63,9 @@
 	if err := httpoutcome.Read(reply, err); err != nil {
 		return nil, fmt.Errorf("fleet list: %w", err)
 	}
-	var vms []platform.VM
+	var vms []infra.VM
 	if err := json.Unmarshal(reply.Body, &vms); err != nil {
-		return nil, fmt.Errorf("fleet list: %w: malformed answer: %w", platform.ErrUnavailable, err)
+		return nil, fmt.Errorf("fleet list: %w: malformed answer: %w", infra.ErrUnavailable, err)
 	}
 	f.mu.Lock()
 	f.tag, f.last = reply.Header.Get("ETag"), vms
@@ -73,7 +73,7 @@
 	return vms, nil
 }
 
-func (f *Fleet) cached() (string, []platform.VM) {
+func (f *Fleet) cached() (string, []infra.VM) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.tag, f.last
--- a/internal/platform/httpobjects/objects.go
+++ b/internal/infra/httpobjects/objects.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"gentiantide.example/gentiantide/internal/httpsend"
-	"gentiantide.example/gentiantide/internal/platform"
-	"gentiantide.example/gentiantide/internal/platform/httpoutcome"
+	"gentiantide.example/gentiantide/internal/infra"
+	"gentiantide.example/gentiantide/internal/infra/httpoutcome"
 )
 
 const (
@@ -20,14 +20,14 @@
 	MaxObject = 16 << 20
 )
 
-// Objects is a platform.Objects behind HTTP.
+// Objects is a infra.Objects behind HTTP.
 type Objects struct {
 	client  *httpsend.Client
 	base    string
 	timeout time.Duration
 }
 
-var _ platform.Objects = (*Objects)(nil)
+var _ infra.Objects = (*Objects)(nil)
 
 // New returns an object store whose calls end after timeout (0: DefaultTimeout).
 func New(baseURL string, timeout time.Duration) *Objects {
@@ -40,7 +40,7 @@
 // Close closes the idle connections.
 func (o *Objects) Close() { o.client.Close() }
 
-// Put implements platform.Objects. An object above MaxObject is an untyped
+// Put implements infra.Objects. An object above MaxObject is an untyped
 // error; nothing is sent.
 func (o *Objects) Put(ctx context.Context, key string, data []byte) error {
 	if len(data) > MaxObject {
@@ -52,7 +52,7 @@
 	return nil
 }
 
-// Get implements platform.Objects.
+// Get implements infra.Objects.
 func (o *Objects) Get(ctx context.Context, key string) ([]byte, error) {
 	reply, err := o.call(ctx, http.MethodGet, key, nil)
 	if err := httpoutcome.Read(reply, err); err != nil {
@@ -61,7 +61,7 @@
 	return reply.Body, nil
 }
 
-// Delete implements platform.Objects.
+// Delete implements infra.Objects.
 func (o *Objects) Delete(ctx context.Context, key string) error {
 	if err := httpoutcome.Write(o.call(ctx, http.MethodDelete, key, nil)); err != nil {
 		return fmt.Errorf("delete object %q: %w", key, err)
--- a/internal/platform/httpoutcome/outcome.go
+++ b/internal/infra/httpoutcome/outcome.go
@@ -5,14 +5,14 @@
 	"net/http"
 
 	"gentiantide.example/gentiantide/internal/httpsend"
-	"gentiantide.example/gentiantide/internal/platform"
+	"gentiantide.example/gentiantide/internal/infra"
 )
 
 // Read returns the outcome of a read: nil, ErrNotFound, ErrUnavailable, or an
 // untyped error if the service rejected the call as malformed.
 func Read(reply httpsend.Reply, err error) error {
 	if err != nil {
-		return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return fmt.Errorf("%w: %w", infra.ErrUnavailable, err)
 	}
 	d := detail(reply.Body)
 	switch {
@@ -21,11 +21,11 @@
 	// A 404 without the code comes from something other than the service, such
 	// as a wrong base URL, and must not be taken for an absent row.
 	case reply.Status == http.StatusNotFound && d.Code == CodeNotFound:
-		return platform.ErrNotFound
+		return infra.ErrNotFound
 	case rejected(reply.Status):
 		return fmt.Errorf("rejected with status %d: %s", reply.Status, d.Message)
 	default:
-		return fmt.Errorf("%w: status %d", platform.ErrUnavailable, reply.Status)
+		return fmt.Errorf("%w: status %d", infra.ErrUnavailable, reply.Status)
 	}
 }
 
@@ -41,21 +41,21 @@
 	case reply.Status == http.StatusOK, reply.Status == http.StatusNoContent:
 		return nil
 	case reply.Status == http.StatusConflict && d.Code == CodeConflict:
-		return platform.ErrConflict
+		return infra.ErrConflict
 	case reply.Status == http.StatusServiceUnavailable, reply.Status == http.StatusTooManyRequests:
-		return fmt.Errorf("%w: status %d", platform.ErrUnavailable, reply.Status)
+		return fmt.Errorf("%w: status %d", infra.ErrUnavailable, reply.Status)
 	case rejected(reply.Status):
 		return fmt.Errorf("rejected with status %d: %s", reply.Status, d.Message)
 	default:
-		return fmt.Errorf("%w: status %d", platform.ErrUnknown, reply.Status)
+		return fmt.Errorf("%w: status %d", infra.ErrUnknown, reply.Status)
 	}
 }
 
 func writeFailure(err error) error {
 	if httpsend.Sent(err) {
-		return fmt.Errorf("%w: %w", platform.ErrUnknown, err)
+		return fmt.Errorf("%w: %w", infra.ErrUnknown, err)
 	}
-	return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+	return fmt.Errorf("%w: %w", infra.ErrUnavailable, err)
 }
 
 func rejected(status int) bool {
--- a/internal/platform/httptable/table.go
+++ b/internal/infra/httptable/table.go
@@ -11,8 +11,8 @@
 	"time"
 
 	"gentiantide.example/gentiantide/internal/httpsend"
-	"gentiantide.example/gentiantide/internal/platform"
-	"gentiantide.example/gentiantide/internal/platform/httpoutcome"
+	"gentiantide.example/gentiantide/internal/infra"
+	"gentiantide.example/gentiantide/internal/infra/httpoutcome"
 )
 
 const (
@@ -23,14 +23,14 @@
 	maxAnswer = 64 << 20
 )
 
-// Table is a platform.Table behind HTTP.
+// Table is a infra.Table behind HTTP.
 type Table struct {
 	client  *httpsend.Client
 	base    string
 	timeout time.Duration
 }
 
-var _ platform.Table = (*Table)(nil)
+var _ infra.Table = (*Table)(nil)
 
 // New returns a table whose calls end after timeout (0: DefaultTimeout).
 func New(baseURL string, timeout time.Duration) *Table {
@@ -43,25 +43,25 @@
 // Close closes the idle connections.
 func (t *Table) Close() { t.client.Close() }
 
-// Get implements platform.Table.
-func (t *Table) Get(ctx context.Context, key string) (platform.Row, error) {
+// Get implements infra.Table.
+func (t *Table) Get(ctx context.Context, key string) (infra.Row, error) {
 	var row Row
 	if err := t.read(ctx, "/v1/row?"+url.Values{"key": {key}}.Encode(), &row); err != nil {
-		return platform.Row{}, fmt.Errorf("table get %q: %w", key, err)
+		return infra.Row{}, fmt.Errorf("table get %q: %w", key, err)
 	}
-	return platform.Row(row), nil
+	return infra.Row(row), nil
 }
 
-// Scan implements platform.Table.
-func (t *Table) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+// Scan implements infra.Table.
+func (t *Table) Scan(ctx context.Context, prefix, after string, limit int) ([]infra.Row, error) {
 	query := url.Values{"prefix": {prefix}, "after": {after}, "limit": {strconv.Itoa(limit)}}
 	var answer Rows
 	if err := t.read(ctx, "/v1/rows?"+query.Encode(), &answer); err != nil {
 		return nil, fmt.Errorf("table scan %q: %w", prefix, err)
 	}
-	rows := make([]platform.Row, len(answer.Rows))
+	rows := make([]infra.Row, len(answer.Rows))
 	for i, row := range answer.Rows {
-		rows[i] = platform.Row(row)
+		rows[i] = infra.Row(row)
 	}
 	return rows, nil
 }
@@ -74,13 +74,13 @@
 		return err
 	}
 	if err := json.Unmarshal(reply.Body, into); err != nil {
-		return fmt.Errorf("%w: malformed answer: %w", platform.ErrUnavailable, err)
+		return fmt.Errorf("%w: malformed answer: %w", infra.ErrUnavailable, err)
 	}
 	return nil
 }
 
-// Commit implements platform.Table.
-func (t *Table) Commit(ctx context.Context, txn platform.Txn) ([]uint64, error) {
+// Commit implements infra.Table.
+func (t *Table) Commit(ctx context.Context, txn infra.Txn) ([]uint64, error) {
 	body, err := json.Marshal(wireTransaction(txn))
 	if err != nil {
 		return nil, fmt.Errorf("table commit: %w", err)
@@ -93,12 +93,12 @@
 	}
 	var answer Versions
 	if err := json.Unmarshal(reply.Body, &answer); err != nil || len(answer.Versions) != len(txn.Writes) {
-		return nil, fmt.Errorf("table commit: %w: malformed answer", platform.ErrUnknown)
+		return nil, fmt.Errorf("table commit: %w: malformed answer", infra.ErrUnknown)
 	}
 	return answer.Versions, nil
 }
 
-func wireTransaction(txn platform.Txn) Transaction {
+func wireTransaction(txn infra.Txn) Transaction {
 	out := Transaction{
 		Conditions: make([]Condition, len(txn.Conditions)),
 		Writes:     make([]Write, len(txn.Writes)),
--- a/internal/platform/httptable/table_test.go
+++ b/internal/infra/httptable/table_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/onsi/gomega"
 
-	"gentiantide.example/gentiantide/internal/platform"
+	"gentiantide.example/gentiantide/internal/infra"
 )
 
 func answering(t *testing.T, status int, body string) *Table {
@@ -23,27 +23,27 @@
 // Guards against an answer of the service, or of something in front of it,
 // that is taken for another outcome than it proves.
 func TestOutcomes(t *testing.T) {
-	typed := []error{platform.ErrNotFound, platform.ErrConflict, platform.ErrUnavailable, platform.ErrUnknown}
+	typed := []error{infra.ErrNotFound, infra.ErrConflict, infra.ErrUnavailable, infra.ErrUnknown}
 	for _, c := range []struct {
 		status      int
 		body        string
 		read, write error // nil: none of the typed errors
 	}{
-		{503, "", platform.ErrUnavailable, platform.ErrUnavailable},
-		{500, "", platform.ErrUnavailable, platform.ErrUnknown},
-		{502, "", platform.ErrUnavailable, platform.ErrUnknown},
-		{404, "", platform.ErrUnavailable, platform.ErrUnknown},
-		{404, `{"error":{"code":"not_found"}}`, platform.ErrNotFound, platform.ErrUnknown},
-		{409, "", platform.ErrUnavailable, platform.ErrUnknown},
-		{409, `{"error":{"code":"conflict"}}`, platform.ErrUnavailable, platform.ErrConflict},
+		{503, "", infra.ErrUnavailable, infra.ErrUnavailable},
+		{500, "", infra.ErrUnavailable, infra.ErrUnknown},
+		{502, "", infra.ErrUnavailable, infra.ErrUnknown},
+		{404, "", infra.ErrUnavailable, infra.ErrUnknown},
+		{404, `{"error":{"code":"not_found"}}`, infra.ErrNotFound, infra.ErrUnknown},
+		{409, "", infra.ErrUnavailable, infra.ErrUnknown},
+		{409, `{"error":{"code":"conflict"}}`, infra.ErrUnavailable, infra.ErrConflict},
 		{400, `{"error":{"code":"bad_request"}}`, nil, nil},
-		{200, `{`, platform.ErrUnavailable, platform.ErrUnknown},
-		{200, `{"versions":[]}`, nil, platform.ErrUnknown},
+		{200, `{`, infra.ErrUnavailable, infra.ErrUnknown},
+		{200, `{"versions":[]}`, nil, infra.ErrUnknown},
 	} {
 		g := gomega.NewWithT(t)
 		table := answering(t, c.status, c.body)
 		_, read := table.Get(t.Context(), "k")
-		_, write := table.Commit(t.Context(), platform.Txn{Writes: []platform.Write{{Key: "k"}}})
+		_, write := table.Commit(t.Context(), infra.Txn{Writes: []infra.Write{{Key: "k"}}})
 		for _, err := range typed {
 			g.Expect(errors.Is(read, err)).To(gomega.Equal(err == c.read), "read %d %s: %v", c.status, c.body, read)
 			g.Expect(errors.Is(write, err)).To(gomega.Equal(err == c.write), "write %d %s: %v", c.status, c.body, write)
--- a/internal/platform/httptable/wire.go
+++ b/internal/infra/httptable/wire.go
@@ -1,6 +1,6 @@
 package httptable
 
-// Row is the wire form of platform.Row.
+// Row is the wire form of infra.Row.
 type Row struct {
 	Key     string `json:"key"`
 	Version uint64 `json:"version"`
@@ -12,20 +12,20 @@
 	Rows []Row `json:"rows"`
 }
 
-// Condition is the wire form of platform.Condition.
+// Condition is the wire form of infra.Condition.
 type Condition struct {
 	Key     string `json:"key"`
 	Version uint64 `json:"version"`
 }
 
-// Write is the wire form of platform.Write.
+// Write is the wire form of infra.Write.
 type Write struct {
 	Key    string `json:"key"`
 	Value  []byte `json:"value,omitempty"`
 	Delete bool   `json:"delete,omitempty"`
 }
 
-// Transaction is the wire form of platform.Txn.
+// Transaction is the wire form of infra.Txn.
 type Transaction struct {
 	Conditions []Condition `json:"conditions,omitempty"`
 	Writes     []Write     `json:"writes,omitempty"`
--- a/internal/platform/httpweights/weights.go
+++ b/internal/infra/httpweights/weights.go
@@ -10,8 +10,8 @@
 	"time"
 
 	"gentiantide.example/gentiantide/internal/httpsend"
-	"gentiantide.example/gentiantide/internal/platform"
-	"gentiantide.example/gentiantide/internal/platform/httpoutcome"
+	"gentiantide.example/gentiantide/internal/infra"
+	"gentiantide.example/gentiantide/internal/infra/httpoutcome"
 )
 
 const (
@@ -26,14 +26,14 @@
 	Size int64 `json:"size"`
 }
 
-// Weights is a platform.Weights behind HTTP.
+// Weights is a infra.Weights behind HTTP.
 type Weights struct {
 	client  *httpsend.Client
 	base    string
 	timeout time.Duration
 }
 
-var _ platform.Weights = (*Weights)(nil)
+var _ infra.Weights = (*Weights)(nil)
 
 // New returns a weight store whose calls end after timeout (0: DefaultTimeout).
 func New(baseURL string, timeout time.Duration) *Weights {
@@ -46,7 +46,7 @@
 // Close closes the idle connections.
 func (w *Weights) Close() { w.client.Close() }
 
-// Stat implements platform.Weights.
+// Stat implements infra.Weights.
 func (w *Weights) Stat(ctx context.Context, model, version string) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, w.timeout)
 	defer cancel()
@@ -57,7 +57,7 @@
 	}
 	var stat Stat
 	if err := json.Unmarshal(reply.Body, &stat); err != nil {
-		return 0, fmt.Errorf("weights %s@%s: %w: malformed answer: %w", model, version, platform.ErrUnavailable, err)
+		return 0, fmt.Errorf("weights %s@%s: %w: malformed answer: %w", model, version, infra.ErrUnavailable, err)
 	}
 	return stat.Size, nil
 }
--- a/internal/platform/platformtest/faults.go
+++ b/internal/infra/infratest/faults.go
@@ -1,4 +1,4 @@
-package platformtest
+package infratest
 
 import (
 	"context"
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"gentiantide.example/gentiantide/internal/platform"
+	"gentiantide.example/gentiantide/internal/infra"
 )
 
 // FaultPlan says how a service misbehaves.
@@ -73,11 +73,11 @@
 		select {
 		case <-timer.C:
 		case <-ctx.Done():
-			return platform.ErrUnavailable
+			return infra.ErrUnavailable
 		}
 	}
 	if refuse || ctx.Err() != nil {
-		return platform.ErrUnavailable
+		return infra.ErrUnavailable
 	}
 	return nil
 }
@@ -87,7 +87,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.chance(f.plan.LoseAnswers) {
-		return platform.ErrUnknown
+		return infra.ErrUnknown
 	}
 	return nil
 }
--- a/internal/platform/platformtest/objects.go
+++ b/internal/infra/infratest/objects.go
@@ -1,13 +1,13 @@
-package platformtest
+package infratest
 
 import (
 	"context"
 	"sync"
 
-	"gentiantide.example/gentiantide/internal/platform"
+	"gentiantide.example/gentiantide/internal/infra"
 )
 
-// Objects is an in-memory platform.Objects.
+// Objects is an in-memory infra.Objects.
 type Objects struct {
 	Faults
 
@@ -20,7 +20,7 @@
 	return &Objects{data: make(map[string][]byte)}
 }
 
-// Put implements platform.Objects.
+// Put implements infra.Objects.
 func (o *Objects) Put(ctx context.Context, key string, data []byte) error {
 	if err := o.before(ctx, true); err != nil {
 		return err
@@ -31,7 +31,7 @@
 	return o.after()
 }
 
-// Get implements platform.Objects.
+// Get implements infra.Objects.
 func (o *Objects) Get(ctx context.Context, key string) ([]byte, error) {
 	if err := o.before(ctx, false); err != nil {
 		return nil, err
@@ -40,12 +40,12 @@
 	defer o.mu.Unlock()
 	data, ok := o.data[key]
 	if !ok {
-		return nil, platform.ErrNotFound
+		return nil, infra.ErrNotFound
 	}
 	return append([]byte(nil), data...), nil
 }
 
-// Delete implements platform.Objects.
+// Delete implements infra.Objects.
 func (o *Objects) Delete(ctx context.Context, key string) error {
 	if err := o.before(ctx, true); err != nil {
 		return err
--- a/internal/platform/platformtest/table.go
+++ b/internal/infra/infratest/table.go
@@ -1,4 +1,4 @@
-package platformtest
+package infratest
 
 import (
 	"context"
@@ -7,15 +7,15 @@
 	"sync"
 	"sync/atomic"
 
-	"gentiantide.example/gentiantide/internal/platform"
+	"gentiantide.example/gentiantide/internal/infra"
 )
 
-// Table is an in-memory platform.Table.
+// Table is an in-memory infra.Table.
 type Table struct {
 	Faults
 
 	mu      sync.Mutex
-	rows    map[string]platform.Row
+	rows    map[string]infra.Row
 	keys    []string // sorted
 	version uint64
 
@@ -26,7 +26,7 @@
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{rows: make(map[string]platform.Row)}
+	return &Table{rows: make(map[string]infra.Row)}
 }
 
 // Reads returns the number of Get and Scan calls served.
@@ -38,30 +38,30 @@
 // RowsWritten returns the number of rows written or deleted by transactions.
 func (t *Table) RowsWritten() int64 { return t.rowsWritten.Load() }
 
-// Get implements platform.Table.
-func (t *Table) Get(ctx context.Context, key string) (platform.Row, error) {
+// Get implements infra.Table.
+func (t *Table) Get(ctx context.Context, key string) (infra.Row, error) {
 	if err := t.before(ctx, false); err != nil {
-		return platform.Row{}, err
+		return infra.Row{}, err
 	}
 	t.reads.Add(1)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	row, ok := t.rows[key]
 	if !ok {
-		return platform.Row{}, platform.ErrNotFound
+		return infra.Row{}, infra.ErrNotFound
 	}
 	return row, nil
 }
 
-// Scan implements platform.Table.
-func (t *Table) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+// Scan implements infra.Table.
+func (t *Table) Scan(ctx context.Context, prefix, after string, limit int) ([]infra.Row, error) {
 	if err := t.before(ctx, false); err != nil {
 		return nil, err
 	}
 	t.reads.Add(1)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var out []platform.Row
+	var out []infra.Row
 	for i := sort.SearchStrings(t.keys, max(prefix, after)); i < len(t.keys) && len(out) < limit; i++ {
 		key := t.keys[i]
 		if !strings.HasPrefix(key, prefix) {
@@ -74,8 +74,8 @@
 	return out, nil
 }
 
-// Commit implements platform.Table.
-func (t *Table) Commit(ctx context.Context, txn platform.Txn) ([]uint64, error) {
+// Commit implements infra.Table.
+func (t *Table) Commit(ctx context.Context, txn infra.Txn) ([]uint64, error) {
 	if err := t.before(ctx, true); err != nil {
 		return nil, err
 	}
@@ -91,12 +91,12 @@
 	return versions, nil
 }
 
-func (t *Table) apply(txn platform.Txn) ([]uint64, error) {
+func (t *Table) apply(txn infra.Txn) ([]uint64, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, c := range txn.Conditions {
 		if t.rows[c.Key].Version != c.Version {
-			return nil, platform.ErrConflict
+			return nil, infra.ErrConflict
 		}
 	}
 	t.version++
@@ -107,12 +107,12 @@
 			continue
 		}
 		versions[i] = t.version
-		t.set(platform.Row{Key: w.Key, Version: t.version, Value: append([]byte(nil), w.Value...)})
+		t.set(infra.Row{Key: w.Key, Version: t.version, Value: append([]byte(nil), w.Value...)})
 	}
 	return versions, nil
 }
 
-func (t *Table) set(row platform.Row) {
+func (t *Table) set(row infra.Row) {
 	if _, ok := t.rows[row.Key]; !ok {
 		i := sort.SearchStrings(t.keys, row.Key)
 		t.keys = append(t.keys, "")
--- a/internal/platform/weights.go
+++ b/internal/infra/weights.go
@@ -1,4 +1,4 @@
-package platform
+package infra
 
 import "context"
 
--- a/internal/intent/await_test.go
+++ b/internal/intent/await_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/onsi/gomega"
 
-	"gentiantide.example/gentiantide/internal/platform/platformtest"
+	"gentiantide.example/gentiantide/internal/infra/infratest"
 )
 
 // Guards against a resend that is told "unknown" although the running attempt
@@ -18,7 +18,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
 		next := 0
-		s := New(Config{Table: platformtest.NewTable(), AwaitAnswer: time.Second,
+		s := New(Config{Table: infratest.NewTable(), AwaitAnswer: time.Second,
 			NewID: func() string { next++; return string(rune('a' + next)) }})
 		defer s.Close()
 		first, _ := s.Begin(t.Context(), "org", "k", DigestOf([]byte("k")))
--- a/internal/intent/begin.go
+++ b/internal/intent/begin.go
@@ -7,7 +7,7 @@
 	"github.com/pkg/errors"
 
 	"gentiantide.example/gentiantide/internal/core"
-	"gentiantide.example/gentiantide/internal/platform"
+	"gentiantide.example/gentiantide/internal/infra"
 )
 
 // Begin records the intent to send a call, or says why it must not be sent.
@@ -53,9 +53,9 @@
 		switch {
 		case err == nil:
 			return Decision{Outcome: Started, Attempt: a}, false, nil
-		case errors.Is(err, platform.ErrUnavailable) && !doubt:
+		case errors.Is(err, infra.ErrUnavailable) && !doubt:
 			return Decision{}, false, err
-		case !errors.Is(err, platform.ErrConflict) && !errors.Is(err, platform.ErrUnavailable):
+		case !errors.Is(err, infra.ErrConflict) && !errors.Is(err, infra.ErrUnavailable):
 			doubt = true
 		}
 		found, version, readErr := s.read(ctx, a)
--- a/internal/intent/config.go
+++ b/internal/intent/config.go
@@ -6,12 +6,12 @@
 
 	"github.com/uber-go/tally/v4"
 
-	"gentiantide.example/gentiantide/internal/platform"
+	"gentiantide.example/gentiantide/internal/infra"
 )
 
 // Config is what a Store works with.
 type Config struct {
-	Table platform.Table
+	Table infra.Table
 	// NewID returns an id that is unique in the fleet and over restarts.
 	NewID func() string
 	// AwaitAnswer is how long a resend waits for the answer of an attempt that
--- a/internal/intent/finish.go
+++ b/internal/intent/finish.go
@@ -5,7 +5,7 @@
 
 	"github.com/pkg/errors"
 
-	"gentiantide.example/gentiantide/internal/platform"
+	"gentiantide.example/gentiantide/internal/infra"
 )
 
 // Finish stores the answer of a call that ran. It returns after one second at
@@ -61,7 +61,7 @@
 		if err == nil {
 			return nil
 		}
-		if errors.Is(err, platform.ErrUnavailable) {
+		if errors.Is(err, infra.ErrUnavailable) {
 			return err
 		}
 		found, version, readErr := s.read(ctx, a)
--- a/internal/intent/store.go
+++ b/internal/intent/store.go
@@ -12,7 +12,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"gentiantide.example/gentiantide/internal/core"
-	"gentiantide.example/gentiantide/internal/platform"
+	"gentiantide.example/gentiantide/internal/infra"
 )
 
 // Bounds of the work on a row while a caller waits. The reads back of a write
@@ -57,15 +57,15 @@
 	if err != nil {
 		return err
 	}
-	versions, err := s.cfg.Table.Commit(ctx, platform.Txn{
-		Conditions: []platform.Condition{{Key: a.key, Version: a.version}},
-		Writes:     []platform.Write{{Key: a.key, Value: data}},
+	versions, err := s.cfg.Table.Commit(ctx, infra.Txn{
+		Conditions: []infra.Condition{{Key: a.key, Version: a.version}},
+		Writes:     []infra.Write{{Key: a.key, Value: data}},
 	})
 	if err != nil {
 		return err
 	}
 	if len(versions) != 1 {
-		return errors.Wrap(platform.ErrUnknown, "the table service returned no row version")
+		return errors.Wrap(infra.ErrUnknown, "the table service returned no row version")
 	}
 	a.version = versions[0]
 	return nil
@@ -74,7 +74,7 @@
 // read reads the row of an attempt; an absent row has version 0.
 func (s *Store) read(ctx context.Context, a *Attempt) (record, uint64, error) {
 	row, err := s.cfg.Table.Get(ctx, a.key)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, infra.ErrNotFound) {
 		return record{}, 0, nil
 	}
 	if err != nil {
--- a/internal/intent/store_test.go
+++ b/internal/intent/store_test.go
@@ -14,26 +14,26 @@
 
 	"gentiantide.example/gentiantide/internal/core"
 	_ "gentiantide.example/gentiantide/internal/fixedseed"
-	"gentiantide.example/gentiantide/internal/platform"
-	"gentiantide.example/gentiantide/internal/platform/platformtest"
+	"gentiantide.example/gentiantide/internal/infra"
+	"gentiantide.example/gentiantide/internal/infra/infratest"
 )
 
 // lateTable is a table some of whose writes take effect after the caller was
 // told that their outcome is unknown.
 type lateTable struct {
-	*platformtest.Table
+	*infratest.Table
 	mu   sync.Mutex
 	hold int // writes to hold back
-	late []platform.Txn
+	late []infra.Txn
 }
 
-func (l *lateTable) Commit(ctx context.Context, txn platform.Txn) ([]uint64, error) {
+func (l *lateTable) Commit(ctx context.Context, txn infra.Txn) ([]uint64, error) {
 	l.mu.Lock()
 	if l.hold > 0 {
 		l.hold--
 		l.late = append(l.late, txn)
 		l.mu.Unlock()
-		return nil, platform.ErrUnknown
+		return nil, infra.ErrUnknown
 	}
 	l.mu.Unlock()
 	return l.Table.Commit(ctx, txn)
@@ -49,7 +49,7 @@
 	}
 }
 
-func newStore(table platform.Table, node string) *Store {
+func newStore(table infra.Table, node string) *Store {
 	n := 0
 	return New(Config{Table: table, NewID: func() string { n++; return node + "-" + strconv.Itoa(n) }})
 }
@@ -129,7 +129,7 @@
 func (w *world) crash(t *rapid.T) { w.crashed[w.take(t).key] = true }
 
 func (w *world) faults(t *rapid.T) {
-	w.table.Set(platformtest.FaultPlan{
+	w.table.Set(infratest.FaultPlan{
 		Down:        rapid.Bool().Draw(t, "down"),
 		LoseAnswers: rapid.SampledFrom([]float64{0, 0.5, 1}).Draw(t, "lose"),
 	})
@@ -141,7 +141,7 @@
 // settle ends all faults. A key that never ran must then be free for a resend
 // and one that ran must be replayed, unless a node died with it.
 func (w *world) settle(t *rapid.T) {
-	w.table.Set(platformtest.FaultPlan{})
+	w.table.Set(infratest.FaultPlan{})
 	w.table.mu.Lock()
 	w.table.hold = 0
 	w.table.mu.Unlock()
@@ -167,7 +167,7 @@
 func TestAtMostOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		rapid.SyncTest(t, func(t *rapid.T) {
-			table := &lateTable{Table: platformtest.NewTable()}
+			table := &lateTable{Table: infratest.NewTable()}
 			table.Seed(1)
 			w := &world{table: table, runs: map[string]int{}, crashed: map[string]bool{}}
 			for i := range 3 {
@@ -191,16 +191,16 @@
 func TestBeginOutcomes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
-		table := platformtest.NewTable()
+		table := infratest.NewTable()
 		s := newStore(table, "n")
 		defer s.Close()
-		table.Set(platformtest.FaultPlan{Down: true})
+		table.Set(infratest.FaultPlan{Down: true})
 		start := time.Now()
 		_, refusal := s.Begin(t.Context(), "org", "k", digestOf("k"))
 		g.Expect(refusal.Code).To(gomega.Equal(core.CodeStoreUnavailable))
 		g.Expect(refusal.Execution).To(gomega.Equal(core.NotRun))
 		g.Expect(time.Since(start)).To(gomega.BeZero(), "refused at once")
-		table.Set(platformtest.FaultPlan{})
+		table.Set(infratest.FaultPlan{})
 
 		first, _ := s.Begin(t.Context(), "org", "k", digestOf("k"))
 		g.Expect(first.Outcome).To(gomega.Equal(Started))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -25,15 +25,15 @@
 	"gentiantide.example/gentiantide/internal/httpapi/callers"
 	"gentiantide.example/gentiantide/internal/httpapi/httpserver"
 	"gentiantide.example/gentiantide/internal/httpapi/operators"
+	"gentiantide.example/gentiantide/internal/infra"
+	"gentiantide.example/gentiantide/internal/infra/httpfleet"
+	"gentiantide.example/gentiantide/internal/infra/httpobjects"
+	"gentiantide.example/gentiantide/internal/infra/httptable"
 	"gentiantide.example/gentiantide/internal/intent"
 	"gentiantide.example/gentiantide/internal/membership"
 	"gentiantide.example/gentiantide/internal/orders"
 	"gentiantide.example/gentiantide/internal/owner"
 	"gentiantide.example/gentiantide/internal/peer"
-	"gentiantide.example/gentiantide/internal/platform"
-	"gentiantide.example/gentiantide/internal/platform/httpfleet"
-	"gentiantide.example/gentiantide/internal/platform/httpobjects"
-	"gentiantide.example/gentiantide/internal/platform/httptable"
 	"gentiantide.example/gentiantide/internal/relay"
 	"gentiantide.example/gentiantide/internal/retention"
 	"gentiantide.example/gentiantide/internal/settings"
@@ -239,11 +239,11 @@
 	n.dispatcher.OnViewChange()
 }
 
-func (n *Node) onFleet(vms []platform.VM) {
+func (n *Node) onFleet(vms []infra.VM) {
 	var nodes []membership.Member
 	leaving := make(map[core.NodeID]bool)
 	for _, vm := range vms {
-		if vm.Kind != platform.KindNode || core.Region(vm.Region) != n.cfg.Region {
+		if vm.Kind != infra.KindNode || core.Region(vm.Region) != n.cfg.Region {
 			continue
 		}
 		id := core.NodeID(vm.ID)
--- a/internal/orders/model_test.go
+++ b/internal/orders/model_test.go
@@ -14,45 +14,45 @@
 	"gentiantide.example/gentiantide/internal/core"
 	"gentiantide.example/gentiantide/internal/directory"
 	_ "gentiantide.example/gentiantide/internal/fixedseed"
+	"gentiantide.example/gentiantide/internal/infra"
+	"gentiantide.example/gentiantide/internal/infra/infratest"
 	"gentiantide.example/gentiantide/internal/membership"
-	"gentiantide.example/gentiantide/internal/platform"
-	"gentiantide.example/gentiantide/internal/platform/platformtest"
 	"gentiantide.example/gentiantide/internal/settings"
 )
 
 // faultyTable loses answers, is away, or lets writes take effect late.
 type faultyTable struct {
-	*platformtest.Table
+	*infratest.Table
 	mode string
-	late []platform.Txn
+	late []infra.Txn
 }
 
-func (t *faultyTable) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (t *faultyTable) Scan(ctx context.Context, prefix, after string, limit int) ([]infra.Row, error) {
 	if t.mode == "away" {
-		return nil, platform.ErrUnavailable
+		return nil, infra.ErrUnavailable
 	}
 	return t.Table.Scan(ctx, prefix, after, limit)
 }
 
-func (t *faultyTable) Get(ctx context.Context, key string) (platform.Row, error) {
+func (t *faultyTable) Get(ctx context.Context, key string) (infra.Row, error) {
 	if t.mode == "away" || t.mode == "lost, no reads" {
-		return platform.Row{}, platform.ErrUnavailable
+		return infra.Row{}, infra.ErrUnavailable
 	}
 	return t.Table.Get(ctx, key)
 }
 
-func (t *faultyTable) Commit(ctx context.Context, txn platform.Txn) ([]uint64, error) {
+func (t *faultyTable) Commit(ctx context.Context, txn infra.Txn) ([]uint64, error) {
 	switch t.mode {
 	case "away":
-		return nil, platform.ErrUnavailable
+		return nil, infra.ErrUnavailable
 	case "late":
 		t.late = append(t.late, txn)
-		return nil, platform.ErrUnknown
+		return nil, infra.ErrUnknown
 	case "lost", "lost, no reads":
 		if _, err := t.Table.Commit(ctx, txn); err != nil {
 			return nil, err
 		}
-		return nil, platform.ErrUnknown
+		return nil, infra.ErrUnknown
 	}
 	return t.Table.Commit(ctx, txn)
 }
@@ -102,7 +102,7 @@
 var allNodes = []core.NodeID{"a", "b", "c"}
 
 func newWorld(t rapid.TB, maxLoads int) *world {
-	w := &world{t: t, now: t0, table: &faultyTable{Table: platformtest.NewTable()}, engines: map[core.ReplicaID]*testEngine{}}
+	w := &world{t: t, now: t0, table: &faultyTable{Table: infratest.NewTable()}, engines: map[core.ReplicaID]*testEngine{}}
 	w.change("v1", "decode")
 	var replicas []directory.Replica
 	for i := range 4 {
@@ -398,7 +398,7 @@
 	}
 	stolen, err := permitRow{Holder: "x", Token: "x/1", Replica: "s"}.encode()
 	g.Expect(err).NotTo(gomega.HaveOccurred())
-	_, err = w.table.Table.Commit(t.Context(), platform.Txn{Writes: []platform.Write{{Key: permitKey(0), Value: stolen}}})
+	_, err = w.table.Table.Commit(t.Context(), infra.Txn{Writes: []infra.Write{{Key: permitKey(0), Value: stolen}}})
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	sends := w.sends
 	w.step(11 * time.Second)
--- a/internal/orders/options.go
+++ b/internal/orders/options.go
@@ -10,8 +10,8 @@
 	"gentiantide.example/gentiantide/internal/backend"
 	"gentiantide.example/gentiantide/internal/core"
 	"gentiantide.example/gentiantide/internal/directory"
+	"gentiantide.example/gentiantide/internal/infra"
 	"gentiantide.example/gentiantide/internal/membership"
-	"gentiantide.example/gentiantide/internal/platform"
 	"gentiantide.example/gentiantide/internal/settings"
 )
 
@@ -33,7 +33,7 @@
 	// Report returns the last load report of a replica that this node polls;
 	// its Received time is on the clock Now.
 	Report func(core.ReplicaID) Report
-	Table  platform.Table
+	Table  infra.Table
 	// Incarnation tells this process from earlier ones of the same node.
 	Incarnation int64
 	Now         func() time.Time // nil: time.Now
--- a/internal/orders/permits.go
+++ b/internal/orders/permits.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"gentiantide.example/gentiantide/internal/core"
-	"gentiantide.example/gentiantide/internal/platform"
+	"gentiantide.example/gentiantide/internal/infra"
 )
 
 // errNotSent means that an order was not sent because its reasons changed.
@@ -142,7 +142,7 @@
 // dropped: others have taken the permit over by then.
 func (s *Service) released(p *permit, err error) {
 	if err != nil && s.options.Now().Sub(p.renewed) < 2*s.cfg.PermitLength {
-		if !errors.Is(err, platform.ErrUnknown) {
+		if !errors.Is(err, infra.ErrUnknown) {
 			s.event("permit not released", p.row.Replica, "permit", p.index, "error", err)
 		}
 		return
--- a/internal/orders/permittable.go
+++ b/internal/orders/permittable.go
@@ -8,10 +8,10 @@
 	"time"
 
 	"gentiantide.example/gentiantide/internal/core"
-	"gentiantide.example/gentiantide/internal/platform"
+	"gentiantide.example/gentiantide/internal/infra"
 )
 
-// Outcomes of work on a permit's row besides those of platform.Table.
+// Outcomes of work on a permit's row besides those of infra.Table.
 var (
 	errNoPermit   = errors.New("no permit is free")
 	errPermitLost = errors.New("the permit was taken over")
@@ -26,7 +26,7 @@
 // permitTable takes, renews and releases permits in the table service. Only
 // one goroutine at a time may take; each permit is used by one at a time.
 type permitTable struct {
-	table platform.Table
+	table infra.Table
 	cfg   Config
 	now   func() time.Time
 	node  core.NodeID
@@ -48,7 +48,7 @@
 )
 
 // take takes one permit for a load on a replica. Errors: errNoPermit, those of
-// platform.Table. After platform.ErrUnknown the row may name this process; it
+// infra.Table. After infra.ErrUnknown the row may name this process; it
 // then lapses or is adopted.
 func (t *permitTable) take(ctx context.Context, replica core.ReplicaID, number uint64) (*permit, taking, error) {
 	rows, err := t.scan(ctx)
@@ -72,7 +72,7 @@
 // scan reads the rows and notes since when each is unchanged. The holders
 // cannot renew while the table is away, so a failed read or a long pause
 // between reads begins the observation anew.
-func (t *permitTable) scan(ctx context.Context) (map[int]platform.Row, error) {
+func (t *permitTable) scan(ctx context.Context) (map[int]infra.Row, error) {
 	list, err := t.table.Scan(ctx, permitPrefix, "", 10*t.cfg.MaxLoads+10)
 	now := t.now()
 	if err != nil || now.Sub(t.scanned) > t.cfg.PermitLength {
@@ -82,7 +82,7 @@
 		return nil, err
 	}
 	t.scanned = now
-	rows, observed := make(map[int]platform.Row), make(map[int]observation)
+	rows, observed := make(map[int]infra.Row), make(map[int]observation)
 	for _, row := range list {
 		index, err := permitIndex(row.Key)
 		if err != nil {
@@ -101,7 +101,7 @@
 // choose picks the row to write: the one that already stands for this replica,
 // a free one, or one that lapsed. It begins anywhere, so that nodes that see
 // the same rows seldom choose the same one.
-func (t *permitTable) choose(rows map[int]platform.Row, replica core.ReplicaID) (int, taking) {
+func (t *permitTable) choose(rows map[int]infra.Row, replica core.ReplicaID) (int, taking) {
 	lapsed, free := -1, -1
 	first := rand.IntN(t.cfg.MaxLoads)
 	for i := range t.cfg.MaxLoads {
@@ -128,34 +128,34 @@
 // adoptable reports whether a permit stands for the replica and its holder
 // sends no load under it any more: it was handed over, or it is a leftover of
 // this node, of an earlier process or of a write that took effect late.
-func (t *permitTable) adoptable(row platform.Row, replica core.ReplicaID) bool {
+func (t *permitTable) adoptable(row infra.Row, replica core.ReplicaID) bool {
 	r, err := decodePermit(row.Key, row.Value)
 	return err == nil && r.Replica == replica && (r.Holder == "" || r.Holder == t.node)
 }
 
-// renew raises the counter. Errors: errPermitLost, those of platform.Table.
+// renew raises the counter. Errors: errPermitLost, those of infra.Table.
 func (t *permitTable) renew(ctx context.Context, p *permit) error {
 	return t.write(ctx, p, p.next())
 }
 
-// release frees a permit or hands it over. Errors: those of platform.Table.
+// release frees a permit or hands it over. Errors: those of infra.Table.
 func (t *permitTable) release(ctx context.Context, p *permit) error {
 	if p.handOver {
 		row := p.next()
 		row.Holder = ""
 		return ignoreLost(t.write(ctx, p, row))
 	}
-	_, err := t.table.Commit(ctx, platform.Txn{
-		Conditions: []platform.Condition{{Key: permitKey(p.index), Version: p.version}},
-		Writes:     []platform.Write{{Key: permitKey(p.index), Delete: true}},
+	_, err := t.table.Commit(ctx, infra.Txn{
+		Conditions: []infra.Condition{{Key: permitKey(p.index), Version: p.version}},
+		Writes:     []infra.Write{{Key: permitKey(p.index), Delete: true}},
 	})
-	if err == nil || errors.Is(err, platform.ErrUnavailable) {
+	if err == nil || errors.Is(err, infra.ErrUnavailable) {
 		return err
 	}
 	if _, err := t.readBack(ctx, p); err != nil {
 		return ignoreLost(err)
 	}
-	return platform.ErrUnknown // still ours: the next try has the row's version
+	return infra.ErrUnknown // still ours: the next try has the row's version
 }
 
 func ignoreLost(err error) error {
@@ -173,15 +173,15 @@
 	if err != nil {
 		return err
 	}
-	versions, err := t.table.Commit(ctx, platform.Txn{
-		Conditions: []platform.Condition{{Key: permitKey(p.index), Version: p.version}},
-		Writes:     []platform.Write{{Key: permitKey(p.index), Value: data}},
+	versions, err := t.table.Commit(ctx, infra.Txn{
+		Conditions: []infra.Condition{{Key: permitKey(p.index), Version: p.version}},
+		Writes:     []infra.Write{{Key: permitKey(p.index), Value: data}},
 	})
 	if err == nil && len(versions) == 1 {
 		p.row, p.version, p.renewed = row, versions[0], began
 		return nil
 	}
-	if errors.Is(err, platform.ErrUnavailable) {
+	if errors.Is(err, infra.ErrUnavailable) {
 		return err
 	}
 	stored, err := t.readBack(ctx, p)
@@ -189,17 +189,17 @@
 		return err
 	}
 	if stored != row {
-		return platform.ErrUnknown // an earlier write of ours took effect late
+		return infra.ErrUnknown // an earlier write of ours took effect late
 	}
 	p.renewed = began
 	return nil
 }
 
 // readBack reads the row of a permit and, if it is still ours, takes over its
-// content and version. Errors: errPermitLost, platform.ErrUnavailable.
+// content and version. Errors: errPermitLost, infra.ErrUnavailable.
 func (t *permitTable) readBack(ctx context.Context, p *permit) (permitRow, error) {
 	row, err := t.table.Get(ctx, permitKey(p.index))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, infra.ErrNotFound) {
 		return permitRow{}, errPermitLost
 	}
 	if err != nil {
--- a/internal/orders/service_test.go
+++ b/internal/orders/service_test.go
@@ -15,15 +15,15 @@
 	"gentiantide.example/gentiantide/internal/backend"
 	"gentiantide.example/gentiantide/internal/core"
 	"gentiantide.example/gentiantide/internal/directory"
+	"gentiantide.example/gentiantide/internal/infra"
+	"gentiantide.example/gentiantide/internal/infra/infratest"
 	"gentiantide.example/gentiantide/internal/membership"
-	"gentiantide.example/gentiantide/internal/platform"
-	"gentiantide.example/gentiantide/internal/platform/platformtest"
 	"gentiantide.example/gentiantide/internal/settings"
 )
 
 // cluster runs nodes with their own goroutines in a synctest bubble.
 type cluster struct {
-	table    *platformtest.Table
+	table    *infratest.Table
 	engines  []*testEngine
 	view     *directory.View
 	settings *settings.Snapshot
@@ -45,7 +45,7 @@
 }
 
 func startCluster(nodes, replicas int) *cluster {
-	c := &cluster{table: platformtest.NewTable(), scope: tally.NewTestScope("", nil),
+	c := &cluster{table: infratest.NewTable(), scope: tally.NewTestScope("", nil),
 		settings: settings.NewSnapshot(settings.SnapshotInput{Version: 3, Services: []settings.Service{
 			{ID: "d", Kind: settings.KindModel, Model: "m", ModelVersion: "v2", HonoursFencing: true}}})}
 	var list []directory.Replica
@@ -155,12 +155,12 @@
 		for c.downloads() < 2 {
 			time.Sleep(100 * time.Millisecond)
 		}
-		c.table.Set(platformtest.FaultPlan{Down: true})
+		c.table.Set(infratest.FaultPlan{Down: true})
 		sent := c.sent.Load()
 		time.Sleep(2 * time.Minute)
 		g.Expect(c.downloads()).To(gomega.BeZero())
 		g.Expect(c.sent.Load()).To(gomega.Equal(sent + 2)) // the unloads of the two
-		c.table.Set(platformtest.FaultPlan{})
+		c.table.Set(infratest.FaultPlan{})
 		time.Sleep(5 * time.Minute)
 		c.stop()
 		g.Expect(c.done()).To(gomega.BeTrue())
@@ -195,7 +195,7 @@
 // after a renewal; and against one that is never taken over.
 func TestTakeOver(t *testing.T) {
 	g := gomega.NewWithT(t)
-	ctx, now, table := t.Context(), t0, platformtest.NewTable()
+	ctx, now, table := t.Context(), t0, infratest.NewTable()
 	cfg := Config{MaxLoads: 1}.withDefaults()
 	newTable := func(node core.NodeID) *permitTable {
 		return &permitTable{table: table, cfg: cfg, now: func() time.Time { return now }, node: node, process: string(node)}
@@ -210,14 +210,14 @@
 	}
 	g.Expect(try(time.Hour)).To(gomega.MatchError(errNoPermit), "first seen now")
 	g.Expect(try(29 * time.Second)).To(gomega.MatchError(errNoPermit))
-	table.Set(platformtest.FaultPlan{LoseAnswers: 1})
+	table.Set(infratest.FaultPlan{LoseAnswers: 1})
 	g.Expect(a.renew(ctx, p)).To(gomega.Succeed(), "read back")
-	table.Set(platformtest.FaultPlan{})
+	table.Set(infratest.FaultPlan{})
 	g.Expect(a.renew(ctx, p)).To(gomega.Succeed())
 	g.Expect(try(29*time.Second)).To(gomega.MatchError(errNoPermit), "renewed")
-	table.Set(platformtest.FaultPlan{Down: true})
-	g.Expect(try(time.Second)).To(gomega.MatchError(platform.ErrUnavailable))
-	table.Set(platformtest.FaultPlan{})
+	table.Set(infratest.FaultPlan{Down: true})
+	g.Expect(try(time.Second)).To(gomega.MatchError(infra.ErrUnavailable))
+	table.Set(infratest.FaultPlan{})
 	g.Expect(try(time.Second)).To(gomega.MatchError(errNoPermit), "could not be renewed")
 	g.Expect(try(29 * time.Second)).To(gomega.MatchError(errNoPermit))
 	g.Expect(try(time.Second)).To(gomega.Succeed())
@@ -228,16 +228,16 @@
 // one, which would stretch the permit beyond what others observe.
 func TestLateRenewal(t *testing.T) {
 	g := gomega.NewWithT(t)
-	ctx, now, table := t.Context(), t0, &faultyTable{Table: platformtest.NewTable()}
+	ctx, now, table := t.Context(), t0, &faultyTable{Table: infratest.NewTable()}
 	a := &permitTable{table: table, cfg: Config{MaxLoads: 1}.withDefaults(), now: func() time.Time { return now }, node: "a", process: "a"}
 	p, _, err := a.take(ctx, "r", 1)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	table.mode = "late"
-	g.Expect(a.renew(ctx, p)).To(gomega.MatchError(platform.ErrUnknown))
+	g.Expect(a.renew(ctx, p)).To(gomega.MatchError(infra.ErrUnknown))
 	_, err = table.Table.Commit(ctx, table.late[0])
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	now, table.mode = now.Add(15*time.Second), ""
-	g.Expect(a.renew(ctx, p)).To(gomega.MatchError(platform.ErrUnknown))
+	g.Expect(a.renew(ctx, p)).To(gomega.MatchError(infra.ErrUnknown))
 	g.Expect(p.renewed).To(gomega.Equal(t0))
 	g.Expect(a.renew(ctx, p)).To(gomega.Succeed())
 	g.Expect(p.renewed).To(gomega.Equal(now))
--- a/internal/retention/files.go
+++ b/internal/retention/files.go
@@ -4,13 +4,13 @@
 	"context"
 
 	"gentiantide.example/gentiantide/internal/batch/records"
-	"gentiantide.example/gentiantide/internal/platform"
+	"gentiantide.example/gentiantide/internal/infra"
 )
 
 // files are the uploaded files and the uploads that were not accepted.
 type files struct{}
 
-func (files) page(ctx context.Context, s *sweep, rows []platform.Row) (last bool) {
+func (files) page(ctx context.Context, s *sweep, rows []infra.Row) (last bool) {
 	for _, row := range rows {
 		m, err := records.Decode[records.Manifest](row.Value)
 		if err != nil {
@@ -29,12 +29,12 @@
 	return false
 }
 
-func (s *sweep) deleteFile(ctx context.Context, row platform.Row, m records.Manifest, step Step) error {
+func (s *sweep) deleteFile(ctx context.Context, row infra.Row, m records.Manifest, step Step) error {
 	if step == StepMark {
 		m.Expired = true
-		version, err := s.access.commit(ctx, platform.Txn{
-			Conditions: []platform.Condition{{Key: row.Key, Version: row.Version}},
-			Writes:     []platform.Write{{Key: row.Key, Value: records.Encode(m)}},
+		version, err := s.access.commit(ctx, infra.Txn{
+			Conditions: []infra.Condition{{Key: row.Key, Version: row.Version}},
+			Writes:     []infra.Write{{Key: row.Key, Value: records.Encode(m)}},
 		})
 		if err != nil {
 			return err
@@ -44,7 +44,7 @@
 	if err := s.deleteParts(ctx, &m); err != nil {
 		return err
 	}
-	if _, err := s.access.commit(ctx, deletion([]platform.Row{row})); err != nil {
+	if _, err := s.access.commit(ctx, deletion([]infra.Row{row})); err != nil {
 		return err
 	}
 	s.counts.rows.Add(1)
--- a/internal/retention/intents.go
+++ b/internal/retention/intents.go
@@ -3,15 +3,15 @@
 import (
 	"context"
 
+	"gentiantide.example/gentiantide/internal/infra"
 	"gentiantide.example/gentiantide/internal/intent"
-	"gentiantide.example/gentiantide/internal/platform"
 )
 
 // intents are the records of non-idempotent calls, in whatever state.
 type intents struct{}
 
-func (intents) page(ctx context.Context, s *sweep, rows []platform.Row) (last bool) {
-	var old []platform.Row
+func (intents) page(ctx context.Context, s *sweep, rows []infra.Row) (last bool) {
+	var old []infra.Row
 	for _, row := range rows {
 		written, err := intent.Written(row.Value)
 		if err != nil {
--- a/internal/retention/interleave_test.go
+++ b/internal/retention/interleave_test.go
@@ -10,8 +10,8 @@
 	"gentiantide.example/gentiantide/internal/batch/intake"
 	"gentiantide.example/gentiantide/internal/batch/records"
 	"gentiantide.example/gentiantide/internal/core"
+	"gentiantide.example/gentiantide/internal/infra/infratest"
 	"gentiantide.example/gentiantide/internal/intent"
-	"gentiantide.example/gentiantide/internal/platform/platformtest"
 )
 
 // prepare makes an intent, two files and a job that are all outdated, and an
@@ -140,7 +140,7 @@
 	for name := range (&world{}).changes(t) {
 		for _, down := range []bool{false, true} {
 			during(t, gate, func(w *world, t rapid.TB) { w.changes(t)[name]() }, func(w *world, _ rapid.TB) {
-				w.objects.Set(platformtest.FaultPlan{Down: down})
+				w.objects.Set(infratest.FaultPlan{Down: down})
 				w.owners[0].sweep()
 				w.clearFaults()
 			})
--- a/internal/retention/jobs.go
+++ b/internal/retention/jobs.go
@@ -6,13 +6,13 @@
 	"github.com/pkg/errors"
 
 	"gentiantide.example/gentiantide/internal/batch/records"
-	"gentiantide.example/gentiantide/internal/platform"
+	"gentiantide.example/gentiantide/internal/infra"
 )
 
 // jobs are the jobs with their ranges and results.
 type jobs struct{}
 
-func (jobs) page(ctx context.Context, s *sweep, rows []platform.Row) (last bool) {
+func (jobs) page(ctx context.Context, s *sweep, rows []infra.Row) (last bool) {
 	for _, row := range rows {
 		job, err := records.Decode[records.Job](row.Value)
 		if err != nil {
@@ -63,9 +63,9 @@
 func (d *jobDeletion) mark(ctx context.Context) error {
 	d.job.State = records.JobExpired
 	key := records.JobKey(d.job.ID)
-	version, err := d.access.commit(ctx, platform.Txn{
-		Conditions: []platform.Condition{{Key: key, Version: d.version}},
-		Writes:     []platform.Write{{Key: key, Value: records.Encode(d.job)}},
+	version, err := d.access.commit(ctx, infra.Txn{
+		Conditions: []infra.Condition{{Key: key, Version: d.version}},
+		Writes:     []infra.Write{{Key: key, Value: records.Encode(d.job)}},
 	})
 	d.version = version
 	return err
@@ -77,7 +77,7 @@
 // faster, they may belong to a later job with the same key.
 func (d *jobDeletion) deleteRanges(ctx context.Context) error {
 	prefix := records.RangePrefix(d.job.ID)
-	marked := platform.Condition{Key: records.JobKey(d.job.ID), Version: d.version}
+	marked := infra.Condition{Key: records.JobKey(d.job.ID), Version: d.version}
 	for {
 		rows, err := d.access.scan(ctx, prefix, "", d.o.Config.PageRows)
 		if err != nil || len(rows) == 0 {
@@ -92,7 +92,7 @@
 		d.ranges += gone
 		d.counts.rows.Add(int64(gone))
 		if err == nil && gone < len(rows) {
-			err = platform.ErrConflict // another owner deletes the job
+			err = infra.ErrConflict // another owner deletes the job
 		}
 		if err != nil {
 			return err
@@ -119,9 +119,9 @@
 // sweep tries again.
 func (d *jobDeletion) finish(ctx context.Context) error {
 	key, fileKey := records.JobKey(d.job.ID), records.FileKey(d.job.File)
-	txn := platform.Txn{
-		Conditions: []platform.Condition{{Key: key, Version: d.version}},
-		Writes:     []platform.Write{{Key: key, Delete: true}},
+	txn := infra.Txn{
+		Conditions: []infra.Condition{{Key: key, Version: d.version}},
+		Writes:     []infra.Write{{Key: key, Delete: true}},
 	}
 	row, err := d.access.get(ctx, fileKey)
 	if err != nil {
@@ -133,8 +133,8 @@
 			return errors.Wrap(err, "file of job "+string(d.job.ID))
 		}
 		m = ReleaseFile(m, d.o.Now(), d.settings())
-		txn.Conditions = append(txn.Conditions, platform.Condition{Key: fileKey, Version: row.Version})
-		txn.Writes = append(txn.Writes, platform.Write{Key: fileKey, Value: records.Encode(m)})
+		txn.Conditions = append(txn.Conditions, infra.Condition{Key: fileKey, Version: row.Version})
+		txn.Writes = append(txn.Writes, infra.Write{Key: fileKey, Value: records.Encode(m)})
 	}
 	_, err = d.access.commit(ctx, txn)
 	return err
--- a/internal/retention/log_test.go
+++ b/internal/retention/log_test.go
@@ -10,9 +10,9 @@
 	"github.com/onsi/gomega"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"gentiantide.example/gentiantide/internal/infra"
+	"gentiantide.example/gentiantide/internal/infra/infratest"
 	"gentiantide.example/gentiantide/internal/membership"
-	"gentiantide.example/gentiantide/internal/platform"
-	"gentiantide.example/gentiantide/internal/platform/platformtest"
 	"gentiantide.example/gentiantide/internal/settings"
 )
 
@@ -29,7 +29,7 @@
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			g := gomega.NewWithT(t)
-			table := platformtest.NewTable()
+			table := infratest.NewTable()
 			for v := uint64(1); v <= newest; v++ {
 				e := settings.Entry{Version: v, Time: time.Now().Add(-2 * keep.SettingsLog)}
 				if v == c.young {
@@ -37,13 +37,13 @@
 				}
 				data, err := msgpack.Marshal(e)
 				g.Expect(err).NotTo(gomega.HaveOccurred())
-				_, err = table.Commit(t.Context(), platform.Txn{Writes: []platform.Write{{Key: logKey(v), Value: data}}})
+				_, err = table.Commit(t.Context(), infra.Txn{Writes: []infra.Write{{Key: logKey(v), Value: data}}})
 				g.Expect(err).NotTo(gomega.HaveOccurred())
 			}
 			snapshot := settings.NewSnapshot(settings.SnapshotInput{Version: newest, Retention: keep})
 			ready := make(chan struct{})
 			s := NewService(Options{
-				Table: table, Objects: platformtest.NewObjects(), Ready: ready, Settings: func() *settings.Snapshot { return snapshot },
+				Table: table, Objects: infratest.NewObjects(), Ready: ready, Settings: func() *settings.Snapshot { return snapshot },
 				Members: func() *membership.View { return viewSelf },
 			})
 			ctx, cancel := context.WithTimeout(context.Background(), 30*time.Hour)
--- a/internal/retention/model_test.go
+++ b/internal/retention/model_test.go
@@ -13,9 +13,9 @@
 	"gentiantide.example/gentiantide/internal/batch/records"
 	"gentiantide.example/gentiantide/internal/core"
 	_ "gentiantide.example/gentiantide/internal/fixedseed"
+	"gentiantide.example/gentiantide/internal/infra"
+	"gentiantide.example/gentiantide/internal/infra/infratest"
 	"gentiantide.example/gentiantide/internal/intent"
-	"gentiantide.example/gentiantide/internal/platform"
-	"gentiantide.example/gentiantide/internal/platform/platformtest"
 )
 
 const org = core.Org("org")
@@ -150,7 +150,7 @@
 	if cancelled {
 		job.State = records.JobCancelled
 	}
-	w.write(records.JobKey(job.ID), records.Encode(job), platform.Write{Key: records.OpenKey(job.ID, 64), Delete: true})
+	w.write(records.JobKey(job.ID), records.Encode(job), infra.Write{Key: records.OpenKey(job.ID, 64), Delete: true})
 	j.job, j.ended = job, job.EndedAt
 }
 
@@ -163,15 +163,15 @@
 	return data
 }
 
-func (w *world) write(key string, value []byte, more ...platform.Write) {
-	txn := platform.Txn{Writes: append([]platform.Write{{Key: key, Value: value}}, more...)}
+func (w *world) write(key string, value []byte, more ...infra.Write) {
+	txn := infra.Txn{Writes: append([]infra.Write{{Key: key, Value: value}}, more...)}
 	if _, err := w.st.Commit(ctx, txn, nil); err != nil {
 		panic(err)
 	}
 }
 
 func (w *world) faults(t *rapid.T) {
-	plans := []platformtest.FaultPlan{{}, {Down: true}, {LoseAnswers: 0.5}, {RefuseWrites: 0.5}, {Delay: time.Second}}
+	plans := []infratest.FaultPlan{{}, {Down: true}, {LoseAnswers: 0.5}, {RefuseWrites: 0.5}, {Delay: time.Second}}
 	w.table.Set(rapid.SampledFrom(plans).Draw(t, "table"))
 	w.objects.Set(rapid.SampledFrom(plans).Draw(t, "objects"))
 }
--- a/internal/retention/options.go
+++ b/internal/retention/options.go
@@ -6,8 +6,8 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"gentiantide.example/gentiantide/internal/infra"
 	"gentiantide.example/gentiantide/internal/membership"
-	"gentiantide.example/gentiantide/internal/platform"
 	"gentiantide.example/gentiantide/internal/settings"
 )
 
@@ -15,8 +15,8 @@
 // are required.
 type Options struct {
 	Config   Config // zero: DefaultConfig
-	Table    platform.Table
-	Objects  platform.Objects
+	Table    infra.Table
+	Objects  infra.Objects
 	Members  func() *membership.View
 	Settings func() *settings.Snapshot
 	// Ready is closed once Settings has the settings of the fleet: the defaults
--- a/internal/retention/settingslog.go
+++ b/internal/retention/settingslog.go
@@ -5,7 +5,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"gentiantide.example/gentiantide/internal/platform"
+	"gentiantide.example/gentiantide/internal/infra"
 	"gentiantide.example/gentiantide/internal/settings"
 )
 
@@ -13,9 +13,9 @@
 // up to the first entry that is kept, so that what remains has no gap.
 type settingsLog struct{}
 
-func (settingsLog) page(ctx context.Context, s *sweep, rows []platform.Row) (last bool) {
+func (settingsLog) page(ctx context.Context, s *sweep, rows []infra.Row) (last bool) {
 	newest := s.o.Settings().Version() // not above that of the table
-	var old []platform.Row
+	var old []infra.Row
 	for _, row := range rows {
 		var e settings.Entry
 		if err := msgpack.Unmarshal(row.Value, &e); err != nil {
--- a/internal/retention/sweep.go
+++ b/internal/retention/sweep.go
@@ -7,7 +7,7 @@
 
 	"github.com/pkg/errors"
 
-	"gentiantide.example/gentiantide/internal/platform"
+	"gentiantide.example/gentiantide/internal/infra"
 	"gentiantide.example/gentiantide/internal/settings"
 )
 
@@ -78,7 +78,7 @@
 
 // deleteRows deletes rows that need nothing else and reports whether all
 // calls succeeded. Rows that changed stay.
-func (s *sweep) deleteRows(ctx context.Context, rows []platform.Row) bool {
+func (s *sweep) deleteRows(ctx context.Context, rows []infra.Row) bool {
 	gone, err := s.access.deleteRows(ctx, rows)
 	s.counts.rows.Add(int64(gone))
 	s.note(ctx, err)
@@ -90,7 +90,7 @@
 func (s *sweep) note(ctx context.Context, err error) {
 	switch {
 	case err == nil:
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, infra.ErrConflict):
 		s.counts.conflicts.Add(1)
 	default:
 		s.failed(err)
--- a/internal/retention/world_test.go
+++ b/internal/retention/world_test.go
@@ -20,10 +20,10 @@
 	"gentiantide.example/gentiantide/internal/batch/results"
 	"gentiantide.example/gentiantide/internal/batch/store"
 	"gentiantide.example/gentiantide/internal/core"
+	"gentiantide.example/gentiantide/internal/infra"
+	"gentiantide.example/gentiantide/internal/infra/infratest"
 	"gentiantide.example/gentiantide/internal/intent"
 	"gentiantide.example/gentiantide/internal/membership"
-	"gentiantide.example/gentiantide/internal/platform"
-	"gentiantide.example/gentiantide/internal/platform/platformtest"
 	"gentiantide.example/gentiantide/internal/settings"
 )
 
@@ -97,15 +97,15 @@
 
 type gatedTable struct{ *owner }
 
-func (t gatedTable) Get(ctx context.Context, key string) (platform.Row, error) {
+func (t gatedTable) Get(ctx context.Context, key string) (infra.Row, error) {
 	return t.w.table.Get(t.wait(ctx), key)
 }
 
-func (t gatedTable) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (t gatedTable) Scan(ctx context.Context, prefix, after string, limit int) ([]infra.Row, error) {
 	return t.w.table.Scan(t.wait(ctx), prefix, after, limit)
 }
 
-func (t gatedTable) Commit(ctx context.Context, txn platform.Txn) ([]uint64, error) {
+func (t gatedTable) Commit(ctx context.Context, txn infra.Txn) ([]uint64, error) {
 	return t.w.table.Commit(t.wait(ctx), txn)
 }
 
@@ -125,7 +125,7 @@
 
 // notedObjects remembers the keys that were written.
 type notedObjects struct {
-	*platformtest.Objects
+	*infratest.Objects
 	mu   sync.Mutex
 	keys []string
 }
@@ -150,7 +150,7 @@
 // world is a platform with two owners of all prefixes and what the callers of
 // the system believe.
 type world struct {
-	table    *platformtest.Table
+	table    *infratest.Table
 	objects  *notedObjects
 	st       *store.Store
 	in       *intake.Intake
@@ -166,7 +166,7 @@
 
 func newWorld() *world {
 	w := &world{
-		table: platformtest.NewTable(), objects: &notedObjects{Objects: platformtest.NewObjects()},
+		table: infratest.NewTable(), objects: &notedObjects{Objects: infratest.NewObjects()},
 		calls: make(map[string]*call), files: make(map[core.FileID]*fileModel), jobs: make(map[string]*jobModel),
 	}
 	w.table.Seed(1)
@@ -236,8 +236,8 @@
 }
 
 func (w *world) clearFaults() {
-	w.table.Set(platformtest.FaultPlan{})
-	w.objects.Set(platformtest.FaultPlan{})
+	w.table.Set(infratest.FaultPlan{})
+	w.objects.Set(infratest.FaultPlan{})
 }
 
 // up skips an action that needs the platform.
--- a/internal/settings/cluster_test.go
+++ b/internal/settings/cluster_test.go
@@ -13,26 +13,26 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"gentiantide.example/gentiantide/internal/core"
+	"gentiantide.example/gentiantide/internal/infra"
+	"gentiantide.example/gentiantide/internal/infra/infratest"
 	"gentiantide.example/gentiantide/internal/membership"
 	"gentiantide.example/gentiantide/internal/peer"
-	"gentiantide.example/gentiantide/internal/platform"
-	"gentiantide.example/gentiantide/internal/platform/platformtest"
 )
 
 // faultyTable adds to the in-memory table reads that answer with an earlier
 // row and writes that are reported lost and take effect later.
 type faultyTable struct {
-	*platformtest.Table
+	*infratest.Table
 	mu    sync.Mutex
 	rnd   *rand.Rand
 	stale bool
 	late  bool
-	rows  map[string]platform.Row
+	rows  map[string]infra.Row
 	wait  sync.WaitGroup
 }
 
 func newFaultyTable() *faultyTable {
-	t := &faultyTable{Table: platformtest.NewTable(), rnd: rand.New(rand.NewPCG(1, 2)), rows: make(map[string]platform.Row)}
+	t := &faultyTable{Table: infratest.NewTable(), rnd: rand.New(rand.NewPCG(1, 2)), rows: make(map[string]infra.Row)}
 	t.Seed(7)
 	return t
 }
@@ -43,23 +43,23 @@
 	t.stale, t.late = stale, late
 }
 
-func (t *faultyTable) Get(ctx context.Context, key string) (platform.Row, error) {
+func (t *faultyTable) Get(ctx context.Context, key string) (infra.Row, error) {
 	row, err := t.Table.Get(ctx, key)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if old, ok := t.rows[key]; ok && t.stale && t.rnd.IntN(2) == 0 {
 		if old.Version == 0 {
-			return platform.Row{}, platform.ErrNotFound
+			return infra.Row{}, infra.ErrNotFound
 		}
 		return old, nil
 	}
-	if err == nil || errors.Is(err, platform.ErrNotFound) {
+	if err == nil || errors.Is(err, infra.ErrNotFound) {
 		t.rows[key] = row
 	}
 	return row, err
 }
 
-func (t *faultyTable) Commit(ctx context.Context, txn platform.Txn) ([]uint64, error) {
+func (t *faultyTable) Commit(ctx context.Context, txn infra.Txn) ([]uint64, error) {
 	t.mu.Lock()
 	late := t.late && t.rnd.IntN(2) == 0
 	t.mu.Unlock()
@@ -70,7 +70,7 @@
 		time.Sleep(700 * time.Millisecond)
 		_, _ = t.Table.Commit(context.Background(), txn)
 	})
-	return nil, platform.ErrUnknown
+	return nil, infra.ErrUnknown
 }
 
 // cluster is several managers that share a table and exchange messages and
--- a/internal/settings/commit.go
+++ b/internal/settings/commit.go
@@ -7,7 +7,7 @@
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
-	"gentiantide.example/gentiantide/internal/platform"
+	"gentiantide.example/gentiantide/internal/infra"
 )
 
 // outcome is what became of a write.
@@ -48,20 +48,20 @@
 		switch {
 		case err == nil:
 			return outcomeAccepted, nil
-		case errors.Is(err, platform.ErrConflict):
+		case errors.Is(err, infra.ErrConflict):
 			if result, known := s.readBack(ctx, e, unknown); known {
 				return result, nil
 			}
-		case errors.Is(err, platform.ErrUnavailable) && !unknown:
+		case errors.Is(err, infra.ErrUnavailable) && !unknown:
 			return outcomeUnavailable, err
-		case !errors.Is(err, platform.ErrUnavailable):
+		case !errors.Is(err, infra.ErrUnavailable):
 			unknown = true
 		}
 	}
 	return outcomeUnknown, err
 }
 
-func (s *store) send(ctx context.Context, txn platform.Txn) error {
+func (s *store) send(ctx context.Context, txn infra.Txn) error {
 	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
 	defer cancel()
 	_, err := s.table.Commit(ctx, txn)
@@ -84,28 +84,28 @@
 
 // transaction writes node, head and log on condition of the versions that the
 // change was checked against.
-func transaction(e Entry, headRow, nodeRow uint64) (platform.Txn, error) {
+func transaction(e Entry, headRow, nodeRow uint64) (infra.Txn, error) {
 	headValue, err := msgpack.Marshal(head{Version: e.Version, Sum: e.Sum})
 	if err != nil {
-		return platform.Txn{}, err
+		return infra.Txn{}, err
 	}
 	logValue, err := msgpack.Marshal(e)
 	if err != nil {
-		return platform.Txn{}, err
+		return infra.Txn{}, err
 	}
-	node := platform.Write{Key: nodeKey(e.Path), Delete: e.Deleted}
+	node := infra.Write{Key: nodeKey(e.Path), Delete: e.Deleted}
 	if !e.Deleted {
 		if node.Value, err = msgpack.Marshal(nodeImage{Version: e.Version, Values: e.Values}); err != nil {
-			return platform.Txn{}, err
+			return infra.Txn{}, err
 		}
 	}
-	return platform.Txn{
-		Conditions: []platform.Condition{
+	return infra.Txn{
+		Conditions: []infra.Condition{
 			{Key: headKey, Version: headRow},
 			{Key: node.Key, Version: nodeRow},
 			{Key: logKey(e.Version), Version: 0},
 		},
-		Writes: []platform.Write{node, {Key: headKey, Value: headValue}, {Key: logKey(e.Version), Value: logValue}},
+		Writes: []infra.Write{node, {Key: headKey, Value: headValue}, {Key: logKey(e.Version), Value: logValue}},
 	}, nil
 }
 
--- a/internal/settings/commit_test.go
+++ b/internal/settings/commit_test.go
@@ -8,20 +8,20 @@
 
 	"github.com/onsi/gomega"
 
-	"gentiantide.example/gentiantide/internal/platform"
-	"gentiantide.example/gentiantide/internal/platform/platformtest"
+	"gentiantide.example/gentiantide/internal/infra"
+	"gentiantide.example/gentiantide/internal/infra/infratest"
 )
 
 // staleLog answers the first reads of log rows as if the rows were absent.
 type staleLog struct {
-	*platformtest.Table
+	*infratest.Table
 	absent int
 }
 
-func (s *staleLog) Get(ctx context.Context, key string) (platform.Row, error) {
+func (s *staleLog) Get(ctx context.Context, key string) (infra.Row, error) {
 	if strings.HasPrefix(key, logPrefix) && s.absent > 0 {
 		s.absent--
-		return platform.Row{}, platform.ErrNotFound
+		return infra.Row{}, infra.ErrNotFound
 	}
 	return s.Table.Get(ctx, key)
 }
@@ -31,10 +31,10 @@
 func TestCommitReadsBackUntilKnown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
-		table := &staleLog{Table: platformtest.NewTable(), absent: 3}
+		table := &staleLog{Table: infratest.NewTable(), absent: 3}
 		s := store{table: table, scanPage: 10}
 		entry := Entry{Version: 1, Path: "/", ChangeID: "own"}
-		table.Set(platformtest.FaultPlan{LoseAnswers: 1})
+		table.Set(infratest.FaultPlan{LoseAnswers: 1})
 		result, err := s.commit(t.Context(), entry, 0, 0)
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 		g.Expect(result).To(gomega.Equal(outcomeAccepted))
@@ -43,7 +43,7 @@
 		other.ChangeID = "other"
 		result, _ = s.commit(t.Context(), other, 0, 0)
 		g.Expect(result).To(gomega.Equal(outcomeConflict))
-		table.Set(platformtest.FaultPlan{Down: true})
+		table.Set(infratest.FaultPlan{Down: true})
 		result, _ = s.commit(t.Context(), other, 0, 0)
 		g.Expect(result).To(gomega.Equal(outcomeUnavailable))
 	})
--- a/internal/settings/history_test.go
+++ b/internal/settings/history_test.go
@@ -6,19 +6,19 @@
 	"github.com/onsi/gomega"
 	"github.com/vmihailenco/msgpack/v5"
 
-	"gentiantide.example/gentiantide/internal/platform"
-	"gentiantide.example/gentiantide/internal/platform/platformtest"
+	"gentiantide.example/gentiantide/internal/infra"
+	"gentiantide.example/gentiantide/internal/infra/infratest"
 )
 
 // Guards against a history that lists changes twice, or reads on, once the
 // beginning of the log is deleted.
 func TestHistoryEndsWhereTheLogBegins(t *testing.T) {
 	g := gomega.NewWithT(t)
-	table := platformtest.NewTable()
+	table := infratest.NewTable()
 	put := func(key string, value any) {
 		data, err := msgpack.Marshal(value)
 		g.Expect(err).NotTo(gomega.HaveOccurred())
-		_, err = table.Commit(t.Context(), platform.Txn{Writes: []platform.Write{{Key: key, Value: data}}})
+		_, err = table.Commit(t.Context(), infra.Txn{Writes: []infra.Write{{Key: key, Value: data}}})
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 	}
 	put(headKey, head{Version: 100})
--- a/internal/settings/manager.go
+++ b/internal/settings/manager.go
@@ -10,14 +10,14 @@
 	"time"
 
 	"gentiantide.example/gentiantide/internal/core"
+	"gentiantide.example/gentiantide/internal/infra"
 	"gentiantide.example/gentiantide/internal/membership"
 	"gentiantide.example/gentiantide/internal/peer"
-	"gentiantide.example/gentiantide/internal/platform"
 )
 
 // Options are the dependencies of a Manager.
 type Options struct {
-	Table      platform.Table
+	Table      infra.Table
 	Messenger  peer.Messenger
 	View       func() *membership.View
 	DataCentre core.DataCentre
--- a/internal/settings/peers.go
+++ b/internal/settings/peers.go
@@ -8,8 +8,8 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"gentiantide.example/gentiantide/internal/core"
+	"gentiantide.example/gentiantide/internal/infra"
 	"gentiantide.example/gentiantide/internal/membership"
-	"gentiantide.example/gentiantide/internal/platform"
 )
 
 // The kinds of messages between managers.
@@ -125,6 +125,6 @@
 }
 
 func isPlatformError(err error) bool {
-	return errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrUnknown) ||
+	return errors.Is(err, infra.ErrUnavailable) || errors.Is(err, infra.ErrUnknown) ||
 		errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded)
 }
--- a/internal/settings/store.go
+++ b/internal/settings/store.go
@@ -8,7 +8,7 @@
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
-	"gentiantide.example/gentiantide/internal/platform"
+	"gentiantide.example/gentiantide/internal/infra"
 )
 
 // Rows of the table service.
@@ -34,7 +34,7 @@
 
 // store reads and writes the rows of the settings tree.
 type store struct {
-	table    platform.Table
+	table    infra.Table
 	scanPage int // rows per scan
 }
 
@@ -52,17 +52,17 @@
 }
 
 // get reads a row; an absent row has version 0.
-func (s *store) get(ctx context.Context, key string) (platform.Row, error) {
+func (s *store) get(ctx context.Context, key string) (infra.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
 	defer cancel()
 	row, err := s.table.Get(ctx, key)
-	if errors.Is(err, platform.ErrNotFound) {
-		return platform.Row{Key: key}, nil
+	if errors.Is(err, infra.ErrNotFound) {
+		return infra.Row{Key: key}, nil
 	}
 	return row, err
 }
 
-func (s *store) scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (s *store) scan(ctx context.Context, prefix, after string, limit int) ([]infra.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
 	defer cancel()
 	return s.table.Scan(ctx, prefix, after, limit)
