Serve callers and batch jobs on the users' platform

Cause: the product could not run there: other headers, a partitioned store with change feeds, registrations in the store, jobs with listed results. Change: the adapter platform/, the subcommand 'platform' and the packages that it needs: request path, replica registry, jobs with fenced commits, node leases.

--- a/cmd/gentiantided/main.go
+++ b/cmd/gentiantided/main.go
@@ -13,6 +13,7 @@
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(subcommands.FlagsCommand(), "")
 	subcommands.Register(&runCommand{}, "")
+	subcommands.Register(&platformCommand{}, "")
 	subcommands.Register(&checkCommand{}, "")
 	subcommands.Register(&versionCommand{}, "")
 	flag.Parse()
--- a/internal/core/refusal.go
+++ b/internal/core/refusal.go
@@ -8,7 +8,7 @@
 // Code is the stable, machine-readable reason of a refusal.
 type Code string
 
-// The codes of refusals. Callers and operations.md rely on them.
+// The codes of refusals. Callers and OPERATIONS.md rely on them.
 const (
 	CodeInvalidRequest   Code = "invalid_request"
 	CodeUnauthorized     Code = "unauthorized"
--- /dev/null
+++ b/internal/entry/dump.go
@@ -0,0 +1,54 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"gentiantide.example/gentiantide/internal/replica"
+)
+
+// dumpState is the state of the process as the dump shows it.
+type dumpState struct {
+	Node          string        `json:"node"`
+	Lifetime      string        `json:"lifetime"`
+	ConfigVersion int64         `json:"config_version"`
+	Stopping      bool          `json:"stopping"`
+	InFlight      int64         `json:"in_flight"`
+	StoreClockMS  int64         `json:"store_clock_ms"`
+	Jobs          int           `json:"jobs"`
+	ItemsPending  int           `json:"items_pending"`
+	ItemsRunning  int           `json:"items_running"`
+	Replicas      []dumpReplica `json:"replicas"`
+	Nodes         []string      `json:"nodes"`
+}
+
+type dumpReplica struct {
+	replica.Info
+	Busy    float64 `json:"busy"`
+	Avoided bool    `json:"avoided"`
+}
+
+// dump writes the state of the process.
+func (n *Node) dump(w http.ResponseWriter, _ *http.Request) {
+	now := time.Now()
+	clock, _ := n.store.Clock()
+	state := dumpState{
+		Node: string(n.settings.Node), Lifetime: n.nodes.Self().Lifetime, Stopping: n.stopping.Load(),
+		InFlight: n.counters.InFlight(), StoreClockMS: clock.Milliseconds(),
+	}
+	if table := n.configs.Table.Load(); table != nil {
+		state.ConfigVersion = table.Version
+	}
+	state.Jobs, state.ItemsPending, state.ItemsRunning = n.jobs.Counts()
+	for _, r := range n.registry.All() {
+		state.Replicas = append(state.Replicas, dumpReplica{Info: *r.Info(), Busy: r.Busy(now), Avoided: r.Avoided(now)})
+	}
+	for owner := range n.nodes.View().Alive {
+		state.Nodes = append(state.Nodes, owner)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(state); err != nil {
+		n.log.Info("state dump not sent", "error", err)
+	}
+}
--- /dev/null
+++ b/internal/entry/node.go
@@ -0,0 +1,206 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"os"
+	"os/signal"
+	"strconv"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"gentiantide.example/gentiantide/internal/discovery"
+	"gentiantide.example/gentiantide/internal/forward"
+	"gentiantide.example/gentiantide/internal/jobs"
+	"gentiantide.example/gentiantide/internal/metrics"
+	"gentiantide.example/gentiantide/internal/netopt"
+	"gentiantide.example/gentiantide/internal/nodes"
+	"gentiantide.example/gentiantide/internal/replica"
+	"gentiantide.example/gentiantide/internal/watch"
+	"gentiantide.example/gentiantide/platform"
+)
+
+const (
+	// headerTimeout and headerBytes bound a request's head. The operator's
+	// limits are 3 s and 16 KiB.
+	headerTimeout = 5 * time.Second
+	headerBytes   = 64 << 10
+	// idleTimeout closes connections that callers leave unused. Callers use
+	// them again within four fifths of the operator's limit of 15 s.
+	idleTimeout = 60 * time.Second
+	// expireEvery is the time between looks for unused connections to replicas.
+	expireEvery = 500 * time.Millisecond
+)
+
+// Node is one process of the system.
+type Node struct {
+	settings *platform.Settings
+	log      *slog.Logger
+
+	store         *platform.Store
+	configs       *platform.Configs
+	registry      *replica.Registry
+	replicas      *discovery.Replicas
+	nodes         *nodes.Directory
+	jobs          *jobs.Service
+	jobsAPI       *platform.JobsAPI
+	forward       *forward.Handler
+	counters      *forward.Counters
+	metrics       http.Handler
+	metricsCloser io.Closer
+	watchers      []*watch.Watcher
+	stopping      atomic.Bool
+}
+
+// New returns a node that does nothing until Run.
+func New(settings *platform.Settings, log *slog.Logger) *Node {
+	n := &Node{settings: settings, log: log}
+	n.store = platform.NewStore(settings.Store)
+	n.configs = platform.NewConfigs(log)
+	n.registry = replica.NewRegistry()
+	n.replicas = discovery.NewReplicas(n.registry, platform.DecodeReplica, log)
+	lifetime := strconv.FormatInt(time.Now().UnixNano(), 36) + "-" + strconv.Itoa(os.Getpid())
+	n.nodes = nodes.NewDirectory(n.store, nodes.Record{
+		ID: settings.Node, Lifetime: lifetime, Address: settings.Peers, DataCentre: settings.DataCentre,
+	}, log)
+	n.jobs = jobs.New(jobs.Options{
+		Table: n.store, Objects: n.store, Nodes: n.nodes, Clock: n.store.Clock, Log: log,
+		Executor: &jobs.Executor{
+			Codec: platform.Headers{}, Registry: n.registry, Routes: &n.configs.Table, DataCentre: settings.DataCentre, Log: log,
+		},
+	})
+	n.jobsAPI = &platform.JobsAPI{Jobs: n.jobs}
+	scope, handler, closer := metrics.New()
+	n.metrics, n.metricsCloser = handler, closer
+	n.counters = forward.NewCounters(scope)
+	n.forward = &forward.Handler{
+		Codec: platform.Headers{}, Registry: n.registry, DataCentre: settings.DataCentre, Routes: &n.configs.Table,
+		Submit: n.jobsAPI.Submit, MakeRoom: n.jobs.MakeRoom, Log: log, Counters: n.counters,
+	}
+	n.watchers = []*watch.Watcher{
+		n.configs.Watcher(n.store),
+		n.replicas.Watcher(n.store, platform.ReplicaTable),
+		watch.New(n.store, jobs.JobsTable, jobs.Partitions(), n.jobs.Book, log),
+	}
+	return n
+}
+
+// Run serves until a stop signal and then stops gracefully.
+func (n *Node) Run(signals <-chan os.Signal) error {
+	n.log.Info("start", "node", n.settings.Node, "lifetime", n.nodes.Self().Lifetime, "data_centre", n.settings.DataCentre, "store", n.settings.Store)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	callers, err := n.serve(n.settings.Callers, http.HandlerFunc(n.serveCaller))
+	if err != nil {
+		return err
+	}
+	ready, err := n.serve(n.settings.Readiness, n.readinessMux())
+	if err != nil {
+		return err
+	}
+	for _, w := range n.watchers {
+		go w.Run(ctx)
+	}
+	go n.nodes.Run(ctx)
+	go n.jobs.Run(ctx)
+	go n.expireIdle(ctx)
+	n.await(signals)
+	n.stop(callers)
+	cancel()
+	return errors.Join(n.metricsCloser.Close(), ready.Close())
+}
+
+// await returns at the stop signal.
+func (n *Node) await(signals <-chan os.Signal) {
+	for s := range signals {
+		if s != syscall.SIGHUP {
+			n.log.Info("stop", "signal", s.String())
+			return
+		}
+		n.reload()
+	}
+}
+
+// reload reads the settings file again. What it holds is fixed for the life of
+// a process, so that a change is only reported.
+func (n *Node) reload() {
+	fresh, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
+	if err != nil {
+		n.log.Error("settings file cannot be read, keeping the present settings", "error", err)
+		return
+	}
+	n.log.Info("settings file read", "same_store", fresh.Store == n.settings.Store, "same_callers", fresh.Callers == n.settings.Callers)
+}
+
+// Signals returns the channel that Run takes its signals from.
+func Signals() <-chan os.Signal {
+	signals := make(chan os.Signal, 8)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	return signals
+}
+
+// serve starts an HTTP server on an address.
+func (n *Node) serve(address string, handler http.Handler) (*http.Server, error) {
+	listener, err := netopt.ListenConfig().Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", address, err)
+	}
+	server := &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
+		ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelWarn),
+	}
+	go func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			n.log.Error("listener ended", "address", address, "error", err)
+		}
+	}()
+	return server, nil
+}
+
+// serveCaller serves one request of a caller.
+func (n *Node) serveCaller(w http.ResponseWriter, in *http.Request) {
+	if n.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	if n.jobsAPI.Owns(forward.Path(in)) {
+		n.jobsAPI.ServeHTTP(w, in)
+		return
+	}
+	n.forward.ServeHTTP(w, in)
+}
+
+// readinessMux serves the balancer's question and the state of the process.
+func (n *Node) readinessMux() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+platform.ReadinessPath, n.readiness)
+	mux.HandleFunc("GET /dump", n.dump)
+	mux.Handle("GET /metrics", n.metrics)
+	return mux
+}
+
+// readiness answers 200 while the node can serve.
+func (n *Node) readiness(w http.ResponseWriter, _ *http.Request) {
+	if n.stopping.Load() || n.configs.Table.Load() == nil || len(n.registry.All()) == 0 {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (n *Node) expireIdle(ctx context.Context) {
+	ticker := time.NewTicker(expireEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			n.registry.ExpireIdle(now)
+		}
+	}
+}
--- /dev/null
+++ b/internal/forward/refusal.go
@@ -0,0 +1,20 @@
+package forward
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// refuse sends an answer of the node's own.
+func refuse(w http.ResponseWriter, status int, reason string, retryAfter time.Duration) {
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	if retryAfter > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
+	}
+	body := []byte(`{"error":{"code":` + strconv.Quote(reason) + `}}` + "\n")
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(status)
+	_, _ = w.Write(body) // a caller that left does not read its refusal
+}
--- a/internal/httpsend/client.go
+++ b/internal/httpsend/client.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"net/http/httptrace"
 	"time"
+
+	"gentiantide.example/gentiantide/internal/netopt"
 )
 
 const (
@@ -32,7 +34,7 @@
 
 // New returns a client with its own connection pool.
 func New() *Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+	dialer := netopt.Dialer(dialTimeout)
 	return &Client{transport: &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, address)
--- a/internal/infra/errors.go
+++ b/internal/infra/errors.go
@@ -15,4 +15,7 @@
 	// ErrUnknown means that the answer was lost: the write may or may not have
 	// taken effect, now or later. Only reading back tells.
 	ErrUnknown = errors.New("outcome of the write is unknown")
+	// ErrHistoryLost means that a change feed no longer reaches back to the
+	// version asked for. The table has to be read again.
+	ErrHistoryLost = errors.New("history no longer available")
 )
--- /dev/null
+++ b/internal/jobs/item.go
@@ -0,0 +1,28 @@
+package jobs
+
+// Item is one request of a job.
+type Item struct {
+	ID     string            `msgpack:"i"`
+	Path   string            `msgpack:"p"`
+	Header map[string]string `msgpack:"h"`
+	Body   []byte            `msgpack:"b"`
+	// Tokens is the sum of the prompt's tokens and the most output tokens.
+	Tokens int64 `msgpack:"t"`
+}
+
+// Submission is a job as a caller hands it in.
+type Submission struct {
+	ID    string
+	Host  string
+	Path  string
+	Items []Item
+}
+
+// Tokens returns the sum over all items.
+func (s *Submission) Tokens() int64 {
+	var sum int64
+	for i := range s.Items {
+		sum += s.Items[i].Tokens
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/jobs/keys.go
@@ -0,0 +1,64 @@
+package jobs
+
+import (
+	"fmt"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"gentiantide.example/gentiantide/internal/infra"
+)
+
+const (
+	// JobsTable holds one row for each job.
+	JobsTable = "jobs"
+	// ResultsTable holds one row for each result.
+	ResultsTable = "results"
+	// shards is the number of partitions. Each takes 200 transactions a second;
+	// a node that starts reads all of them.
+	shards = 4
+	// positionDigits orders positions as text.
+	positionDigits = 6
+)
+
+// Partitions returns the partitions of the tables.
+func Partitions() []string {
+	all := make([]string, shards)
+	for i := range all {
+		all[i] = strconv.Itoa(i)
+	}
+	return all
+}
+
+func partition(job string) string {
+	return strconv.FormatUint(xxhash.Sum64String(job)%shards, 10)
+}
+
+func jobKey(job string) infra.RowKey {
+	return infra.RowKey{Table: JobsTable, Partition: partition(job), Key: job}
+}
+
+func resultKey(job string, position int) infra.RowKey {
+	key := fmt.Sprintf("%s/%0*d", job, positionDigits, position)
+	return infra.RowKey{Table: ResultsTable, Partition: partition(job), Key: key}
+}
+
+// resultRange is the results of a job from a position on.
+func resultRange(job string, from int) infra.RowRange {
+	first := resultKey(job, from)
+	return infra.RowRange{
+		Table: ResultsTable, Partition: first.Partition, From: first.Key,
+		To: job + "0", // the character after the slash
+	}
+}
+
+// rowOnly is the range of one row.
+func rowOnly(key infra.RowKey) infra.RowRange {
+	return infra.RowRange{Table: key.Table, Partition: key.Partition, From: key.Key, To: key.Key + "\x00"}
+}
+
+// objectName names an object of a job. The owner and the serial number make it
+// unique.
+func objectName(job, owner string, serial uint64) string {
+	return fmt.Sprintf("job-%s-%x-%d", job, xxhash.Sum64String(owner), serial)
+}
--- /dev/null
+++ b/internal/jobs/runner.go
@@ -0,0 +1,284 @@
+package jobs
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"log/slog"
+	"slices"
+	"sync"
+	"time"
+
+	"gentiantide.example/gentiantide/internal/forward"
+	"gentiantide.example/gentiantide/internal/replica"
+	"gentiantide.example/gentiantide/internal/routes"
+)
+
+const (
+	// dispatchTick is the longest time after which pending items are placed
+	// again: slots become free without a notice.
+	dispatchTick = 100 * time.Millisecond
+	// repeatPause keeps an item that failed from being sent again at once.
+	repeatPause = 150 * time.Millisecond
+)
+
+var (
+	errPreempted = errors.New("gave way to online work")
+	errNotOwned  = errors.New("job is not this node's")
+)
+
+// Runner executes the jobs that this node owns.
+type Runner struct {
+	store *store
+	book  *Book
+	exec  *Executor
+	owner string
+	clock func() (time.Duration, bool)
+	log   *slog.Logger
+	wake  chan struct{}
+
+	mu       sync.Mutex
+	jobs     map[string]*ownedJob
+	stopping bool
+	base     context.Context //nolint:containedctx // parent of all runs, set once by Run
+	tasks    sync.WaitGroup
+}
+
+func newRunner(s *store, book *Book, exec *Executor, owner string, clock func() (time.Duration, bool), log *slog.Logger) *Runner {
+	return &Runner{
+		store: s, book: book, exec: exec, owner: owner, clock: clock, log: log,
+		wake: make(chan struct{}, 1), jobs: make(map[string]*ownedJob), base: context.Background(),
+	}
+}
+
+// Run places items until ctx ends.
+func (r *Runner) Run(ctx context.Context) {
+	ticker := time.NewTicker(dispatchTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.wake:
+		case <-ticker.C:
+		}
+		r.dispatch(time.Now())
+	}
+}
+
+func (r *Runner) signal() {
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Own begins the execution of a job, of which the given results are committed.
+func (r *Runner) Own(entry Entry, items []Item, committed []Result) {
+	done := make(map[string]bool, len(committed))
+	for i := range committed {
+		done[committed[i].Item] = true
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, known := r.jobs[entry.ID]; known || r.stopping {
+		return
+	}
+	job := &ownedJob{entry: entry, running: make(map[*work]struct{}), committed: len(committed)}
+	job.ctx, job.cancel = context.WithCancel(r.base)
+	for i := range items {
+		if !done[items[i].ID] {
+			job.pending = append(job.pending, &work{job: job, item: &items[i], last: forward.NoResume})
+		}
+	}
+	// The longest items first, so that none is left to run alone.
+	slices.SortStableFunc(job.pending, func(a, b *work) int { return cmp.Compare(b.item.Tokens, a.item.Tokens) })
+	r.jobs[entry.ID] = job
+	if job.remaining() == 0 {
+		r.commitLater(job)
+	}
+	r.signal()
+}
+
+// Changed takes new rows of jobs: one that is cancelled or has another owner
+// stops here.
+func (r *Runner) Changed(entries []Entry) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i := range entries {
+		e := &entries[i]
+		job, owned := r.jobs[e.ID]
+		if owned && e.Version > job.entry.Version && (e.State != StateOpen || e.Owner != r.owner) {
+			r.drop(job, "row changed")
+		}
+	}
+}
+
+// drop stops a job. The caller holds the lock.
+func (r *Runner) drop(job *ownedJob, reason string) {
+	delete(r.jobs, job.entry.ID)
+	job.cancel()
+	r.log.Info("job dropped", "job", job.entry.ID, "reason", reason, "committed", job.committed, "total", job.entry.Total)
+}
+
+// dispatch places pending items, the earliest due first.
+func (r *Runner) dispatch(now time.Time) {
+	clock, known := r.clock()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.stopping {
+		return
+	}
+	full := make(map[*routes.Route]bool)
+	for _, w := range r.byDue(now) {
+		if known && clock > w.job.entry.GiveUp {
+			r.abandon(w, "past its time")
+			continue
+		}
+		route, verdict := r.exec.route(w)
+		switch {
+		case verdict == routeGone:
+			r.abandon(w, "its route is gone")
+			continue
+		case verdict == routeUnknown || full[route]:
+			continue
+		}
+		target := r.exec.place(route, now)
+		if target == nil {
+			full[route] = true
+			continue
+		}
+		r.start(w, route, target)
+	}
+}
+
+// byDue returns the pending items that may be sent, the earliest due first. The
+// caller holds the lock.
+func (r *Runner) byDue(now time.Time) []*work {
+	var all []*work
+	for _, job := range r.jobs {
+		for _, w := range job.pending {
+			if !w.notBefore.After(now) {
+				all = append(all, w)
+			}
+		}
+	}
+	slices.SortStableFunc(all, func(a, b *work) int {
+		return cmp.Or(cmp.Compare(a.job.entry.Due, b.job.entry.Due), cmp.Compare(a.job.entry.ID, b.job.entry.ID))
+	})
+	return all
+}
+
+// abandon ends an item without success. The caller holds the lock.
+func (r *Runner) abandon(w *work, reason string) {
+	r.log.Info("item given up", "job", w.job.entry.ID, "item", w.item.ID, "reason", reason, "failures", w.failures)
+	w.job.takePending(w)
+	r.finish(w.job, Result{Item: w.item.ID, State: ItemDead})
+}
+
+// start runs an item. The caller holds the lock.
+func (r *Runner) start(w *work, route *routes.Route, target *replica.Replica) {
+	w.job.takePending(w)
+	w.job.running[w] = struct{}{}
+	ctx, cancel := context.WithCancelCause(w.job.ctx)
+	w.replica, w.cancel = target, cancel
+	r.tasks.Add(1)
+	go func() {
+		defer r.tasks.Done()
+		defer cancel(nil)
+		end := r.exec.run(ctx, w, route, target)
+		r.ended(w, route, end)
+	}()
+}
+
+// ended decides what follows the run of an item.
+func (r *Runner) ended(w *work, route *routes.Route, end ending) {
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	defer r.signal()
+	job := w.job
+	delete(job.running, w)
+	w.replica, w.cancel = nil, nil
+	if r.jobs[job.entry.ID] != job || end == endStopped {
+		return
+	}
+	switch end {
+	case endSucceeded:
+		r.finish(job, Result{Item: w.item.ID, State: ItemSucceeded, Text: w.text()})
+		return
+	case endImpossible:
+		r.log.Info("item given up", "job", job.entry.ID, "item", w.item.ID, "reason", "it can never be done")
+		r.finish(job, Result{Item: w.item.ID, State: ItemDead})
+		return
+	case endFailed:
+		if w.failures++; w.failures >= max(1, route.MaxAttempts) {
+			r.log.Info("item given up", "job", job.entry.ID, "item", w.item.ID, "reason", "failed too often", "failures", w.failures)
+			r.finish(job, Result{Item: w.item.ID, State: ItemDead})
+			return
+		}
+		w.notBefore = now.Add(repeatPause)
+	case endNotRun:
+		w.notBefore = now.Add(repeatPause)
+	}
+	job.pending = append(job.pending, w)
+}
+
+// finish queues a result for the commit. The caller holds the lock.
+func (r *Runner) finish(job *ownedJob, result Result) {
+	job.finished = append(job.finished, result)
+	r.commitLater(job)
+}
+
+// MakeRoom ends the run of one item at a replica that online work needs.
+func (r *Runner) MakeRoom(target *replica.Replica) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var victim *work
+	for _, job := range r.jobs {
+		for w := range job.running {
+			if w.replica == target && (victim == nil || w.job.entry.Due > victim.job.entry.Due) {
+				victim = w
+			}
+		}
+	}
+	if victim != nil {
+		victim.replica = nil // it is chosen once
+		victim.cancel(errPreempted)
+		r.log.Info("item preempted", "job", victim.job.entry.ID, "item", victim.item.ID, "replica", target.Info().ID)
+	}
+}
+
+// Stop starts no more items, waits for the running ones until ctx ends and
+// commits what is finished. Jobs that remain are taken over by other nodes.
+func (r *Runner) Stop(ctx context.Context) {
+	r.mu.Lock()
+	r.stopping = true
+	r.mu.Unlock()
+	done := make(chan struct{})
+	go func() {
+		r.tasks.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, job := range r.jobs {
+		r.drop(job, "node stops")
+	}
+}
+
+// Owned returns the jobs and the running items, for the state dump.
+func (r *Runner) Owned() (jobs, pending, running int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, job := range r.jobs {
+		jobs++
+		pending += len(job.pending)
+		running += len(job.running)
+	}
+	return jobs, pending, running
+}
--- a/internal/node/metrics.go
+++ b/internal/metrics/metrics.go
@@ -1,4 +1,5 @@
-package node
+// Package metrics makes the metrics scope of a node and its text form.
+package metrics
 
 import (
 	"io"
@@ -13,9 +14,9 @@
 // reportInterval is the time between two reports of the metrics scope.
 const reportInterval = 1 * time.Second
 
-// newMetrics returns the root scope, the HTTP handler that serves it as text
+// New returns the root scope, the HTTP handler that serves it as text
 // and the closer of the scope.
-func newMetrics() (tally.Scope, http.Handler, io.Closer) {
+func New() (tally.Scope, http.Handler, io.Closer) {
 	registry := client.NewRegistry() // one for each node, so that a process can hold several
 	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -31,6 +31,7 @@
 	"gentiantide.example/gentiantide/internal/infra/httptable"
 	"gentiantide.example/gentiantide/internal/intent"
 	"gentiantide.example/gentiantide/internal/membership"
+	"gentiantide.example/gentiantide/internal/metrics"
 	"gentiantide.example/gentiantide/internal/orders"
 	"gentiantide.example/gentiantide/internal/owner"
 	"gentiantide.example/gentiantide/internal/peer"
@@ -84,7 +85,7 @@
 		budgets:  &budgets{},
 	}
 	n.ids = newIDSource(cfg.ID, n.started.UnixNano())
-	n.scope, n.metricsHandler, n.metricsCloser = newMetrics()
+	n.scope, n.metricsHandler, n.metricsCloser = metrics.New()
 	n.transport = peer.New(cfg.ID, log.With("role", "peer"))
 	n.transport.SetSecrets(cfg.PeerSecrets)
 	n.wireViews()
--- /dev/null
+++ b/internal/replica/registry.go
@@ -0,0 +1,103 @@
+package replica
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"gentiantide.example/gentiantide/internal/core"
+)
+
+// Registry is a node's list of the registered replicas. Reads are lock-free.
+type Registry struct {
+	view atomic.Pointer[view]
+
+	mu  sync.Mutex
+	all map[core.ReplicaID]*Replica
+}
+
+// view is one immutable state of the registry.
+type view struct {
+	services map[core.DeploymentID][]*Replica
+	all      []*Replica
+}
+
+// NewRegistry returns an empty registry.
+func NewRegistry() *Registry {
+	r := &Registry{all: make(map[core.ReplicaID]*Replica)}
+	r.view.Store(&view{})
+	return r
+}
+
+// Put records a registration.
+func (g *Registry) Put(info Info) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	old, known := g.all[info.ID]
+	if !known {
+		g.all[info.ID] = newReplica(info)
+		g.publish()
+		return
+	}
+	before := *old.Info()
+	if before == info {
+		return
+	}
+	old.info.Store(&info)
+	if before.Started != info.Started || before.Address != info.Address {
+		old.reset()
+	}
+	g.publish()
+}
+
+// Remove drops a replica that is no longer registered.
+func (g *Registry) Remove(id core.ReplicaID) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	old, known := g.all[id]
+	if !known {
+		return false
+	}
+	delete(g.all, id)
+	old.pool.closeAll()
+	g.publish()
+	return true
+}
+
+// publish makes a new view. The caller holds the lock.
+func (g *Registry) publish() {
+	v := &view{services: make(map[core.DeploymentID][]*Replica)}
+	for _, r := range g.all {
+		v.all = append(v.all, r)
+		if info := r.Info(); !info.Leaving {
+			v.services[info.Service] = append(v.services[info.Service], r)
+		}
+	}
+	g.view.Store(v)
+}
+
+// Ready returns the replicas of a service that take new work. The slice is not
+// to be changed.
+func (g *Registry) Ready(service core.DeploymentID) []*Replica {
+	return g.view.Load().services[service]
+}
+
+// All returns every registered replica. The slice is not to be changed.
+func (g *Registry) All() []*Replica { return g.view.Load().all }
+
+// Get returns a replica by id, or nil.
+func (g *Registry) Get(id core.ReplicaID) *Replica {
+	for _, r := range g.All() {
+		if r.Info().ID == id {
+			return r
+		}
+	}
+	return nil
+}
+
+// ExpireIdle closes connections that have been unused for too long.
+func (g *Registry) ExpireIdle(now time.Time) {
+	for _, r := range g.All() {
+		r.pool.expire(now)
+	}
+}
--- /dev/null
+++ b/internal/replica/replica.go
@@ -0,0 +1,152 @@
+package replica
+
+import (
+	"sync/atomic"
+	"time"
+
+	"gentiantide.example/gentiantide/internal/core"
+	"gentiantide.example/gentiantide/internal/steady"
+)
+
+const (
+	// loadFresh is how long a load report counts in full. Reports of several
+	// hundred ms ago say little about queues that turn over in 0.7 s.
+	loadFresh = 700 * time.Millisecond
+	// suspicionBase is how long a replica is avoided after one failure. Each
+	// further failure in a row doubles it.
+	suspicionBase = 400 * time.Millisecond
+	// suspicionMax bounds the avoidance, so that a replica that recovered is
+	// found again within the callers' deadlines.
+	suspicionMax = 4 * time.Second
+)
+
+// Replica is one backend server with the state that this node keeps of it. It
+// outlives changes of its registration.
+type Replica struct {
+	info atomic.Pointer[Info]
+	pool pool
+
+	online atomic.Int32
+	batch  atomic.Int32
+	// shared is the work of other nodes as they last told.
+	shared atomic.Pointer[sharedLoad]
+	report atomic.Pointer[reportedLoad]
+
+	failures     atomic.Int32
+	avoidedUntil steady.Moment
+}
+
+type reportedLoad struct {
+	load Load
+	at   time.Time
+	// own is this node's work there when the report was made.
+	own int
+}
+
+type sharedLoad struct {
+	online int
+	batch  int
+	at     time.Time
+}
+
+func newReplica(info Info) *Replica {
+	r := &Replica{}
+	r.info.Store(&info)
+	return r
+}
+
+// Info returns the present registration.
+func (r *Replica) Info() *Info { return r.info.Load() }
+
+// Begin counts one piece of work that this node sends to the replica.
+func (r *Replica) Begin(class core.Class) { r.counter(class).Add(1) }
+
+// End takes one piece of work off.
+func (r *Replica) End(class core.Class) { r.counter(class).Add(-1) }
+
+// Own returns this node's work at the replica.
+func (r *Replica) Own() (online, batch int) {
+	return int(r.online.Load()), int(r.batch.Load())
+}
+
+func (r *Replica) counter(class core.Class) *atomic.Int32 {
+	if class == core.ClassBatch {
+		return &r.batch
+	}
+	return &r.online
+}
+
+// Reported records a load report that came with an answer.
+func (r *Replica) Reported(load Load, now time.Time) {
+	online, batch := r.Own()
+	r.report.Store(&reportedLoad{load: load, at: now, own: online + batch})
+}
+
+// Share records the work of other nodes at the replica.
+func (r *Replica) Share(online, batch int, now time.Time) {
+	r.shared.Store(&sharedLoad{online: online, batch: batch, at: now})
+}
+
+// Busy estimates the work at the replica from all nodes.
+func (r *Replica) Busy(now time.Time) float64 {
+	online, batch := r.Own()
+	own := float64(online + batch)
+	if s := r.shared.Load(); s != nil && now.Sub(s.at) < sharedFresh {
+		return own + float64(s.online+s.batch)
+	}
+	report := r.report.Load()
+	if report == nil {
+		return own
+	}
+	age := now.Sub(report.at)
+	if age >= 2*loadFresh {
+		return own
+	}
+	others := float64(report.load.Running + report.load.Waiting - report.own)
+	if age > loadFresh {
+		others *= 1 - float64(age-loadFresh)/float64(loadFresh)
+	}
+	return own + max(0, others)
+}
+
+// Slowdown returns how long work takes at the replica as a multiple of the
+// usual, at least 1.
+func (r *Replica) Slowdown(now time.Time) float64 {
+	report := r.report.Load()
+	if report == nil || now.Sub(report.at) > slowdownFresh {
+		return 1
+	}
+	return max(1, report.load.Slowdown)
+}
+
+// Failed records a failure that says that the replica may be gone.
+func (r *Replica) Failed(now time.Time) time.Duration {
+	n := r.failures.Add(1)
+	wait := suspicionMax
+	if n < 8 { // beyond that the shift exceeds the bound anyway
+		wait = min(suspicionMax, suspicionBase<<(n-1))
+	}
+	r.avoidedUntil.Set(now.Add(wait))
+	return wait
+}
+
+// Succeeded ends the avoidance.
+func (r *Replica) Succeeded() {
+	if r.failures.Load() != 0 {
+		r.failures.Store(0)
+		r.avoidedUntil.Clear()
+	}
+}
+
+// Avoided reports whether recent failures speak against the replica.
+func (r *Replica) Avoided(now time.Time) bool {
+	return r.avoidedUntil.After(now)
+}
+
+// reset forgets everything that a former process of the replica said.
+func (r *Replica) reset() {
+	r.report.Store(nil)
+	r.failures.Store(0)
+	r.avoidedUntil.Clear()
+	r.pool.closeAll()
+}
--- /dev/null
+++ b/internal/replica/request.go
@@ -0,0 +1,36 @@
+package replica
+
+import (
+	"bufio"
+	"net/http"
+	"strconv"
+)
+
+// Request is one request to a replica, in the form in which it goes out.
+type Request struct {
+	Method string
+	// Target is the path and query exactly as the caller sent them.
+	Target string
+	Host   string
+	// Header holds the end-to-end headers.
+	Header http.Header
+	Body   []byte
+	// HasBody is set if the caller sent a body, even an empty one.
+	HasBody bool
+	// Answers reports whether an answer with these headers belongs to this
+	// request.
+	Answers func(http.Header) bool
+}
+
+// writeHead writes everything before the body.
+func (r *Request) writeHead(w *bufio.Writer) error {
+	_, _ = w.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
+	if err := r.Header.Write(w); err != nil {
+		return err
+	}
+	if r.HasBody || len(r.Body) > 0 {
+		_, _ = w.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
+	}
+	_, err := w.WriteString("\r\n") // a bufio.Writer keeps its first error
+	return err
+}
--- a/internal/retention/doc.go
+++ b/internal/retention/doc.go
@@ -43,7 +43,7 @@
 // within online.deadline, at most 1 h, and the shortest retention.intents is
 // 2 h: a row is never deleted while its call runs. The default of 24 h is far
 // longer than automatic resends go on. That a caller must not resend later
-// stands in docs/operations.md.
+// stands in docs/OPERATIONS.md.
 //
 // # Rate
 //
--- /dev/null
+++ b/internal/routes/route.go
@@ -0,0 +1,68 @@
+package routes
+
+import (
+	"time"
+
+	"gentiantide.example/gentiantide/internal/core"
+)
+
+// Route says how the requests of one host and path prefix are served.
+type Route struct {
+	Name string
+	Host string
+	// Prefix begins and ends with a slash.
+	Prefix   string
+	Kind     Kind
+	Backends []Backend
+	// Timeout is the longest time that a request is kept waiting.
+	Timeout time.Duration
+	// Target is the latency within which an answer earns full credit.
+	Target time.Duration
+	// EventGap is the longest pause between events of a stream on time.
+	EventGap time.Duration
+	// MaxAttempts bounds the replicas that run one request.
+	MaxAttempts int
+	// Priority is the rank among routes; 0 is the most urgent.
+	Priority int
+	// CanResume is set if a stream may go on at another replica.
+	CanResume bool
+	// Due is the time after submission in which all results of a job are due.
+	Due time.Duration
+	// GiveUp is the time after submission from which items may be abandoned.
+	GiveUp time.Duration
+	// MaxQueuedTokens bounds the tokens of unfinished items over all nodes; 0
+	// means no bound.
+	MaxQueuedTokens int64
+}
+
+// Repeatable reports whether a request of the route may run more than once.
+func (r *Route) Repeatable() bool {
+	return r.Kind == KindSafe || r.CanResume && (r.Kind == KindStream || r.Kind == KindBatch)
+}
+
+// Backend is one service of a route and its share of the requests.
+type Backend struct {
+	Service core.DeploymentID
+	Weight  int
+}
+
+// Pick chooses a service by weight with a number drawn at random.
+func (r *Route) Pick(random uint64) core.DeploymentID {
+	total := 0
+	for _, b := range r.Backends {
+		total += b.Weight
+	}
+	if total <= 0 {
+		if len(r.Backends) == 0 {
+			return ""
+		}
+		return r.Backends[0].Service
+	}
+	n := int(random % uint64(total))
+	for _, b := range r.Backends {
+		if n -= b.Weight; n < 0 {
+			return b.Service
+		}
+	}
+	return r.Backends[len(r.Backends)-1].Service
+}
--- /dev/null
+++ b/internal/watch/watcher.go
@@ -0,0 +1,167 @@
+package watch
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"gentiantide.example/gentiantide/internal/infra"
+	"gentiantide.example/gentiantide/internal/steady"
+)
+
+const (
+	// followWait is how long one call waits for a change. A call that the store
+	// will never answer must end before the node counts as in touch again, 3 s
+	// after an outage.
+	followWait = 2 * time.Second
+	// backoffMin and backoffMax bound the pause after a failed call. The pause
+	// after an outage must leave time to read the table within the same 3 s.
+	backoffMin = 100 * time.Millisecond
+	backoffMax = 600 * time.Millisecond
+)
+
+// Handler takes what a watcher learns. Its methods are called by one goroutine.
+type Handler interface {
+	// Snapshot takes all rows of the table. Rows that are absent are gone.
+	Snapshot(rows []infra.VersionedRow)
+	// Changed takes rows that were written or deleted.
+	Changed(rows []infra.VersionedRow)
+}
+
+// Watcher follows one table.
+type Watcher struct {
+	Store      infra.PartitionedTable
+	Table      string
+	Partitions []string
+	Handler    Handler
+	Log        *slog.Logger
+
+	version  uint64
+	contact  steady.Moment // of the last answer
+	restored steady.Moment // of the first answer after a failure
+	failing  atomic.Bool
+	loaded   chan struct{}
+}
+
+// New returns a watcher of the partitions of a table.
+func New(store infra.PartitionedTable, table string, partitions []string, handler Handler, log *slog.Logger) *Watcher {
+	return &Watcher{
+		Store: store, Table: table, Partitions: partitions, Handler: handler,
+		Log: log.With("table", table), loaded: make(chan struct{}),
+	}
+}
+
+// Loaded is closed once the table has been read for the first time.
+func (w *Watcher) Loaded() <-chan struct{} { return w.loaded }
+
+// Contact returns when the store last answered; ok is false if it never did.
+func (w *Watcher) Contact() (at time.Time, ok bool) { return w.contact.Get() }
+
+// Restored returns when the store answered again after it had failed; ok is
+// false if it never failed.
+func (w *Watcher) Restored() (at time.Time, ok bool) { return w.restored.Get() }
+
+// Failing reports whether the last call failed.
+func (w *Watcher) Failing() bool { return w.failing.Load() }
+
+// Run follows the table until ctx ends.
+func (w *Watcher) Run(ctx context.Context) {
+	pause := backoffMin
+	known := false
+	for ctx.Err() == nil {
+		err := w.step(ctx, known)
+		switch {
+		case err == nil:
+			known = true
+			pause = backoffMin
+			w.answered()
+		case errors.Is(err, infra.ErrHistoryLost):
+			w.Log.Info("history lost, reading the table again", "version", w.version)
+			known = false
+		case ctx.Err() == nil:
+			w.failed(err)
+			sleep(ctx, jitter(pause))
+			pause = min(2*pause, backoffMax)
+		}
+	}
+}
+
+// step makes one call: it reads the table, or waits for a change.
+func (w *Watcher) step(ctx context.Context, known bool) error {
+	if !known {
+		return w.load(ctx)
+	}
+	set, err := w.Store.Follow(ctx, w.Table, w.version, followWait)
+	if err != nil {
+		return err
+	}
+	if set.Version < w.version {
+		w.Log.Warn("answer is older than one before, ignored", "version", set.Version, "known", w.version)
+		return nil
+	}
+	w.version = set.Version
+	if len(set.Rows) > 0 {
+		w.Handler.Changed(set.Rows)
+	}
+	return nil
+}
+
+// load reads all partitions. Changes are followed from the oldest of the reads.
+func (w *Watcher) load(ctx context.Context) error {
+	var rows []infra.VersionedRow
+	var oldest uint64
+	for i, partition := range w.Partitions {
+		set, err := w.Store.Range(ctx, infra.RowRange{Table: w.Table, Partition: partition})
+		if err != nil {
+			return err
+		}
+		rows = append(rows, set.Rows...)
+		if i == 0 || set.Version < oldest {
+			oldest = set.Version
+		}
+	}
+	if oldest < w.version {
+		w.Log.Warn("table read is older than the known state, ignored", "version", oldest, "known", w.version)
+		return infra.ErrUnavailable
+	}
+	w.version = oldest
+	w.Handler.Snapshot(rows)
+	select {
+	case <-w.loaded:
+	default:
+		close(w.loaded)
+	}
+	return nil
+}
+
+func (w *Watcher) answered() {
+	now := time.Now()
+	if w.failing.CompareAndSwap(true, false) {
+		w.restored.Set(now)
+		w.Log.Info("store regained", "version", w.version)
+	}
+	w.contact.Set(now)
+}
+
+func (w *Watcher) failed(err error) {
+	if w.failing.CompareAndSwap(false, true) {
+		w.Log.Warn("store lost", "error", err, "version", w.version)
+	}
+}
+
+// jitter spreads the returns of many nodes over half of the pause.
+func jitter(d time.Duration) time.Duration {
+	return d/2 + rand.N(d/2+1) //nolint:gosec // spreads load, no secret
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
