Tell other nodes the work at each replica

Change: each node tells the others its work at each replica every 100 ms over the peer protocol (internal/loadshare); online work at a full replica lets an item of batch work give way, here or at another node.

--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -17,9 +17,11 @@
 	"gentiantide.example/gentiantide/internal/discovery"
 	"gentiantide.example/gentiantide/internal/forward"
 	"gentiantide.example/gentiantide/internal/jobs"
+	"gentiantide.example/gentiantide/internal/loadshare"
 	"gentiantide.example/gentiantide/internal/metrics"
 	"gentiantide.example/gentiantide/internal/netopt"
 	"gentiantide.example/gentiantide/internal/nodes"
+	"gentiantide.example/gentiantide/internal/peer"
 	"gentiantide.example/gentiantide/internal/replica"
 	"gentiantide.example/gentiantide/internal/watch"
 	"gentiantide.example/gentiantide/platform"
@@ -49,6 +51,8 @@
 	nodes         *nodes.Directory
 	jobs          *jobs.Service
 	jobsAPI       *platform.JobsAPI
+	peers         *peer.Transport
+	shares        *loadshare.Service
 	forward       *forward.Handler
 	counters      *forward.Counters
 	metrics       http.Handler
@@ -74,13 +78,17 @@
 			Codec: platform.Headers{}, Registry: n.registry, Routes: &n.configs.Table, DataCentre: settings.DataCentre, Log: log,
 		},
 	})
+	n.peers = peer.New(settings.Node, log)
+	n.shares = loadshare.New(loadshare.Options{
+		Transport: n.peers, Registry: n.registry, Nodes: n.nodes, Yield: n.jobs.Yield, Log: log,
+	})
 	n.jobsAPI = &platform.JobsAPI{Jobs: n.jobs}
 	scope, handler, closer := metrics.New()
 	n.metrics, n.metricsCloser = handler, closer
 	n.counters = forward.NewCounters(scope)
 	n.forward = &forward.Handler{
 		Codec: platform.Headers{}, Registry: n.registry, DataCentre: settings.DataCentre, Routes: &n.configs.Table,
-		Submit: n.jobsAPI.Submit, MakeRoom: n.jobs.MakeRoom, Log: log, Counters: n.counters,
+		Submit: n.jobsAPI.Submit, MakeRoom: n.shares.MakeRoom, Log: log, Counters: n.counters,
 	}
 	n.watchers = []*watch.Watcher{
 		n.configs.Watcher(n.store),
@@ -103,11 +111,18 @@
 	if err != nil {
 		return err
 	}
+	peers, err := netopt.ListenConfig().Listen(ctx, "tcp", n.settings.Peers)
+	if err != nil {
+		return fmt.Errorf("listen on %s: %w", n.settings.Peers, err)
+	}
+	n.peers.Start(peers)
+	defer n.peers.Close()
 	for _, w := range n.watchers {
 		go w.Run(ctx)
 	}
 	go n.nodes.Run(ctx)
 	go n.jobs.Run(ctx)
+	go n.shares.Run(ctx)
 	go n.expireIdle(ctx)
 	n.await(signals)
 	n.stop(callers)
--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -230,8 +230,9 @@
 	r.commitLater(job)
 }
 
-// MakeRoom ends the run of one item at a replica that online work needs.
-func (r *Runner) MakeRoom(target *replica.Replica) {
+// Yield ends the run of one item at a replica that online work needs. It
+// reports whether there was one.
+func (r *Runner) Yield(target *replica.Replica) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var victim *work
@@ -242,11 +243,13 @@
 			}
 		}
 	}
-	if victim != nil {
-		victim.replica = nil // it is chosen once
-		victim.cancel(errPreempted)
-		r.log.Info("item preempted", "job", victim.job.entry.ID, "item", victim.item.ID, "replica", target.Info().ID)
+	if victim == nil {
+		return false
 	}
+	victim.replica = nil // it is chosen once
+	victim.cancel(errPreempted)
+	r.log.Info("item preempted", "job", victim.job.entry.ID, "item", victim.item.ID, "replica", target.Info().ID)
+	return true
 }
 
 // Stop starts no more items, waits for the running ones until ctx ends and
--- a/internal/jobs/service.go
+++ b/internal/jobs/service.go
@@ -76,8 +76,8 @@
 	return s.Intake.Submit(ctx, sub, route, patience)
 }
 
-// MakeRoom lets online work have a slot of a replica.
-func (s *Service) MakeRoom(r *replica.Replica) { s.runner.MakeRoom(r) }
+// Yield lets online work have a slot of a replica; see Runner.Yield.
+func (s *Service) Yield(r *replica.Replica) bool { return s.runner.Yield(r) }
 
 // Stop ends the execution; see Runner.Stop.
 func (s *Service) Stop(ctx context.Context) { s.runner.Stop(ctx) }
--- /dev/null
+++ b/internal/loadshare/message.go
@@ -0,0 +1,25 @@
+package loadshare
+
+import "gentiantide.example/gentiantide/internal/core"
+
+const (
+	kindCounts = "load.counts"
+	kindYield  = "load.yield"
+)
+
+// counts is what a node has at the replicas where it has work.
+type counts struct {
+	Replicas []count `msgpack:"r"`
+}
+
+// count is a node's work at one replica.
+type count struct {
+	ID     core.ReplicaID `msgpack:"i"`
+	Online int            `msgpack:"o"`
+	Batch  int            `msgpack:"b"`
+}
+
+// yield asks a node to let one item of batch work at a replica give way.
+type yield struct {
+	Replica core.ReplicaID `msgpack:"i"`
+}
--- /dev/null
+++ b/internal/loadshare/service.go
@@ -0,0 +1,163 @@
+package loadshare
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"gentiantide.example/gentiantide/internal/core"
+	"gentiantide.example/gentiantide/internal/nodes"
+	"gentiantide.example/gentiantide/internal/peer"
+	"gentiantide.example/gentiantide/internal/replica"
+)
+
+const (
+	// sendEvery is the time between counts while they change. A slot of an
+	// engine turns over about every 90 ms.
+	sendEvery = 100 * time.Millisecond
+	// perNode lengthens the time between counts in large fleets, so that a node
+	// receives at most 100 messages a second.
+	perNode = 10 * time.Millisecond
+	// maxSilence is the longest time without counts while nothing changes.
+	maxSilence = 300 * time.Millisecond
+)
+
+// Options are what a Service needs.
+type Options struct {
+	Transport *peer.Transport
+	Registry  *replica.Registry
+	Nodes     *nodes.Directory
+	// Yield lets one item of this node's batch work at a replica give way and
+	// reports whether there was one.
+	Yield func(*replica.Replica) bool
+	Log   *slog.Logger
+}
+
+// Service exchanges counts with the other nodes.
+type Service struct {
+	Options
+	ledger *ledger
+	last   []count
+	sent   time.Time
+	known  map[core.NodeID]string
+}
+
+// New registers the handlers. The transport is started afterwards.
+func New(o Options) *Service {
+	s := &Service{Options: o, ledger: newLedger(), known: make(map[core.NodeID]string)}
+	o.Transport.Handle(kindCounts, s.counts)
+	o.Transport.Handle(kindYield, s.yield)
+	return s
+}
+
+// Run exchanges counts until ctx ends.
+func (s *Service) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		now := time.Now()
+		s.follow()
+		s.apply(now)
+		s.tell(now)
+		timer := time.NewTimer(max(sendEvery, time.Duration(len(s.known))*perNode))
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+		case <-timer.C:
+		}
+	}
+}
+
+// follow takes the addresses of the live nodes.
+func (s *Service) follow() {
+	present := make(map[core.NodeID]string)
+	for _, record := range s.Nodes.View().Alive {
+		if record.ID != s.Transport.Self() && record.Address != "" {
+			present[record.ID] = record.Address
+		}
+	}
+	for id, address := range present {
+		if s.known[id] != address {
+			s.Transport.SetAddress(id, address)
+		}
+	}
+	for id := range s.known {
+		if _, ok := present[id]; !ok {
+			s.Transport.Forget(id)
+		}
+	}
+	s.known = present
+}
+
+// apply hands the sums to the replicas.
+func (s *Service) apply(now time.Time) {
+	sums, heard := s.ledger.totals(now)
+	if heard == 0 {
+		return // load reports of the replicas decide
+	}
+	for _, r := range s.Registry.All() {
+		t := sums[r.Info().ID]
+		r.Share(t.online, t.batch, now)
+	}
+}
+
+// tell sends this node's counts if they changed or it was silent for long.
+func (s *Service) tell(now time.Time) {
+	var own []count
+	for _, r := range s.Registry.All() {
+		if online, batch := r.Own(); online+batch > 0 {
+			own = append(own, count{ID: r.Info().ID, Online: online, Batch: batch})
+		}
+	}
+	slices.SortFunc(own, func(a, b count) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	if slices.Equal(own, s.last) && now.Sub(s.sent) < maxSilence {
+		return
+	}
+	s.last, s.sent = own, now
+	for id := range s.known {
+		if err := s.Transport.Send(id, kindCounts, &counts{Replicas: own}); err != nil {
+			s.Log.Debug("counts not sent", "node", id, "error", err)
+		}
+	}
+}
+
+func (s *Service) counts(_ context.Context, from core.NodeID, body []byte) ([]byte, error) {
+	var c counts
+	if err := msgpack.Unmarshal(body, &c); err != nil {
+		return nil, err
+	}
+	s.ledger.take(from, &c, time.Now())
+	return nil, nil
+}
+
+func (s *Service) yield(_ context.Context, from core.NodeID, body []byte) ([]byte, error) {
+	var y yield
+	if err := msgpack.Unmarshal(body, &y); err != nil {
+		return nil, err
+	}
+	if r := s.Registry.Get(y.Replica); r != nil && s.Yield(r) {
+		s.Log.Info("batch work gave way to another node", "replica", y.Replica, "node", from)
+	}
+	return nil, nil
+}
+
+// MakeRoom lets one item of batch work at a replica give way, here or at the
+// node that has most of it there.
+func (s *Service) MakeRoom(r *replica.Replica) {
+	if s.Yield(r) {
+		return
+	}
+	holder, ok := s.ledger.batchHolder(r.Info().ID)
+	if !ok {
+		return
+	}
+	if err := s.Transport.Send(holder, kindYield, &yield{Replica: r.Info().ID}); err != nil {
+		s.Log.Info("question to give way not sent", "node", holder, "error", err)
+	}
+}
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"gentiantide.example/gentiantide/internal/core"
+	"gentiantide.example/gentiantide/internal/netopt"
 )
 
 // link is the outgoing connection to one node. It dials on demand and again
@@ -118,7 +119,7 @@
 // connectAndServe dials, sends the first frame and all that follow, and
 // returns when the connection is lost. Calls that wait then fail.
 func (l *link) connectAndServe(first []byte) {
-	conn, err := net.DialTimeout("tcp", l.address, dialTimeout)
+	conn, err := netopt.Dialer(dialTimeout).Dial("tcp", l.address)
 	if err != nil {
 		l.drainQueue()
 		l.failPending()
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -9,9 +9,12 @@
 )
 
 const (
-	// loadFresh is how long a load report counts in full. Reports of several
-	// hundred ms ago say little about queues that turn over in 0.7 s.
-	loadFresh = 700 * time.Millisecond
+	// loadNow is how long a load report goes before the counts of other nodes,
+	// which are about as old.
+	loadNow = 80 * time.Millisecond
+	// loadStale is when a load report says nothing any more: a request stays at
+	// an engine for about 0.7 s.
+	loadStale = 1400 * time.Millisecond
 	// suspicionBase is how long a replica is avoided after one failure. Each
 	// further failure in a row doubles it.
 	suspicionBase = 400 * time.Millisecond
@@ -43,6 +46,11 @@
 	own int
 }
 
+// others is the work that the report shows besides this node's.
+func (l *reportedLoad) others() float64 {
+	return float64(max(0, l.load.Running+l.load.Waiting-l.own))
+}
+
 type sharedLoad struct {
 	online int
 	batch  int
@@ -90,23 +98,27 @@
 // Busy estimates the work at the replica from all nodes.
 func (r *Replica) Busy(now time.Time) float64 {
 	online, batch := r.Own()
-	own := float64(online + batch)
-	if s := r.shared.Load(); s != nil && now.Sub(s.at) < sharedFresh {
-		return own + float64(s.online+s.batch)
-	}
+	return float64(online+batch) + r.others(now)
+}
+
+// others estimates the work of other nodes: by a report of this moment, else by
+// what they told, else by an older report.
+func (r *Replica) others(now time.Time) float64 {
 	report := r.report.Load()
-	if report == nil {
-		return own
+	age := loadStale
+	if report != nil {
+		age = now.Sub(report.at)
 	}
-	age := now.Sub(report.at)
-	if age >= 2*loadFresh {
-		return own
+	if age < loadNow {
+		return report.others()
+	}
+	if s := r.shared.Load(); s != nil && now.Sub(s.at) < sharedFresh {
+		return float64(s.online + s.batch)
 	}
-	others := float64(report.load.Running + report.load.Waiting - report.own)
-	if age > loadFresh {
-		others *= 1 - float64(age-loadFresh)/float64(loadFresh)
+	if age >= loadStale {
+		return 0
 	}
-	return own + max(0, others)
+	return report.others() * (1 - float64(age)/float64(loadStale))
 }
 
 // Slowdown returns how long work takes at the replica as a multiple of the
