Stop a cancelled job at its owner and execute jobs whose write came late

Change: Book.Learn notifies as the feed does; a node executes open jobs that are its own by their rows. A long answer that is not passed on releases its replica. Ruled out: takeover by two nodes, as commits are fenced.

--- a/internal/forward/whole.go
+++ b/internal/forward/whole.go
@@ -80,7 +80,7 @@
 	}
 	n, err := body.ReadFrom(io.LimitReader(a.answer, wholeBuffer))
 	answer := &wholeAnswer{status: a.answer.Status, header: a.answer.Header, body: body.Bytes()}
-	if err == nil && n == wholeBuffer {
+	if err == nil && n == wholeBuffer && !r.promises(answer.status) && answer.status < http.StatusInternalServerError {
 		answer.rest = a
 		return answer
 	}
--- a/internal/jobs/book.go
+++ b/internal/jobs/book.go
@@ -84,13 +84,24 @@
 	return entry, true
 }
 
-// Learn takes a row that this node wrote or read itself.
+// Learn takes a row that this node wrote or read itself, and notifies as for one
+// that the feed brought: the feed's copy is then no change any more.
 func (b *Book) Learn(record *Record, version uint64) {
+	if entry, changed := b.note(record, version); changed && b.Notify != nil {
+		b.Notify([]Entry{entry})
+	}
+}
+
+// note takes a row without a notice.
+func (b *Book) note(record *Record, version uint64) (Entry, bool) {
 	b.mu.Lock()
-	if known, ok := b.entries[record.ID]; !ok || known.Version < version {
-		b.entries[record.ID] = Entry{Record: *record, Version: version, Seen: time.Now()}
+	defer b.mu.Unlock()
+	if known, ok := b.entries[record.ID]; ok && known.Version >= version {
+		return known, false
 	}
-	b.mu.Unlock()
+	entry := Entry{Record: *record, Version: version, Seen: time.Now()}
+	b.entries[record.ID] = entry
+	return entry, true
 }
 
 // Get returns a job's row.
--- a/internal/jobs/commit.go
+++ b/internal/jobs/commit.go
@@ -144,7 +144,7 @@
 	if !last {
 		return
 	}
-	r.book.Learn(record, version)
+	r.book.note(record, version)
 	if r.jobs[record.ID] == job {
 		delete(r.jobs, record.ID)
 		job.cancel()
@@ -180,7 +180,7 @@
 func (r *Runner) reconciled(job *ownedJob, entry Entry, results []Result) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.book.Learn(&entry.Record, entry.Version)
+	r.book.note(&entry.Record, entry.Version)
 	if r.jobs[entry.ID] != job {
 		return false
 	}
--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -100,6 +100,14 @@
 	r.signal()
 }
 
+// executes reports whether the job is being executed here.
+func (r *Runner) executes(job string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, ok := r.jobs[job]
+	return ok
+}
+
 // Changed takes new rows of jobs: one that is cancelled or has another owner
 // stops here.
 func (r *Runner) Changed(entries []Entry) {
--- a/internal/jobs/takeover.go
+++ b/internal/jobs/takeover.go
@@ -12,6 +12,14 @@
 	"gentiantide.example/gentiantide/internal/nodes"
 )
 
+const (
+	// reviewPause is the time between reviews of the jobs' owners.
+	reviewPause = 500 * time.Millisecond
+	// ownGrace is the time between a row's arrival and the execution of its job
+	// that is normal: the answer to the write is read after the feed brought it.
+	ownGrace = time.Second
+)
+
 // takeover claims the open jobs whose owners are gone.
 type takeover struct {
 	runner   *Runner
@@ -36,6 +44,25 @@
 			go t.claim(ctx, orphans[i])
 		}
 	}
+	t.reviewOwn(ctx, time.Now())
+}
+
+// reviewOwn executes jobs that are this node's by their rows though it does not
+// execute them: a write that names it as the owner may take effect seconds
+// after its answer was lost.
+func (t *takeover) reviewOwn(ctx context.Context, now time.Time) {
+	r := t.runner
+	lost := r.book.All(func(e *Entry) bool {
+		return e.State == StateOpen && e.Owner == r.owner && now.Sub(e.Seen) > ownGrace && !r.executes(e.ID)
+	})
+	for i := range lost {
+		if t.begin(lost[i].ID) {
+			go func() {
+				defer t.end(lost[i].ID)
+				t.resume(ctx, lost[i], r.owner)
+			}()
+		}
+	}
 }
 
 func (t *takeover) begin(job string) bool {
@@ -121,5 +148,3 @@
 	}
 }
 
-// reviewPause is the time between reviews of the jobs' owners.
-const reviewPause = 500 * time.Millisecond
