--- a/internal/jobs/executor.go
+++ b/internal/jobs/executor.go
@@ -76,9 +76,7 @@
 }
 
 // run sends an item to a replica and collects its output.
-func (e *Executor) run(ctx context.Context, w *work, _ *routes.Route, target *replica.Replica) ending {
-	target.Begin(core.ClassBatch)
-	defer target.End(core.ClassBatch)
+func (e *Executor) run(ctx context.Context, w *work, target *replica.Replica) ending {
 	runCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	watchdog := time.AfterFunc(silentItem, func() { cancel(errSilentItem) })
--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"gentiantide.example/gentiantide/internal/core"
 	"gentiantide.example/gentiantide/internal/forward"
 	"gentiantide.example/gentiantide/internal/replica"
 	"gentiantide.example/gentiantide/internal/routes"
@@ -190,11 +191,13 @@
 	w.job.running[w] = struct{}{}
 	ctx, cancel := context.WithCancelCause(w.job.ctx)
 	w.replica, w.cancel = target, cancel
+	target.Begin(core.ClassBatch) // before the next item is placed
 	r.tasks.Add(1)
 	go func() {
 		defer r.tasks.Done()
 		defer cancel(nil)
-		end := r.exec.run(ctx, w, route, target)
+		end := r.exec.run(ctx, w, target)
+		target.End(core.ClassBatch)
 		r.ended(w, route, end)
 	}()
 }
