--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -100,7 +100,7 @@
 		ID: settings.Node, Lifetime: lifetime, Address: n.peerListener.Addr().String(), DataCentre: settings.DataCentre,
 	}, log)
 	n.jobs = jobs.New(jobs.Options{
-		Table: n.store, Objects: n.store, Nodes: n.nodes, Clock: n.store.Clock, Log: log,
+		Table: n.store, Objects: n.store, Nodes: n.nodes, Clock: n.store.Clock, Keep: settings.Keep, Log: log,
 		Executor: &jobs.Executor{
 			Codec: platform.Headers{}, Registry: n.registry, Routes: &n.configs.Table, DataCentre: settings.DataCentre, Log: log,
 		},
--- a/internal/jobs/service.go
+++ b/internal/jobs/service.go
@@ -20,7 +20,9 @@
 	Nodes *nodes.Directory
 	// Clock is the store's steady clock; ok is false until it is known.
 	Clock func() (now time.Duration, ok bool)
-	Log   *slog.Logger
+	// Keep is how long after its submission a job stays readable.
+	Keep time.Duration
+	Log  *slog.Logger
 }
 
 // Service is the batch part of a node.
@@ -30,6 +32,7 @@
 	Reader *Reader
 	runner *Runner
 	take   *takeover
+	sweep  *sweeper
 	nodes  *nodes.Directory
 }
 
@@ -50,6 +53,7 @@
 		take:   &takeover{runner: runner, claiming: make(map[string]bool)},
 		nodes:  o.Nodes,
 	}
+	service.sweep = &sweeper{store: s, book: book, take: service.take, clock: o.Clock, keep: o.Keep}
 	book.Notify = runner.Changed
 	return service
 }
@@ -59,10 +63,16 @@
 	go s.runner.Run(ctx)
 	ticker := time.NewTicker(reviewPause)
 	defer ticker.Stop()
+	sweeps := time.NewTicker(sweepEvery)
+	defer sweeps.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-sweeps.C:
+			if view := s.nodes.View(); view.Settled {
+				s.sweep.sweep(ctx, view)
+			}
 		case <-ticker.C:
 			if view := s.nodes.View(); view.Settled {
 				s.take.review(ctx, view)
