Start from a neighbour's copy while the store is away

Cause: a node that starts in an outage of the store knew no configuration and served nothing until the store was back. What the store tells goes first.

--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -66,8 +66,11 @@
 	counters      *forward.Counters
 	metrics       http.Handler
 	metricsCloser io.Closer
-	watchers      []*watch.Watcher
-	stopping      atomic.Bool
+	// routing follows what a node needs to serve: the configuration and the
+	// replicas.
+	routing  []*watch.Watcher
+	jobRows  *watch.Watcher
+	stopping atomic.Bool
 }
 
 // New opens the node's listeners and returns a node that does nothing until Run.
@@ -106,6 +109,7 @@
 		},
 	})
 	n.peers = peer.New(settings.Node, log)
+	n.peers.Handle(kindCopy, n.giveCopy)
 	n.shares = loadshare.New(loadshare.Options{
 		Transport: n.peers, Registry: n.registry, Nodes: n.nodes, Yield: n.jobs.Yield, Log: log,
 	})
@@ -117,16 +121,16 @@
 		Codec: platform.Headers{}, Registry: n.registry, DataCentre: settings.DataCentre, Routes: &n.configs.Table,
 		Submit: n.jobsAPI.Submit, MakeRoom: n.shares.MakeRoom, Log: log, Counters: n.counters,
 	}
-	n.watchers = []*watch.Watcher{
-		n.configs.Watcher(n.store),
-		n.replicas.Watcher(n.store, platform.ReplicaTable),
-		watch.New(n.store, jobs.JobsTable, jobs.Partitions(), n.jobs.Book, log),
-	}
+	n.routing = []*watch.Watcher{n.configs.Watcher(n.store), n.replicas.Watcher(n.store, platform.ReplicaTable)}
+	n.jobRows = watch.New(n.store, jobs.JobsTable, jobs.Partitions(), n.jobs.Book, log)
 }
 
 // CallersAddress is where the node serves callers.
 func (n *Node) CallersAddress() string { return n.callers.Addr().String() }
 
+// PeersAddress is where the node serves other nodes.
+func (n *Node) PeersAddress() string { return n.peerListener.Addr().String() }
+
 // ReadinessAddress is where the node serves the balancer, the state dump and
 // the metrics.
 func (n *Node) ReadinessAddress() string { return n.ready.Addr().String() }
@@ -140,9 +144,10 @@
 	ready := n.serve(n.ready, n.readinessMux())
 	n.peers.Start(n.peerListener)
 	defer n.peers.Close()
-	for _, w := range n.watchers {
+	for _, w := range append(n.routing, n.jobRows) {
 		go w.Run(ctx)
 	}
+	go n.askNeighbours(ctx)
 	go n.nodes.Run(ctx)
 	go n.jobs.Run(ctx)
 	go n.shares.Run(ctx)
--- a/internal/watch/watcher.go
+++ b/internal/watch/watcher.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -23,7 +24,7 @@
 	backoffMax = 600 * time.Millisecond
 )
 
-// Handler takes what a watcher learns. Its methods are called by one goroutine.
+// Handler takes what a watcher learns. Its methods are called one at a time.
 type Handler interface {
 	// Snapshot takes all rows of the table. Rows that are absent are gone.
 	Snapshot(rows []infra.VersionedRow)
@@ -39,6 +40,10 @@
 	Handler    Handler
 	Log        *slog.Logger
 
+	// mu guards the copy and the calls of the handler.
+	mu   sync.Mutex
+	rows map[infra.RowKey]infra.VersionedRow
+
 	version  uint64
 	contact  steady.Moment // of the last answer
 	restored steady.Moment // of the first answer after a failure
@@ -50,7 +55,7 @@
 func New(store infra.PartitionedTable, table string, partitions []string, handler Handler, log *slog.Logger) *Watcher {
 	return &Watcher{
 		Store: store, Table: table, Partitions: partitions, Handler: handler,
-		Log: log.With("table", table), loaded: make(chan struct{}),
+		Log: log.With("table", table), loaded: make(chan struct{}), rows: make(map[infra.RowKey]infra.VersionedRow),
 	}
 }
 
@@ -104,11 +109,57 @@
 	}
 	w.version = set.Version
 	if len(set.Rows) > 0 {
+		w.mu.Lock()
+		w.keep(set.Rows)
 		w.Handler.Changed(set.Rows)
+		w.mu.Unlock()
 	}
 	return nil
 }
 
+// keep takes rows into the copy. The caller holds the lock.
+func (w *Watcher) keep(rows []infra.VersionedRow) {
+	for i := range rows {
+		row := &rows[i]
+		switch known := w.rows[row.RowKey]; {
+		case known.Version > row.Version:
+		case row.Deleted:
+			delete(w.rows, row.RowKey)
+		default:
+			w.rows[row.RowKey] = *row
+		}
+	}
+}
+
+// Copy returns the rows as this node knows them, for a neighbour.
+func (w *Watcher) Copy() []infra.VersionedRow {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	out := make([]infra.VersionedRow, 0, len(w.rows))
+	for _, row := range w.rows {
+		out = append(out, row)
+	}
+	return out
+}
+
+// Offer takes a neighbour's copy, unless the table itself has been read. It
+// reports whether the copy was taken.
+func (w *Watcher) Offer(rows []infra.VersionedRow) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	select {
+	case <-w.loaded:
+		return false
+	default:
+	}
+	if len(rows) == 0 {
+		return false
+	}
+	w.keep(rows)
+	w.Handler.Changed(rows)
+	return true
+}
+
 // load reads all partitions. Changes are followed from the oldest of the reads.
 func (w *Watcher) load(ctx context.Context) error {
 	var rows []infra.VersionedRow
@@ -128,6 +179,10 @@
 		return infra.ErrUnavailable
 	}
 	w.version = oldest
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	clear(w.rows)
+	w.keep(rows)
 	w.Handler.Snapshot(rows)
 	select {
 	case <-w.loaded:
