Avoid replicas that go silent within answers

An unreachable replica returns when a new connection to it opens, which no request waits for. Connection set-up is given up after 200 ms, as such a request was not sent.

--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -36,8 +36,9 @@
 	// idleTimeout closes connections that callers leave unused. Callers use
 	// them again within four fifths of the operator's limit of 15 s.
 	idleTimeout = 60 * time.Second
-	// expireEvery is the time between looks for unused connections to replicas.
-	expireEvery = 500 * time.Millisecond
+	// reviewEvery is the time between looks at the replicas: for silent ones and
+	// for connections that have been unused for too long.
+	reviewEvery = 100 * time.Millisecond
 )
 
 // Node is one process of the system.
@@ -151,7 +152,7 @@
 	go n.nodes.Run(ctx)
 	go n.jobs.Run(ctx)
 	go n.shares.Run(ctx)
-	go n.expireIdle(ctx)
+	go n.reviewReplicas(ctx)
 	n.await(signals)
 	n.stop(callers)
 	cancel()
@@ -231,8 +232,8 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-func (n *Node) expireIdle(ctx context.Context) {
-	ticker := time.NewTicker(expireEvery)
+func (n *Node) reviewReplicas(ctx context.Context) {
+	ticker := time.NewTicker(reviewEvery)
 	defer ticker.Stop()
 	for {
 		select {
@@ -240,6 +241,10 @@
 			return
 		case now := <-ticker.C:
 			n.registry.ExpireIdle(now)
+			for _, r := range n.registry.Review(now) {
+				n.log.Info("replica is silent", "replica", r.Info().ID, "data_centre", r.Info().DataCentre)
+				n.shares.Suspect(r)
+			}
 		}
 	}
 }
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -79,7 +79,7 @@
 		}
 		// A caller that left, or a deadline, says nothing of the replica.
 		if !errors.Is(a.err, context.Canceled) && !errors.Is(a.err, errRouteTimeout) {
-			wait := a.replica.Failed(now)
+			wait := a.replica.Blame(a.err, now)
 			r.h.Log.Info("replica failed", "request", r.call.ID, "replica", a.replica.Info().ID,
 				"error", a.err, "after_ms", now.Sub(sent).Milliseconds(), "avoid_ms", wait.Milliseconds())
 		}
--- a/internal/jobs/executor.go
+++ b/internal/jobs/executor.go
@@ -21,7 +21,7 @@
 	// silentItem is the pause in an item's stream after which it goes on
 	// elsewhere. Events come every 30 ms; an engine under pressure may preempt
 	// a request and read it again.
-	silentItem = 3 * time.Second
+	silentItem = 1500 * time.Millisecond
 	// freeSlots is the number of free slots that an item needs, itself
 	// included. The others are left to online work that arrives meanwhile.
 	freeSlots = 3
@@ -104,7 +104,7 @@
 	if err == nil {
 		return 0, false
 	}
-	return target.Failed(time.Now()), true
+	return target.Blame(err, time.Now()), true
 }
 
 func (e *Executor) exchange(ctx context.Context, w *work, target *replica.Replica, watchdog *time.Timer) (ending, error) {
--- a/internal/loadshare/message.go
+++ b/internal/loadshare/message.go
@@ -5,6 +5,7 @@
 const (
 	kindCounts = "load.counts"
 	kindYield  = "load.yield"
+	kindSilent = "load.silent"
 )
 
 // counts is what a node has at the replicas where it has work.
@@ -23,3 +24,8 @@
 type yield struct {
 	Replica core.ReplicaID `msgpack:"i"`
 }
+
+// silent tells that a replica went silent in the middle of answers.
+type silent struct {
+	Replica core.ReplicaID `msgpack:"i"`
+}
--- a/internal/loadshare/service.go
+++ b/internal/loadshare/service.go
@@ -50,6 +50,7 @@
 	s := &Service{Options: o, ledger: newLedger(), known: make(map[core.NodeID]string)}
 	o.Transport.Handle(kindCounts, s.counts)
 	o.Transport.Handle(kindYield, s.yield)
+	o.Transport.Handle(kindSilent, s.silent)
 	return s
 }
 
@@ -147,6 +148,31 @@
 	return nil, nil
 }
 
+// Suspect tells the other nodes of a replica that went silent here. Each goes by
+// what it hears of the replica itself, if it does.
+func (s *Service) Suspect(r *replica.Replica) {
+	for _, record := range s.Nodes.View().Alive {
+		if record.ID == s.Transport.Self() {
+			continue
+		}
+		if err := s.Transport.Send(record.ID, kindSilent, &silent{Replica: r.Info().ID}); err != nil {
+			s.Log.Debug("silence not told", "node", record.ID, "error", err)
+		}
+	}
+}
+
+func (s *Service) silent(_ context.Context, from core.NodeID, body []byte) ([]byte, error) {
+	var m silent
+	if err := msgpack.Unmarshal(body, &m); err != nil {
+		return nil, err
+	}
+	if r := s.Registry.Get(m.Replica); r != nil {
+		r.Suspect(time.Now())
+		s.Log.Info("replica is silent at another node", "replica", m.Replica, "node", from)
+	}
+	return nil, nil
+}
+
 // MakeRoom lets one item of batch work at a replica give way, here or at the
 // node that has most of it there.
 func (s *Service) MakeRoom(r *replica.Replica) {
--- a/internal/replica/exchange.go
+++ b/internal/replica/exchange.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 )
 
@@ -64,9 +65,11 @@
 		if cause := context.Cause(ctx); cause != nil {
 			err = cause
 		}
-		return nil, &Failure{Sent: true, Err: err}
+		return nil, &Failure{Sent: true, Unreachable: errors.Is(err, syscall.ETIMEDOUT), Err: err}
 	}
 	c.noteKeepAlive(resp.Header)
+	r.heard.Set(time.Now())
+	r.answering.Add(1)
 	return &Answer{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
 		replica: r, conn: c, body: resp.Body, stop: stop, written: written, keep: !resp.Close,
@@ -134,25 +137,32 @@
 	}
 }
 
+// Blame avoids the replica after a failure and returns for how long at least.
+func (r *Replica) Blame(err error, now time.Time) time.Duration {
+	var failure *Failure
+	if errors.As(err, &failure) && failure.Unreachable {
+		return r.Unreachable(now)
+	}
+	return r.Failed(now)
+}
+
 // Read implements io.Reader over the body. It returns io.EOF only for a body
 // that is complete.
 func (a *Answer) Read(p []byte) (int, error) {
 	n, err := a.body.Read(p)
+	if n > 0 {
+		a.replica.heard.Set(time.Now())
+	}
 	if errors.Is(err, io.EOF) {
 		a.whole = true
 	}
 	return n, err
 }
 
-// Sever ends the answer at once and closes the connection.
-func (a *Answer) Sever() {
-	a.stop()
-	a.conn.sever()
-}
-
 // Close ends the answer. The connection is kept if the whole body was read and
 // the request was sent completely.
 func (a *Answer) Close() {
+	a.replica.answering.Add(-1)
 	intact := a.stop()
 	sent := true
 	if a.written != nil {
--- a/internal/replica/failure.go
+++ b/internal/replica/failure.go
@@ -7,7 +7,8 @@
 	// Sent is set if a byte of the request may have reached the replica. If it
 	// is not set, the request has not run and never will.
 	Sent bool
-	// Unreachable is set if no connection could be opened.
+	// Unreachable is set if no connection could be opened, or if one was given
+	// up because the replica did not acknowledge what was sent.
 	Unreachable bool
 	Err         error
 }
--- a/internal/replica/pool.go
+++ b/internal/replica/pool.go
@@ -16,8 +16,9 @@
 	// is used again. A request that crosses the replica's close is lost.
 	idleShare = 0.6
 	// dialTimeout bounds connection set-up, which takes about two one-way
-	// delays of 1 ms within a region.
-	dialTimeout = 400 * time.Millisecond
+	// delays of 1 ms within a region. A request whose set-up fails has not been
+	// sent and goes elsewhere within its objective of 300 ms.
+	dialTimeout = 200 * time.Millisecond
 )
 
 // pool keeps the unused connections to one replica, newest last.
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -37,6 +37,14 @@
 
 	failures     atomic.Int32
 	avoidedUntil steady.Moment
+	// unreachable is set until a new connection to the replica succeeds.
+	unreachable atomic.Bool
+	trying      atomic.Bool
+
+	// answering counts answers whose bodies are being read; heard is when bytes
+	// of any answer last came.
+	answering atomic.Int32
+	heard     steady.Moment
 }
 
 type reportedLoad struct {
@@ -142,17 +150,38 @@
 	return wait
 }
 
+// Unreachable avoids a replica that does not answer at all until a new
+// connection to it succeeds. Open connections may be dead without a sign and
+// are given up.
+func (r *Replica) Unreachable(now time.Time) time.Duration {
+	r.unreachable.Store(true)
+	r.pool.closeAll()
+	return r.Failed(now)
+}
+
+// Suspect avoids a replica for a moment, for what another node says of it. Own
+// experience goes first.
+func (r *Replica) Suspect(now time.Time) {
+	if heard, ok := r.heard.Get(); ok && now.Sub(heard) < silentAfter {
+		return
+	}
+	if !r.avoidedUntil.After(now) {
+		r.avoidedUntil.Set(now.Add(suspicionBase))
+	}
+}
+
 // Succeeded ends the avoidance.
 func (r *Replica) Succeeded() {
 	if r.failures.Load() != 0 {
 		r.failures.Store(0)
 		r.avoidedUntil.Clear()
+		r.unreachable.Store(false)
 	}
 }
 
 // Avoided reports whether recent failures speak against the replica.
 func (r *Replica) Avoided(now time.Time) bool {
-	return r.avoidedUntil.After(now)
+	return r.unreachable.Load() || r.avoidedUntil.After(now)
 }
 
 // reset forgets everything that a former process of the replica said.
@@ -160,5 +189,6 @@
 	r.report.Store(nil)
 	r.failures.Store(0)
 	r.avoidedUntil.Clear()
+	r.unreachable.Store(false)
 	r.pool.closeAll()
 }
