Do not execute a job that ended while it was claimed

Change: Own compares the row that it was given with the latest one known. TestJobEndedDuringItsClaim fails without it.

--- a/internal/jobs/commit.go
+++ b/internal/jobs/commit.go
@@ -184,7 +184,7 @@
 	if r.jobs[entry.ID] != job {
 		return false
 	}
-	if entry.State != StateOpen || entry.Owner != r.owner {
+	if r.notOurs(&entry) {
 		r.drop(job, "commit refused: state "+string(entry.State)+", owner "+entry.Owner)
 		return false
 	}
--- a/internal/jobs/commit_test.go
+++ b/internal/jobs/commit_test.go
@@ -115,6 +115,20 @@
 	b.Expect(b.listed("job")).To(gomega.BeEmpty())
 }
 
+// Guards against items that run after the end of a job that comes while its new
+// owner reads the items: the notice of the end finds nothing to stop.
+func TestJobEndedDuringItsClaim(t *testing.T) {
+	b := newBench(t, "a/1")
+	claimed := Record{ID: "job", State: StateOpen, Owner: "a/1", Total: 1}
+	ended := claimed
+	ended.State = StateCancelled
+	b.runner.book.Learn(&claimed, 2)
+	b.runner.book.Learn(&ended, 3)
+	b.runner.Own(Entry{Record: claimed, Version: 2}, []Item{{ID: "x"}}, nil)
+	jobs, _, _ := b.runner.Owned()
+	b.Expect(jobs).To(gomega.Equal(0))
+}
+
 // Guards against a job that is closed before all its results are listed, and
 // against one that stays open.
 func TestLastCommitClosesTheJob(t *testing.T) {
--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -85,6 +85,12 @@
 	if _, known := r.jobs[entry.ID]; known || r.stopping {
 		return
 	}
+	// The row may have changed while the items and results were read; the
+	// notice of that found no job here to drop.
+	if latest, ok := r.book.Get(entry.ID); ok && latest.Version > entry.Version && r.notOurs(&latest) {
+		r.log.Info("job not executed", "job", entry.ID, "state", string(latest.State), "owner", latest.Owner)
+		return
+	}
 	job := &ownedJob{entry: entry, running: make(map[*work]struct{}), committed: len(committed)}
 	job.ctx, job.cancel = context.WithCancel(r.base)
 	for i := range items {
@@ -117,12 +123,15 @@
 	for i := range entries {
 		e := &entries[i]
 		job, owned := r.jobs[e.ID]
-		if owned && e.Version > job.entry.Version && (e.State != StateOpen || e.Owner != r.owner) {
+		if owned && e.Version > job.entry.Version && r.notOurs(e) {
 			r.drop(job, "row changed")
 		}
 	}
 }
 
+// notOurs reports whether a job is not to be executed here.
+func (r *Runner) notOurs(e *Entry) bool { return e.State != StateOpen || e.Owner != r.owner }
+
 // drop stops a job. The caller holds the lock.
 func (r *Runner) drop(job *ownedJob, reason string) {
 	delete(r.jobs, job.entry.ID)
