Place items that can still be in time before late ones

Change: items whose remaining run time, estimated from completed items, fits before their due time go first; late ones follow in the order of their due times.

--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -40,6 +40,7 @@
 
 	mu       sync.Mutex
 	jobs     map[string]*ownedJob
+	pace     *pace
 	stopping bool
 	base     context.Context //nolint:containedctx // parent of all runs, set once by Run
 	tasks    sync.WaitGroup
@@ -48,7 +49,7 @@
 func newRunner(s *store, book *Book, exec *Executor, owner string, clock func() (time.Duration, bool), log *slog.Logger) *Runner {
 	return &Runner{
 		store: s, book: book, exec: exec, owner: owner, clock: clock, log: log,
-		wake: make(chan struct{}, 1), jobs: make(map[string]*ownedJob), base: context.Background(),
+		wake: make(chan struct{}, 1), jobs: make(map[string]*ownedJob), pace: newPace(), base: context.Background(),
 	}
 }
 
@@ -139,7 +140,7 @@
 	r.log.Info("job dropped", "job", job.entry.ID, "reason", reason, "committed", job.committed, "total", job.entry.Total)
 }
 
-// dispatch places pending items, the earliest due first.
+// dispatch places pending items.
 func (r *Runner) dispatch(now time.Time) {
 	clock, known := r.clock()
 	r.mu.Lock()
@@ -148,7 +149,7 @@
 		return
 	}
 	full := make(map[*routes.Route]bool)
-	for _, w := range r.byDue(now) {
+	for _, w := range r.ready(now, clock) {
 		if known && clock > w.job.entry.GiveUp {
 			r.abandon(w, "past its time")
 			continue
@@ -170,9 +171,9 @@
 	}
 }
 
-// byDue returns the pending items that may be sent, the earliest due first. The
-// caller holds the lock.
-func (r *Runner) byDue(now time.Time) []*work {
+// ready returns the pending items that may be sent, in the order of their
+// placement. The caller holds the lock.
+func (r *Runner) ready(now time.Time, clock time.Duration) []*work {
 	var all []*work
 	for _, job := range r.jobs {
 		for _, w := range job.pending {
@@ -181,9 +182,7 @@
 			}
 		}
 	}
-	slices.SortStableFunc(all, func(a, b *work) int {
-		return cmp.Or(cmp.Compare(a.job.entry.Due, b.job.entry.Due), cmp.Compare(a.job.entry.ID, b.job.entry.ID))
-	})
+	sortWork(all, r.pace, clock)
 	return all
 }
 
@@ -205,8 +204,12 @@
 	go func() {
 		defer r.tasks.Done()
 		defer cancel(nil)
+		began, events := time.Now(), len(w.texts)
 		end := r.exec.run(ctx, w, target)
 		target.End(core.ClassBatch)
+		if len(w.texts) > events { // a run that brought nothing has not advanced
+			w.ran += time.Since(began)
+		}
 		r.ended(w, route, end)
 	}()
 }
@@ -225,6 +228,7 @@
 	}
 	switch end {
 	case endSucceeded:
+		r.pace.learn(w.ran, w.item.Tokens)
 		r.finish(job, Result{Item: w.item.ID, State: ItemSucceeded, Text: w.text()})
 		return
 	case endImpossible:
--- a/internal/jobs/work.go
+++ b/internal/jobs/work.go
@@ -16,6 +16,8 @@
 	texts [][]byte
 	// last is the number of the last event, or forward.NoResume.
 	last int64
+	// ran is the time of the runs that brought events.
+	ran time.Duration
 	// failures counts answers that say that the run failed.
 	failures int
 	// notBefore is when the item may be sent again.
