Tell work at replicas when it changes

Change: counts go out when they change, at most every 20 ms (4 ms for each node in large fleets), as msgpack arrays; sums are kept as they come.

--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -58,9 +58,12 @@
 	// deadline is the route's timeout or the end of the caller's patience.
 	deadline time.Time
 
-	tried    []core.ReplicaID
-	sends    int // requests sent to replicas
-	runs     int // of these, those that may have run
+	tried []core.ReplicaID
+	sends int // requests sent to replicas
+	runs  int // of these, those that may have run
+	// busy and slowdown are the estimates by which the last replica was chosen.
+	busy     float64
+	slowdown float64
 	firstOut time.Duration
 	answered bool // the head of the answer is out
 }
@@ -166,7 +169,7 @@
 func (r *request) log(outcome Outcome) {
 	level := slog.LevelInfo
 	r.h.Log.Log(context.Background(), level, "request", "request", r.call.ID, "route", r.route.Name,
-		"config", r.version, "replicas", r.tried, "sends", r.sends, "runs", r.runs,
+		"config", r.version, "replicas", r.tried, "sends", r.sends, "runs", r.runs, "busy", r.busy, "slowdown", r.slowdown,
 		"outcome", string(outcome), "first_ms", r.firstOut.Milliseconds(),
 		"ms", time.Since(r.arrived).Milliseconds())
 }
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -50,7 +50,8 @@
 		return nil
 	}
 	info := target.Info()
-	if r.h.MakeRoom != nil && target.Busy(now) >= float64(info.Slots) {
+	r.busy, r.slowdown = target.Busy(now), target.Slowdown(now)
+	if r.h.MakeRoom != nil && r.busy >= float64(info.Slots) {
 		r.h.MakeRoom(target)
 	}
 	r.tried = append(r.tried, info.ID)
--- a/internal/loadshare/message.go
+++ b/internal/loadshare/message.go
@@ -15,9 +15,10 @@
 
 // count is a node's work at one replica.
 type count struct {
-	ID     core.ReplicaID `msgpack:"i"`
-	Online int            `msgpack:"o"`
-	Batch  int            `msgpack:"b"`
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec: field names would double the size
+	ID       core.ReplicaID
+	Online   int
+	Batch    int
 }
 
 // yield asks a node to let one item of batch work at a replica give way.
--- a/internal/loadshare/service.go
+++ b/internal/loadshare/service.go
@@ -15,12 +15,12 @@
 )
 
 const (
-	// sendEvery is the time between counts while they change. A slot of an
-	// engine turns over about every 90 ms.
-	sendEvery = 100 * time.Millisecond
-	// perNode lengthens the time between counts in large fleets, so that a node
-	// receives at most 100 messages a second.
-	perNode = 10 * time.Millisecond
+	// sendEvery is the least time between counts while they change. A slot of
+	// an engine turns over about every 90 ms.
+	sendEvery = 20 * time.Millisecond
+	// perNode lengthens that time in large fleets, so that a node receives at
+	// most 250 messages a second.
+	perNode = 4 * time.Millisecond
 	// maxSilence is the longest time without counts while nothing changes.
 	maxSilence = 300 * time.Millisecond
 )
@@ -56,16 +56,25 @@
 
 // Run exchanges counts until ctx ends.
 func (s *Service) Run(ctx context.Context) {
-	for ctx.Err() == nil {
-		now := time.Now()
-		s.follow()
-		s.apply(now)
-		s.tell(now)
-		timer := time.NewTimer(max(sendEvery, time.Duration(len(s.known))*perNode))
+	silence := time.NewTicker(maxSilence)
+	defer silence.Stop()
+	for {
 		select {
 		case <-ctx.Done():
-			timer.Stop()
-		case <-timer.C:
+			return
+		case <-s.Registry.Changes():
+		case <-silence.C:
+			s.follow()
+			s.expire(time.Now())
+		}
+		s.tell(time.Now())
+		// Changes that come meanwhile go out together.
+		pause := time.NewTimer(max(sendEvery, time.Duration(len(s.known))*perNode))
+		select {
+		case <-ctx.Done():
+			pause.Stop()
+			return
+		case <-pause.C:
 		}
 	}
 }
@@ -91,18 +100,29 @@
 	s.known = present
 }
 
-// apply hands the sums to the replicas.
-func (s *Service) apply(now time.Time) {
-	sums, heard := s.ledger.totals(now)
+// expire takes the counts of silent nodes off. The sums of the others are
+// confirmed, as they hold for a short time only.
+func (s *Service) expire(now time.Time) {
+	changed, heard := s.ledger.expire(now)
+	s.apply(changed, now)
 	if heard == 0 {
 		return // load reports of the replicas decide
 	}
 	for _, r := range s.Registry.All() {
-		t := sums[r.Info().ID]
+		t := s.ledger.sum(r.Info().ID)
 		r.Share(t.online, t.batch, now)
 	}
 }
 
+// apply hands sums to the replicas.
+func (s *Service) apply(changed map[core.ReplicaID]total, now time.Time) {
+	for id, t := range changed {
+		if r := s.Registry.Get(id); r != nil {
+			r.Share(t.online, t.batch, now)
+		}
+	}
+}
+
 // tell sends this node's counts if they changed or it was silent for long.
 func (s *Service) tell(now time.Time) {
 	var own []count
@@ -133,7 +153,8 @@
 	if err := msgpack.Unmarshal(body, &c); err != nil {
 		return nil, err
 	}
-	s.ledger.take(from, &c, time.Now())
+	now := time.Now()
+	s.apply(s.ledger.take(from, &c, now), now)
 	return nil, nil
 }
 
--- a/internal/replica/registry.go
+++ b/internal/replica/registry.go
@@ -11,6 +11,8 @@
 // Registry is a node's list of the registered replicas. Reads are lock-free.
 type Registry struct {
 	view atomic.Pointer[view]
+	// changes has an entry after this node's work at a replica changed.
+	changes chan struct{}
 
 	mu  sync.Mutex
 	all map[core.ReplicaID]*Replica
@@ -19,12 +21,13 @@
 // view is one immutable state of the registry.
 type view struct {
 	services map[core.DeploymentID][]*Replica
+	byID     map[core.ReplicaID]*Replica
 	all      []*Replica
 }
 
 // NewRegistry returns an empty registry.
 func NewRegistry() *Registry {
-	r := &Registry{all: make(map[core.ReplicaID]*Replica)}
+	r := &Registry{all: make(map[core.ReplicaID]*Replica), changes: make(chan struct{}, 1)}
 	r.view.Store(&view{})
 	return r
 }
@@ -35,7 +38,7 @@
 	defer g.mu.Unlock()
 	old, known := g.all[info.ID]
 	if !known {
-		g.all[info.ID] = newReplica(info)
+		g.all[info.ID] = newReplica(info, g.changes)
 		g.publish()
 		return
 	}
@@ -66,9 +69,10 @@
 
 // publish makes a new view. The caller holds the lock.
 func (g *Registry) publish() {
-	v := &view{services: make(map[core.DeploymentID][]*Replica)}
+	v := &view{services: make(map[core.DeploymentID][]*Replica), byID: make(map[core.ReplicaID]*Replica)}
 	for _, r := range g.all {
 		v.all = append(v.all, r)
+		v.byID[r.Info().ID] = r
 		if info := r.Info(); !info.Leaving {
 			v.services[info.Service] = append(v.services[info.Service], r)
 		}
@@ -86,14 +90,10 @@
 func (g *Registry) All() []*Replica { return g.view.Load().all }
 
 // Get returns a replica by id, or nil.
-func (g *Registry) Get(id core.ReplicaID) *Replica {
-	for _, r := range g.All() {
-		if r.Info().ID == id {
-			return r
-		}
-	}
-	return nil
-}
+func (g *Registry) Get(id core.ReplicaID) *Replica { return g.view.Load().byID[id] }
+
+// Changes has an entry after this node's work at some replica changed.
+func (g *Registry) Changes() <-chan struct{} { return g.changes }
 
 // ExpireIdle closes connections that have been unused for too long.
 func (g *Registry) ExpireIdle(now time.Time) {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -26,8 +26,9 @@
 // Replica is one backend server with the state that this node keeps of it. It
 // outlives changes of its registration.
 type Replica struct {
-	info atomic.Pointer[Info]
-	pool pool
+	info    atomic.Pointer[Info]
+	pool    pool
+	changes chan<- struct{}
 
 	online atomic.Int32
 	batch  atomic.Int32
@@ -65,8 +66,8 @@
 	at     time.Time
 }
 
-func newReplica(info Info) *Replica {
-	r := &Replica{}
+func newReplica(info Info, changes chan<- struct{}) *Replica {
+	r := &Replica{changes: changes}
 	r.info.Store(&info)
 	return r
 }
@@ -75,10 +76,18 @@
 func (r *Replica) Info() *Info { return r.info.Load() }
 
 // Begin counts one piece of work that this node sends to the replica.
-func (r *Replica) Begin(class core.Class) { r.counter(class).Add(1) }
+func (r *Replica) Begin(class core.Class) { r.change(class, 1) }
 
 // End takes one piece of work off.
-func (r *Replica) End(class core.Class) { r.counter(class).Add(-1) }
+func (r *Replica) End(class core.Class) { r.change(class, -1) }
+
+func (r *Replica) change(class core.Class, n int32) {
+	r.counter(class).Add(n)
+	select {
+	case r.changes <- struct{}{}:
+	default: // a notice is waiting
+	}
+}
 
 // Own returns this node's work at the replica.
 func (r *Replica) Own() (online, batch int) {
