--- a/bench/harness/process.go
+++ b/bench/harness/process.go
@@ -27,12 +27,18 @@
 
 // StartProcess starts a program; the log file is DIR/NAME.log, appended to.
 func StartProcess(dir, name, program string, args ...string) (*Process, error) {
+	return StartProcessWith(dir, name, nil, program, args...)
+}
+
+// StartProcessWith is StartProcess with variables added to the environment.
+func StartProcessWith(dir, name string, env []string, program string, args ...string) (*Process, error) {
 	log, err := os.OpenFile(filepath.Join(dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
 		return nil, errors.Wrap(err, "open log")
 	}
 	cmd := exec.Command(program, args...)
 	cmd.Stdout, cmd.Stderr = log, log
+	cmd.Env = append(os.Environ(), env...)
 	// The child dies with the harness, also if the harness is killed.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
--- a/cmd/gentiantided/platform.go
+++ b/cmd/gentiantided/platform.go
@@ -44,6 +44,8 @@
 
 // Execute implements subcommands.Command.
 func (*platformCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	// A signal that comes before it is asked for ends the process.
+	signals := entry.Signals()
 	settings, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "settings:", err)
@@ -60,7 +62,7 @@
 	log := slog.New(slog.NewTextHandler(output, nil))
 	node, err := entry.New(settings, log)
 	if err == nil {
-		err = node.Run(entry.Signals())
+		err = node.Run(signals)
 	}
 	if err != nil {
 		log.Error("node failed", "error", err)
