--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 
 PACKAGES := ./... ./bench/...
 
-.PHONY: build test lint demo bench capacity
+.PHONY: build test lint demo bench capacity soak
 
 build:
 	mkdir -p bin
@@ -26,3 +26,7 @@
 
 capacity: build
 	bin/capacity
+
+# Fresh seeds each time; bin/soak -seed N plays one again.
+soak: build
+	bin/soak -runs 10
