--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -64,8 +64,6 @@
 	// busy and slowdown are the estimates by which the last replica was chosen.
 	busy     float64
 	slowdown float64
-	// wait is the estimated time until the replica has a slot.
-	wait     time.Duration
 	firstOut time.Duration
 	answered bool // the head of the answer is out
 }
@@ -171,7 +169,7 @@
 func (r *request) log(outcome Outcome) {
 	level := slog.LevelInfo
 	r.h.Log.Log(context.Background(), level, "request", "request", r.call.ID, "route", r.route.Name,
-		"config", r.version, "replicas", r.tried, "sends", r.sends, "runs", r.runs, "busy", r.busy, "slowdown", r.slowdown, "wait_ms", r.wait.Milliseconds(),
+		"config", r.version, "replicas", r.tried, "sends", r.sends, "runs", r.runs, "busy", r.busy, "slowdown", r.slowdown,
 		"outcome", string(outcome), "first_ms", r.firstOut.Milliseconds(),
 		"ms", time.Since(r.arrived).Milliseconds())
 }
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -8,16 +8,12 @@
 
 	"gentiantide.example/gentiantide/internal/core"
 	"gentiantide.example/gentiantide/internal/replica"
-	"gentiantide.example/gentiantide/internal/routes"
 )
 
 const (
 	// maxSends bounds the replicas that one request is offered to, including
 	// those that declare that they did not run it.
 	maxSends = 5
-	// firstToken is the usual time to the first event once a slot is free: the
-	// prompt is read and the first step made.
-	firstToken = 40 * time.Millisecond
 	// minRemaining is the least time that is worth a send.
 	minRemaining = 20 * time.Millisecond
 )
@@ -55,9 +51,6 @@
 	}
 	info := target.Info()
 	r.busy, r.slowdown = target.Busy(now), target.Slowdown(now)
-	if false && r.hopeless(target, now) {
-		return nil
-	}
 	if r.h.MakeRoom != nil && r.busy >= float64(info.Slots) {
 		r.h.MakeRoom(target)
 	}
@@ -77,17 +70,6 @@
 	return a
 }
 
-// hopeless reports whether a stream would not begin in time at the replica with
-// the least work. Then it is refused at once: it would be late for its caller
-// and make those behind it late as well.
-func (r *request) hopeless(target *replica.Replica, now time.Time) bool {
-	if r.route.Kind != routes.KindStream || r.route.Target <= 0 || r.sends > 0 {
-		return false
-	}
-	r.wait = target.OnlineWait(now, r.h.Registry.Hold(target.Info().Service))
-	return now.Sub(r.arrived)+r.wait+firstToken > r.route.Target
-}
-
 // judge records what the send says of the replica.
 func (r *request) judge(a *attempt, sent time.Time) {
 	now := time.Now()
@@ -163,11 +145,10 @@
 
 const (
 	// retryBase is the least time after which a refused caller should return:
-	// half of the time for which online work holds a slot.
-	retryBase = 350 * time.Millisecond
-	// retrySpread spreads the returns of callers that were refused together over
-	// the length of a burst. Callers follow up to a third of their time, 1.6 s.
-	retrySpread = 1150 * time.Millisecond
+	// a slot of a model engine turns over about every 90 ms.
+	retryBase = 200 * time.Millisecond
+	// retrySpread spreads the returns of callers that were refused together.
+	retrySpread = 300 * time.Millisecond
 )
 
 func (r *request) retryAfter() time.Duration {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -79,7 +79,6 @@
 	switch {
 	case err == nil:
 		a.replica.Succeeded()
-		r.h.Registry.Held(a.replica.Info().Service, time.Since(r.arrived)-r.firstOut)
 		return OutcomeServed, true
 	case errors.Is(err, errCallerWrite) || r.in.Context().Err() != nil:
 		return OutcomeGone, true
--- a/internal/replica/choose.go
+++ b/internal/replica/choose.go
@@ -14,9 +14,6 @@
 	// remoteCost is added, in requests, for a replica of another data centre:
 	// bytes between data centres cost money, and ties should stay at home.
 	remoteCost = 0.3
-	// evictionCost is added, in requests, at a replica where batch work has to
-	// give way.
-	evictionCost = 0.5
 )
 
 // Query describes the work that needs a replica.
@@ -37,25 +34,23 @@
 	if len(ready) == 0 {
 		return nil
 	}
-	if r := q.least(ready, false, samples); r != nil {
-		if q.Room > 0 || r.Busy(q.Now) < float64(r.Info().Slots) {
-			return r
-		}
-		return q.least(ready, false, len(ready)) // a free slot may be elsewhere
+	if r := q.least(ready, false); r != nil {
+		return r
 	}
 	if q.Room > 0 {
 		return nil
 	}
-	return q.least(ready, true, samples)
+	return q.least(ready, true)
 }
 
-// least compares up to the given number of usable replicas, beginning at a
+// least compares up to the sample size of usable replicas, beginning at a
 // random one.
-func (q *Query) least(ready []*Replica, avoided bool, limit int) *Replica {
+func (q *Query) least(ready []*Replica, avoided bool) *Replica {
 	var best *Replica
 	var bestScore float64
 	offset := rand.IntN(len(ready)) //nolint:gosec // spreads load, no secret
 	step := coprimeStep(len(ready))
+	limit := samples
 	if q.Room > 0 {
 		limit = len(ready) // a free slot may be anywhere
 	}
@@ -76,19 +71,13 @@
 	return best
 }
 
-// score is the relative time that the work would take at the replica. At a full
-// one, batch work gives way, so that only online work counts.
+// score is the relative time that the work would take at the replica.
 func (q *Query) score(r *Replica, busy float64) float64 {
 	info := r.Info()
-	slots := float64(info.Slots)
-	if busy >= slots && q.Room == 0 {
-		online, _ := r.Work(q.Now)
-		busy = max(slots, float64(online)+evictionCost) + float64(online)/slots
-	}
 	if info.DataCentre != q.DataCentre {
 		busy += remoteCost
 	}
-	return (busy + 1) / max(1, slots) * r.Slowdown(q.Now)
+	return (busy + 1) / float64(max(1, info.Slots)) * r.Slowdown(q.Now)
 }
 
 func (q *Query) tried(r *Replica) bool {
--- a/internal/replica/registry.go
+++ b/internal/replica/registry.go
@@ -14,9 +14,6 @@
 	// changes has an entry after this node's work at a replica changed.
 	changes chan struct{}
 
-	// holds has the mean hold time of online work by service.
-	holds sync.Map
-
 	mu  sync.Mutex
 	all map[core.ReplicaID]*Replica
 }
