Tell work sooner within the own data centre

Change: nodes of the own data centre and of others are told at intervals by their own numbers, 2 ms for each; replicas of other data centres cost more the later their work is known; one replica in four is compared.

--- a/internal/loadshare/service.go
+++ b/internal/loadshare/service.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -19,8 +20,16 @@
 	// an engine turns over about every 90 ms.
 	sendEvery = 20 * time.Millisecond
 	// perNode lengthens that time in large fleets, so that a node receives at
-	// most 250 messages a second.
-	perNode = 4 * time.Millisecond
+	// most 500 messages a second from its own data centre and as many from the
+	// others.
+	perNode = 2 * time.Millisecond
+	// freshEnough is the age of counts up to which replicas of other data
+	// centres are as well known as those of the own one.
+	freshEnough = 50 * time.Millisecond
+	// staleCost is added to the work of such a replica for each further 100 ms
+	// of age: about as many requests as several nodes send there unknown to each
+	// other.
+	staleCost = 1.0
 	// maxSilence is the longest time without counts while nothing changes.
 	maxSilence = 300 * time.Millisecond
 )
@@ -40,9 +49,21 @@
 type Service struct {
 	Options
 	ledger *ledger
-	last   []count
-	sent   time.Time
 	known  map[core.NodeID]string
+	// near and far are the nodes of the own and of other data centres.
+	near, far audience
+}
+
+// audience is nodes that get the same counts at the same times.
+type audience struct {
+	nodes []core.NodeID
+	last  []count
+	sent  time.Time
+}
+
+// interval is the least time between counts for the audience.
+func (a *audience) interval() time.Duration {
+	return max(sendEvery, time.Duration(len(a.nodes))*perNode)
 }
 
 // New registers the handlers. The transport is started afterwards.
@@ -69,7 +90,7 @@
 		}
 		s.tell(time.Now())
 		// Changes that come meanwhile go out together.
-		pause := time.NewTimer(max(sendEvery, time.Duration(len(s.known))*perNode))
+		pause := time.NewTimer(s.near.interval())
 		select {
 		case <-ctx.Done():
 			pause.Stop()
@@ -82,9 +103,16 @@
 // follow takes the addresses of the live nodes.
 func (s *Service) follow() {
 	present := make(map[core.NodeID]string)
+	s.near.nodes, s.far.nodes = nil, nil
 	for _, record := range s.Nodes.View().Alive {
-		if record.ID != s.Transport.Self() && record.Address != "" {
-			present[record.ID] = record.Address
+		if record.ID == s.Transport.Self() || record.Address == "" {
+			continue
+		}
+		present[record.ID] = record.Address
+		if record.DataCentre == s.Nodes.Self().DataCentre {
+			s.near.nodes = append(s.near.nodes, record.ID)
+		} else {
+			s.far.nodes = append(s.far.nodes, record.ID)
 		}
 	}
 	for id, address := range present {
@@ -98,6 +126,8 @@
 		}
 	}
 	s.known = present
+	age := max(0, s.far.interval()-freshEnough)
+	s.Registry.SetStaleCost(staleCost * age.Seconds() / 0.1)
 }
 
 // expire takes the counts of silent nodes off. The sums of the others are
@@ -123,7 +153,7 @@
 	}
 }
 
-// tell sends this node's counts if they changed or it was silent for long.
+// tell sends this node's counts to those who do not know them.
 func (s *Service) tell(now time.Time) {
 	var own []count
 	for _, r := range s.Registry.All() {
@@ -131,17 +161,19 @@
 			own = append(own, count{ID: r.Info().ID, Online: online, Batch: batch})
 		}
 	}
-	slices.SortFunc(own, func(a, b count) int {
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
-	})
-	if slices.Equal(own, s.last) && now.Sub(s.sent) < maxSilence {
+	slices.SortFunc(own, func(a, b count) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	s.tellAudience(&s.near, own, now)
+	if now.Sub(s.far.sent) >= s.far.interval() {
+		s.tellAudience(&s.far, own, now)
+	}
+}
+
+func (s *Service) tellAudience(a *audience, own []count, now time.Time) {
+	if slices.Equal(own, a.last) && now.Sub(a.sent) < maxSilence {
 		return
 	}
-	s.last, s.sent = own, now
-	for id := range s.known {
+	a.last, a.sent = own, now
+	for _, id := range a.nodes {
 		if err := s.Transport.Send(id, kindCounts, &counts{Replicas: own}); err != nil {
 			s.Log.Debug("counts not sent", "node", id, "error", err)
 		}
--- a/internal/replica/choose.go
+++ b/internal/replica/choose.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -11,6 +12,9 @@
 	// samples is the number of replicas compared for one request. More would
 	// make nodes with the same stale view send to the same replica.
 	samples = 4
+	// sampleShare is the part of a large service's replicas that is compared: one
+	// in four, so that some of the own data centre are among them.
+	sampleShare = 4
 	// remoteCost is added, in requests, for a replica of another data centre:
 	// bytes between data centres cost money, and ties should stay at home.
 	remoteCost = 0.3
@@ -25,6 +29,9 @@
 	Tried []core.ReplicaID
 	// Room, if positive, is the number of free slots that a replica must have.
 	Room int
+
+	// remoteCost is the cost of a replica of another data centre.
+	remoteCost float64
 }
 
 // Choose returns a replica with little work, or nil. Replicas with recent
@@ -34,6 +41,7 @@
 	if len(ready) == 0 {
 		return nil
 	}
+	q.remoteCost = remoteCost + math.Float64frombits(g.staleCost.Load())
 	if r := q.least(ready, false); r != nil {
 		return r
 	}
@@ -50,7 +58,7 @@
 	var bestScore float64
 	offset := rand.IntN(len(ready)) //nolint:gosec // spreads load, no secret
 	step := coprimeStep(len(ready))
-	limit := samples
+	limit := max(samples, len(ready)/sampleShare)
 	if q.Room > 0 {
 		limit = len(ready) // a free slot may be anywhere
 	}
@@ -75,7 +83,7 @@
 func (q *Query) score(r *Replica, busy float64) float64 {
 	info := r.Info()
 	if info.DataCentre != q.DataCentre {
-		busy += remoteCost
+		busy += q.remoteCost
 	}
 	return (busy + 1) / float64(max(1, info.Slots)) * r.Slowdown(q.Now)
 }
--- a/internal/replica/registry.go
+++ b/internal/replica/registry.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,6 +15,10 @@
 	// changes has an entry after this node's work at a replica changed.
 	changes chan struct{}
 
+	// staleCost is added to the work of replicas of other data centres; the bits
+	// of a float64.
+	staleCost atomic.Uint64
+
 	mu  sync.Mutex
 	all map[core.ReplicaID]*Replica
 }
@@ -92,6 +97,10 @@
 // Get returns a replica by id, or nil.
 func (g *Registry) Get(id core.ReplicaID) *Replica { return g.view.Load().byID[id] }
 
+// SetStaleCost sets what is added, in requests, to the work of a replica of
+// another data centre, whose work this node knows late.
+func (g *Registry) SetStaleCost(requests float64) { g.staleCost.Store(math.Float64bits(requests)) }
+
 // Changes has an entry after this node's work at some replica changed.
 func (g *Registry) Changes() <-chan struct{} { return g.changes }
 
