--- a/internal/nodes/directory.go
+++ b/internal/nodes/directory.go
@@ -17,11 +17,15 @@
 const (
 	// Table holds one row for each node.
 	Table = "nodes"
-	// renewEvery is the time between renewals. Each costs one write and one
-	// read of the whole table.
+	// renewEvery is the least time between renewals. Each costs one write and
+	// one read of the whole table.
 	renewEvery = 2 * time.Second
-	// lease is how long a renewal lasts: two renewals may fail.
-	lease = 6 * time.Second
+	// renewPerNode lengthens it in large fleets, so that the store is read at
+	// most that often for each row and the bytes read grow with the fleet, not
+	// with its square.
+	renewPerNode = 33 * time.Millisecond
+	// leaseRenewals is how many renewals a lease lasts: two may fail.
+	leaseRenewals = 3
 	// settleTime is how long after an outage leases are renewed: nodes come
 	// back within the retry pause and the time of a call.
 	settleTime = 2 * time.Second
@@ -85,7 +89,7 @@
 			d.log.Warn("node lease not renewed", "node", d.self.ID, "error", err)
 		}
 		d.failing.Store(err != nil)
-		pause := renewEvery
+		pause := interval(len(d.View().Alive))
 		if d.failing.Load() {
 			pause = firstRetry
 		}
@@ -105,6 +109,11 @@
 	return !d.failing.Load() && (!ok || now.Sub(restored) >= settleTime)
 }
 
+// interval is the time between renewals in a fleet of so many nodes.
+func interval(nodes int) time.Duration {
+	return max(renewEvery, time.Duration(nodes)*renewPerNode)
+}
+
 // Leave ends this node's lease, so that others take over its work at once. A
 // row that another run of the process has written since stays.
 func (d *Directory) Leave(ctx context.Context) error {
@@ -137,7 +146,7 @@
 		return err
 	}
 	record := d.self
-	record.Until = set.Clock + lease
+	record.Until = set.Clock + leaseRenewals*interval(len(set.Rows))
 	value, err := msgpack.Marshal(&record)
 	if err != nil {
 		return err
--- a/internal/nodes/directory_test.go
+++ b/internal/nodes/directory_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"strconv"
 	"testing"
 	"time"
 
@@ -74,3 +75,20 @@
 	g.Expect(a.settled(restored.Add(settleTime - time.Millisecond))).To(gomega.BeFalse())
 	g.Expect(a.settled(restored.Add(settleTime))).To(gomega.BeTrue())
 }
+
+// Guards against reads of the nodes' table that grow with the square of the
+// fleet, and against leases that lapse between two renewals.
+func TestRenewalsInLargeFleets(t *testing.T) {
+	g := gomega.NewWithT(t)
+	g.Expect(interval(12)).To(gomega.Equal(renewEvery))
+	perSecond := func(nodes int) float64 { return float64(nodes*nodes) / interval(nodes).Seconds() }
+	g.Expect(perSecond(600) / perSecond(300)).To(gomega.BeNumerically("~", 2, 0.01))
+	rows := infratest.NewRows()
+	for i := range 300 {
+		g.Expect(directory(rows, "n"+strconv.Itoa(i), "1").renew(t.Context())).To(gomega.Succeed())
+	}
+	d := directory(rows, "a", "1")
+	g.Expect(d.renew(t.Context())).To(gomega.Succeed())
+	clock, _ := rows.Clock()
+	g.Expect(d.View().Alive["a/1"].Until - clock).To(gomega.BeNumerically(">", 2*interval(300)))
+}
