Remove what the platform node does not use

Cause: fields of the settings, the configuration and the headers were decoded and never read, staticcheck had three findings, and the soak held a name of the platform (found by TestPlatformNamesStayInTheAdapter). Change: they are removed; the soak's extra route comes from platformtest; gofmt in make lint covers platform/.

--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 	go test -race -count=1 $${SKIP:+-skip "$$SKIP"} $(PACKAGES)
 
 lint:
-	test -z "$$(gofmt -l cmd internal bench)" || (gofmt -l cmd internal bench; exit 1)
+	test -z "$$(gofmt -l cmd internal platform bench)" || (gofmt -l cmd internal platform bench; exit 1)
 	go vet $(PACKAGES)
 	go tool staticcheck $(PACKAGES)
 
--- a/bench/soak/world.go
+++ b/bench/soak/world.go
@@ -104,8 +104,7 @@
 func (w *world) configure() error {
 	w.version += 2
 	w.routes++
-	extra := fmt.Sprintf(`,{"name":"extra","host":"verse.example","path-prefix":"/extra%d/","kind":"safe","service":"desk"}`, w.routes)
-	return w.store.Configure(w.version, platformtest.UsualRoutes+extra)
+	return w.store.Configure(w.version, platformtest.UsualRoutes+","+platformtest.SafeRoute(fmt.Sprintf("extra%d", w.routes)))
 }
 
 func (w *world) addVMs(store string) error {
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -9,15 +9,4 @@
 	// Patience is how long the caller waits, counted from its sending; 0 if it
 	// does not say.
 	Patience time.Duration
-	// PromptTokens and OutputTokens are the sizes of a generation, 0 if unknown.
-	PromptTokens int
-	OutputTokens int
-	// Prefix lists the parts of the prompt in order.
-	Prefix []PromptPart
-}
-
-// PromptPart is a run of prompt tokens that requests may share.
-type PromptPart struct {
-	ID     string
-	Tokens int
 }
--- a/internal/jobs/placement_test.go
+++ b/internal/jobs/placement_test.go
@@ -38,7 +38,7 @@
 	for _, id := range []core.ReplicaID{"i-1", "i-2"} {
 		b.runner.exec.Registry.Put(replica.Info{ID: id, Service: "m", Address: silentReplica(t), Slots: 8})
 	}
-	table := routes.NewTable(1, routes.Limits{}, nil, []*routes.Route{
+	table := routes.NewTable(1, routes.Limits{}, []*routes.Route{
 		{Host: "h", Prefix: "/b/", Kind: routes.KindBatch, Backends: []routes.Backend{{Service: "m", Weight: 1}}},
 	})
 	b.runner.exec.Routes = &atomic.Pointer[routes.Table]{}
--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -23,10 +23,7 @@
 	repeatPause = 150 * time.Millisecond
 )
 
-var (
-	errPreempted = errors.New("gave way to online work")
-	errNotOwned  = errors.New("job is not this node's")
-)
+var errPreempted = errors.New("gave way to online work")
 
 // Runner executes the jobs that this node owns.
 type Runner struct {
--- a/internal/loadshare/message.go
+++ b/internal/loadshare/message.go
@@ -15,7 +15,8 @@
 
 // count is a node's work at one replica.
 type count struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec: field names would double the size
+	//lint:ignore U1000 read by the codec: field names would double the size
+	_msgpack struct{} `msgpack:",as_array"`
 	ID       core.ReplicaID
 	Online   int
 	Batch    int
--- a/internal/replica/conn.go
+++ b/internal/replica/conn.go
@@ -25,7 +25,6 @@
 	idleSince time.Time
 	// idleLimit is how long the replica keeps the connection open unused.
 	idleLimit time.Duration
-	used      bool
 	broken    atomic.Bool
 }
 
--- a/internal/routes/route.go
+++ b/internal/routes/route.go
@@ -16,14 +16,8 @@
 	Backends []Backend
 	// Timeout is the longest time that a request is kept waiting.
 	Timeout time.Duration
-	// Target is the latency within which an answer earns full credit.
-	Target time.Duration
-	// EventGap is the longest pause between events of a stream on time.
-	EventGap time.Duration
 	// MaxAttempts bounds the replicas that run one request.
 	MaxAttempts int
-	// Priority is the rank among routes; 0 is the most urgent.
-	Priority int
 	// CanResume is set if a stream may go on at another replica.
 	CanResume bool
 	// Due is the time after submission in which all results of a job are due.
--- a/internal/routes/table.go
+++ b/internal/routes/table.go
@@ -3,28 +3,21 @@
 import (
 	"sort"
 	"strings"
-
-	"gentiantide.example/gentiantide/internal/core"
 )
 
 // Table is one version of the configuration.
 type Table struct {
-	Version  int64
-	Limits   Limits
-	Services map[core.DeploymentID]Service
-	hosts    map[string][]*Route
+	Version int64
+	Limits  Limits
+	hosts   map[string][]*Route
 }
 
 // NewTable returns a table of the given routes.
-func NewTable(version int64, limits Limits, services []Service, all []*Route) *Table {
+func NewTable(version int64, limits Limits, all []*Route) *Table {
 	t := &Table{
-		Version:  version,
-		Limits:   limits,
-		Services: make(map[core.DeploymentID]Service, len(services)),
-		hosts:    make(map[string][]*Route),
-	}
-	for _, s := range services {
-		t.Services[s.ID] = s
+		Version: version,
+		Limits:  limits,
+		hosts:   make(map[string][]*Route),
 	}
 	for _, r := range all {
 		t.hosts[r.Host] = append(t.hosts[r.Host], r)
