Keep the log open to late lines and do not blame a replica for an item

Cause: found on reading: Close closed the queue of the log writer, so that a goroutine that logged while the process ended would have ended it by a panic; an item whose answer is a 4xx other than 422 was sent again at once, each time with blame on the replica, which would have taken replicas away from all work.

--- a/internal/asynclog/writer.go
+++ b/internal/asynclog/writer.go
@@ -22,12 +22,13 @@
 	out     io.Writer
 	lines   chan []byte
 	dropped atomic.Int64
+	stop    chan struct{}
 	done    chan struct{}
 }
 
 // New returns a writer and starts its goroutine.
 func New(out io.Writer) *Writer {
-	w := &Writer{out: out, lines: make(chan []byte, queueLines), done: make(chan struct{})}
+	w := &Writer{out: out, lines: make(chan []byte, queueLines), stop: make(chan struct{}), done: make(chan struct{})}
 	go w.run()
 	return w
 }
@@ -42,9 +43,10 @@
 	return len(line), nil
 }
 
-// Close writes what is queued and ends the goroutine. No Write may follow.
+// Close writes what is queued and ends the goroutine. Lines that goroutines
+// still log while the process ends are dropped.
 func (w *Writer) Close() {
-	close(w.lines)
+	close(w.stop)
 	<-w.done
 }
 
@@ -52,7 +54,12 @@
 	defer close(w.done)
 	var window time.Time
 	budget := 0
-	for line := range w.lines {
+	for {
+		line, more := w.next()
+		if !more {
+			w.reportDropped()
+			return
+		}
 		if now := time.Now(); now.Sub(window) >= time.Second {
 			w.reportDropped()
 			window, budget = now, linesPerSecond
@@ -63,7 +70,21 @@
 		}
 		w.emit(line)
 	}
-	w.reportDropped()
+}
+
+// next waits for a line. After Close it returns what is queued and then false.
+func (w *Writer) next() ([]byte, bool) {
+	select {
+	case line := <-w.lines:
+		return line, true
+	case <-w.stop:
+	}
+	select {
+	case line := <-w.lines:
+		return line, true
+	default:
+		return nil, false
+	}
 }
 
 func (w *Writer) reportDropped() {
--- a/internal/jobs/executor.go
+++ b/internal/jobs/executor.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"log/slog"
 	"net/http"
@@ -147,8 +148,12 @@
 		return endImpossible, nil
 	case answer.Status == http.StatusInternalServerError:
 		return endFailed, nil
+	case answer.Status < http.StatusInternalServerError:
+		// It says something of the item, not of the replica, but does not allow to
+		// give the item up.
+		return endDeclined, fmt.Errorf("unexpected answer %d", answer.Status)
 	default:
-		return endBroken, errors.New("unexpected answer: " + http.StatusText(answer.Status))
+		return endBroken, fmt.Errorf("unexpected answer %d", answer.Status)
 	}
 }
 
--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -239,7 +239,7 @@
 			return
 		}
 		w.notBefore = now.Add(repeatPause)
-	case endNotRun:
+	case endNotRun, endDeclined:
 		w.notBefore = now.Add(repeatPause)
 	}
 	job.pending = append(job.pending, w)
--- a/internal/jobs/work.go
+++ b/internal/jobs/work.go
@@ -41,6 +41,8 @@
 	endFailed
 	// endNotRun: the replica did not run the item.
 	endNotRun
+	// endDeclined: the replica answered with a status that decides nothing.
+	endDeclined
 	// endBroken: the stream broke off; what came is kept.
 	endBroken
 	// endPreempted: the run gave way to online work; what came is kept.
@@ -50,5 +52,5 @@
 )
 
 func (e ending) String() string {
-	return [...]string{"succeeded", "impossible", "failed", "not_run", "broken", "preempted", "stopped"}[e]
+	return [...]string{"succeeded", "impossible", "failed", "not_run", "declined", "broken", "preempted", "stopped"}[e]
 }
