--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -42,7 +42,7 @@
 	if r.sends >= maxSends || r.deadline.Sub(now) < minRemaining || ctx.Err() != nil {
 		return nil
 	}
-	service := r.route.Pick(uint64(now.UnixNano())) //nolint:gosec // a draw, no secret
+	service := r.route.Pick(uint64(now.UnixNano()))
 	target := r.h.Registry.Choose(&replica.Query{
 		Service: service, DataCentre: r.h.DataCentre, Now: now, Tried: r.tried,
 	})
--- a/internal/jobs/executor.go
+++ b/internal/jobs/executor.go
@@ -71,7 +71,7 @@
 // place chooses a replica with free slots, or nil.
 func (e *Executor) place(route *routes.Route, now time.Time) *replica.Replica {
 	return e.Registry.Choose(&replica.Query{
-		Service:    route.Pick(uint64(now.UnixNano())), //nolint:gosec // a draw, no secret
+		Service:    route.Pick(uint64(now.UnixNano())),
 		DataCentre: e.DataCentre, Now: now, Room: freeSlots,
 	})
 }
--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -39,14 +39,13 @@
 	jobs     map[string]*ownedJob
 	pace     *pace
 	stopping bool
-	base     context.Context //nolint:containedctx // parent of all runs, set once by Run
 	tasks    sync.WaitGroup
 }
 
 func newRunner(s *store, book *Book, exec *Executor, owner string, clock func() (time.Duration, bool), log *slog.Logger) *Runner {
 	return &Runner{
 		store: s, book: book, exec: exec, owner: owner, clock: clock, log: log,
-		wake: make(chan struct{}, 1), jobs: make(map[string]*ownedJob), pace: newPace(), base: context.Background(),
+		wake: make(chan struct{}, 1), jobs: make(map[string]*ownedJob), pace: newPace(),
 	}
 }
 
@@ -90,7 +89,7 @@
 		return
 	}
 	job := &ownedJob{entry: entry, running: make(map[*work]struct{}), committed: len(committed)}
-	job.ctx, job.cancel = context.WithCancel(r.base)
+	job.ctx, job.cancel = context.WithCancel(context.Background())
 	for i := range items {
 		if !done[items[i].ID] {
 			job.pending = append(job.pending, &work{job: job, item: &items[i], last: forward.NoResume})
--- a/internal/replica/choose.go
+++ b/internal/replica/choose.go
@@ -56,7 +56,7 @@
 func (q *Query) least(ready []*Replica, avoided bool) *Replica {
 	var best *Replica
 	var bestScore float64
-	offset := rand.IntN(len(ready)) //nolint:gosec // spreads load, no secret
+	offset := rand.IntN(len(ready))
 	step := coprimeStep(len(ready))
 	limit := max(samples, len(ready)/sampleShare)
 	if q.Room > 0 {
@@ -104,7 +104,7 @@
 		return 1
 	}
 	for range 8 {
-		if step := 1 + rand.IntN(n-1); gcd(step, n) == 1 { //nolint:gosec // spreads load, no secret
+		if step := 1 + rand.IntN(n-1); gcd(step, n) == 1 {
 			return step
 		}
 	}
--- a/internal/watch/watcher.go
+++ b/internal/watch/watcher.go
@@ -209,7 +209,7 @@
 
 // jitter spreads the returns of many nodes over half of the pause.
 func jitter(d time.Duration) time.Duration {
-	return d/2 + rand.N(d/2+1) //nolint:gosec // spreads load, no secret
+	return d/2 + rand.N(d/2+1)
 }
 
 func sleep(ctx context.Context, d time.Duration) {
