--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -167,8 +167,7 @@
 }
 
 func (r *request) log(outcome Outcome) {
-	level := slog.LevelInfo
-	r.h.Log.Log(context.Background(), level, "request", "request", r.call.ID, "route", r.route.Name,
+	r.h.Log.Info("request", "request", r.call.ID, "route", r.route.Name,
 		"config", r.version, "replicas", r.tried, "sends", r.sends, "runs", r.runs, "busy", r.busy, "slowdown", r.slowdown,
 		"outcome", string(outcome), "first_ms", r.firstOut.Milliseconds(),
 		"ms", time.Since(r.arrived).Milliseconds())
--- a/internal/jobs/store.go
+++ b/internal/jobs/store.go
@@ -43,18 +43,25 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	out := make([]Result, 0, len(set.Rows))
-	for i := range set.Rows {
-		if set.Rows[i].RowKey != resultKey(job, from+len(out)) {
-			break // a gap: what lies behind it is not listed
+	out, err := decodeResults(job, from, set.Rows)
+	return out, set.Clock, err
+}
+
+// decodeResults reads result rows up to the first gap: what lies behind it is
+// not listed.
+func decodeResults(job string, from int, rows []infra.VersionedRow) ([]Result, error) {
+	out := make([]Result, 0, len(rows))
+	for i := range rows {
+		if rows[i].RowKey != resultKey(job, from+len(out)) {
+			break
 		}
 		var result Result
-		if err := msgpack.Unmarshal(set.Rows[i].Value, &result); err != nil {
-			return nil, 0, fmt.Errorf("result row %q: %w", set.Rows[i].Key, err)
+		if err := msgpack.Unmarshal(rows[i].Value, &result); err != nil {
+			return nil, fmt.Errorf("result row %q: %w", rows[i].Key, err)
 		}
 		out = append(out, result)
 	}
-	return out, set.Clock, nil
+	return out, nil
 }
 
 // items reads the items of a job.
--- a/internal/jobs/sweep.go
+++ b/internal/jobs/sweep.go
@@ -56,7 +56,7 @@
 	if err != nil {
 		return err
 	}
-	results, _, err := s.store.results(ctx, e.ID, 0)
+	results, err := decodeResults(e.ID, 0, set.Rows)
 	if err != nil {
 		return err
 	}
--- a/internal/replica/pool.go
+++ b/internal/replica/pool.go
@@ -34,8 +34,7 @@
 		if c == nil {
 			return nil
 		}
-		fresh := now.Sub(c.idleSince) < time.Duration(float64(c.idleLimit)*idleShare)
-		if fresh && c.quiet() {
+		if c.fresh(now) && c.quiet() {
 			return c
 		}
 		c.sever()
@@ -66,7 +65,7 @@
 	kept := p.idle[:0]
 	var old []*conn
 	for _, c := range p.idle {
-		if now.Sub(c.idleSince) < time.Duration(float64(c.idleLimit)*idleShare) {
+		if c.fresh(now) {
 			kept = append(kept, c)
 		} else {
 			old = append(old, c)
@@ -79,6 +78,11 @@
 	}
 }
 
+// fresh reports whether an unused connection may be used again.
+func (c *conn) fresh(now time.Time) bool {
+	return now.Sub(c.idleSince) < time.Duration(float64(c.idleLimit)*idleShare)
+}
+
 func (p *pool) closeAll() {
 	p.mu.Lock()
 	all := p.idle
--- a/internal/watch/watcher.go
+++ b/internal/watch/watcher.go
@@ -45,7 +45,6 @@
 	rows map[infra.RowKey]infra.VersionedRow
 
 	version  uint64
-	contact  steady.Moment // of the last answer
 	restored steady.Moment // of the first answer after a failure
 	failing  atomic.Bool
 	loaded   chan struct{}
@@ -62,9 +61,6 @@
 // Loaded is closed once the table has been read for the first time.
 func (w *Watcher) Loaded() <-chan struct{} { return w.loaded }
 
-// Contact returns when the store last answered; ok is false if it never did.
-func (w *Watcher) Contact() (at time.Time, ok bool) { return w.contact.Get() }
-
 // Restored returns when the store answered again after it had failed; ok is
 // false if it never failed.
 func (w *Watcher) Restored() (at time.Time, ok bool) { return w.restored.Get() }
@@ -193,12 +189,10 @@
 }
 
 func (w *Watcher) answered() {
-	now := time.Now()
 	if w.failing.CompareAndSwap(true, false) {
-		w.restored.Set(now)
+		w.restored.Set(time.Now())
 		w.Log.Info("store regained", "version", w.version)
 	}
-	w.contact.Set(now)
 }
 
 func (w *Watcher) failed(err error) {
