Place online requests by one hub for each service

Cause: each node chose replicas by counts that all nodes told all others. On 59 nodes these are about 100 ms old, so that several nodes send to the same replica while slots are free elsewhere, and each node spends up to 1,000 messages a second on it. In bursts beyond the slots, engines serve first in, first out, so that every caller waits until all are late.

Change: package placement replaces loadshare. For each service the live nodes agree by rendezvous hashing on a hub among the large nodes. A node asks it before it sends an online request and tells it what ended. The hub gives free slots, lets batch work give way, and keeps a queue: requests that can still begin in time go before late ones, and one that would wait for longer than its caller does is refused at once. Nodes that reach neither of two hubs nor the leader of their data centre choose alone, as before. The hub tells all nodes the totals every 100 ms, for items of jobs and for that case.

--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -18,11 +18,11 @@
 	"gentiantide.example/gentiantide/internal/discovery"
 	"gentiantide.example/gentiantide/internal/forward"
 	"gentiantide.example/gentiantide/internal/jobs"
-	"gentiantide.example/gentiantide/internal/loadshare"
 	"gentiantide.example/gentiantide/internal/metrics"
 	"gentiantide.example/gentiantide/internal/netopt"
 	"gentiantide.example/gentiantide/internal/nodes"
 	"gentiantide.example/gentiantide/internal/peer"
+	"gentiantide.example/gentiantide/internal/placement"
 	"gentiantide.example/gentiantide/internal/replica"
 	"gentiantide.example/gentiantide/internal/watch"
 	"gentiantide.example/gentiantide/platform"
@@ -62,7 +62,7 @@
 	jobs          *jobs.Service
 	jobsAPI       *platform.JobsAPI
 	peers         *peer.Transport
-	shares        *loadshare.Service
+	placer        *placement.Service
 	forward       *forward.Handler
 	counters      *forward.Counters
 	metrics       http.Handler
@@ -102,6 +102,7 @@
 	lifetime := strconv.FormatInt(time.Now().UnixNano(), 36) + "-" + strconv.Itoa(os.Getpid())
 	n.nodes = nodes.NewDirectory(n.store, nodes.Record{
 		ID: settings.Node, Lifetime: lifetime, Address: n.peerListener.Addr().String(), DataCentre: settings.DataCentre,
+		Processor: settings.Processor,
 	}, log)
 	n.jobs = jobs.New(jobs.Options{
 		Table: n.store, Objects: n.store, Nodes: n.nodes, Clock: n.store.Clock, Keep: settings.Keep, Log: log,
@@ -111,7 +112,7 @@
 	})
 	n.peers = peer.New(settings.Node, log)
 	n.peers.Handle(kindCopy, n.giveCopy)
-	n.shares = loadshare.New(loadshare.Options{
+	n.placer = placement.New(placement.Options{
 		Transport: n.peers, Registry: n.registry, Nodes: n.nodes, Yield: n.jobs.Yield, Log: log,
 	})
 	n.jobsAPI = &platform.JobsAPI{Jobs: n.jobs}
@@ -119,8 +120,8 @@
 	n.metrics, n.metricsCloser = handler, closer
 	n.counters = forward.NewCounters(scope)
 	n.forward = &forward.Handler{
-		Codec: platform.Headers{}, Registry: n.registry, DataCentre: settings.DataCentre, Routes: &n.configs.Table,
-		Submit: n.jobsAPI.Submit, MakeRoom: n.shares.MakeRoom, Log: log, Counters: n.counters,
+		Codec: platform.Headers{}, Placer: n.placer, Routes: &n.configs.Table,
+		Submit: n.jobsAPI.Submit, Log: log, Counters: n.counters,
 	}
 	n.routing = []*watch.Watcher{n.configs.Watcher(n.store), n.replicas.Watcher(n.store, platform.ReplicaTable)}
 	n.jobRows = watch.New(n.store, jobs.JobsTable, jobs.Partitions(), n.jobs.Book, log)
@@ -151,7 +152,7 @@
 	go n.askNeighbours(ctx)
 	go n.nodes.Run(ctx)
 	go n.jobs.Run(ctx)
-	go n.shares.Run(ctx)
+	go n.placer.Run(ctx)
 	go n.reviewReplicas(ctx)
 	n.await(signals)
 	n.stop(callers)
@@ -243,7 +244,7 @@
 			n.registry.ExpireIdle(now)
 			for _, r := range n.registry.Review(now) {
 				n.log.Info("replica is silent", "replica", r.Info().ID, "data_centre", r.Info().DataCentre)
-				n.shares.Suspect(r)
+				n.placer.Suspect(r)
 			}
 		}
 	}
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -24,6 +24,7 @@
 // balancer has noticed, and then waits for the requests in progress.
 func (n *Node) stop(callers *http.Server) {
 	n.stopping.Store(true)
+	n.placer.Stop()
 	deadline := time.Now().Add(max(n.OutOfRotation, n.settings.StopGrace-exitMargin))
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"gentiantide.example/gentiantide/internal/core"
+	"gentiantide.example/gentiantide/internal/placement"
 	"gentiantide.example/gentiantide/internal/replica"
 	"gentiantide.example/gentiantide/internal/routes"
 )
@@ -29,18 +30,21 @@
 // errRouteTimeout ends a request at its route's timeout or its deadline.
 var errRouteTimeout = errors.New("the route's timeout or the caller's deadline passed")
 
+// Placer finds replicas for requests.
+type Placer interface {
+	// Place returns a replica at which it has counted the request. Without one it
+	// returns the time after which a slot may be free, or 0 if that is not known.
+	Place(ctx context.Context, q *placement.Query) (*replica.Replica, time.Duration)
+}
+
 // Handler serves callers' requests.
 type Handler struct {
-	Codec      Codec
-	Registry   *replica.Registry
-	DataCentre core.DataCentre
+	Codec Codec
 	// Routes is the present configuration, nil until the first one is known.
 	Routes *atomic.Pointer[routes.Table]
 	// Submit accepts a batch job whose request was read.
-	Submit func(w http.ResponseWriter, in *http.Request, call *Call, route *routes.Route, body []byte) Outcome
-	// MakeRoom is told that online work goes to a replica that is full, so that
-	// batch work there gives way. It may be nil.
-	MakeRoom func(r *replica.Replica)
+	Submit   func(w http.ResponseWriter, in *http.Request, call *Call, route *routes.Route, body []byte) Outcome
+	Placer   Placer
 	Log      *slog.Logger
 	Counters *Counters
 }
@@ -64,6 +68,10 @@
 	// busy and slowdown are the estimates by which the last replica was chosen.
 	busy     float64
 	slowdown float64
+	// waited is the time spent on finding replicas.
+	waited time.Duration
+	// slotIn is when a slot may be free, for a request that found none.
+	slotIn   time.Duration
 	firstOut time.Duration
 	answered bool // the head of the answer is out
 }
@@ -169,7 +177,7 @@
 func (r *request) log(outcome Outcome) {
 	r.h.Log.Info("request", "request", r.call.ID, "route", r.route.Name,
 		"config", r.version, "replicas", r.tried, "sends", r.sends, "runs", r.runs, "busy", r.busy, "slowdown", r.slowdown,
-		"outcome", string(outcome), "first_ms", r.firstOut.Milliseconds(),
+		"outcome", string(outcome), "placed_ms", r.waited.Milliseconds(), "first_ms", r.firstOut.Milliseconds(),
 		"ms", time.Since(r.arrived).Milliseconds())
 }
 
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"gentiantide.example/gentiantide/internal/core"
+	"gentiantide.example/gentiantide/internal/placement"
 	"gentiantide.example/gentiantide/internal/replica"
 )
 
@@ -16,6 +17,8 @@
 	maxSends = 5
 	// minRemaining is the least time that is worth a send.
 	minRemaining = 20 * time.Millisecond
+	// defaultObjective is that of a route that names none.
+	defaultObjective = 300 * time.Millisecond
 )
 
 // attempt is one send to one replica.
@@ -35,28 +38,49 @@
 	return a.info.NotRun
 }
 
-// next offers the request to one more replica. It returns nil if there is none
-// that may get it.
-func (r *request) next(ctx context.Context, resumeAfter int64) *attempt {
-	now := time.Now()
-	if r.sends >= maxSends || r.deadline.Sub(now) < minRemaining || ctx.Err() != nil {
+// place finds a replica for the request and counts the request there. It
+// returns nil if there is none that may get it.
+func (r *request) place(ctx context.Context, urgent bool) *replica.Replica {
+	began := time.Now()
+	if r.sends >= maxSends || r.deadline.Sub(began) < minRemaining || ctx.Err() != nil {
 		return nil
 	}
-	service := r.route.Pick(uint64(now.UnixNano()))
-	target := r.h.Registry.Choose(&replica.Query{
-		Service: service, DataCentre: r.h.DataCentre, Now: now, Tried: r.tried,
+	target, wait := r.h.Placer.Place(ctx, &placement.Query{
+		Service: r.route.Pick(uint64(began.UnixNano())), Tried: r.tried, Arrived: r.arrived,
+		Objective: r.objective(), Patience: r.patience(), Urgent: urgent,
 	})
-	if target == nil {
-		return nil
+	now := time.Now()
+	r.waited += now.Sub(began)
+	r.slotIn = wait
+	if target != nil {
+		r.busy, r.slowdown = target.Busy(now), target.Slowdown(now)
 	}
-	info := target.Info()
-	r.busy, r.slowdown = target.Busy(now), target.Slowdown(now)
-	if r.h.MakeRoom != nil && r.busy >= float64(info.Slots) {
-		r.h.MakeRoom(target)
+	return target
+}
+
+// objective is the time in which the answer should begin.
+func (r *request) objective() time.Duration {
+	if r.route.Objective > 0 {
+		return r.route.Objective
 	}
+	return defaultObjective
+}
+
+// patience is how long after its arrival the request may wait for a slot.
+func (r *request) patience() time.Duration {
+	patience := r.deadline.Sub(r.arrived) - minRemaining
+	if r.route.Patience > 0 {
+		patience = min(patience, r.route.Patience)
+	}
+	return patience
+}
+
+// send sends the request to the replica at which it was counted.
+func (r *request) send(ctx context.Context, target *replica.Replica, resumeAfter int64) *attempt {
+	now := time.Now()
+	info := target.Info()
 	r.tried = append(r.tried, info.ID)
 	r.sends++
-	target.Begin(core.ClassOnline)
 	a := &attempt{replica: target}
 	a.answer, a.err = target.Send(ctx, &replica.Request{
 		Method: r.in.Method, Target: r.in.RequestURI, Host: r.in.Host,
@@ -152,5 +176,5 @@
 )
 
 func (r *request) retryAfter() time.Duration {
-	return retryBase + time.Duration(r.arrived.UnixNano()%int64(retrySpread))
+	return max(retryBase, r.slotIn) + time.Duration(r.arrived.UnixNano()%int64(retrySpread))
 }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -51,17 +51,19 @@
 // attempt sends the request once and relays what comes.
 func (s *relay) attempt(ctx context.Context) (Outcome, bool) {
 	r := s.r
+	target := r.place(ctx, r.answered)
+	if target == nil {
+		if !r.answered {
+			return r.giveUp(ctx), true
+		}
+		return s.abort(ctx), true
+	}
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	watchdog := s.watchdog(cancel)
 	defer watchdog.Stop()
-	a := r.next(attemptCtx, s.last)
+	a := r.send(attemptCtx, target, s.last)
 	switch {
-	case a == nil:
-		if !r.answered {
-			return r.giveUp(ctx), true
-		}
-		return s.abort(ctx), true
 	case a.err != nil:
 		return "", false
 	case a.info.NotRun:
--- a/internal/forward/whole.go
+++ b/internal/forward/whole.go
@@ -25,13 +25,12 @@
 func (r *request) serveWhole(ctx context.Context) Outcome {
 	var last *wholeAnswer
 	for r.mayRepeat() {
-		attemptCtx, cancel := r.attemptContext(ctx)
-		a := r.next(attemptCtx, NoResume)
-		if a == nil {
-			cancel()
+		target := r.place(ctx, false)
+		if target == nil {
 			break
 		}
-		answer := r.readWhole(a)
+		attemptCtx, cancel := r.attemptContext(ctx)
+		answer := r.readWhole(r.send(attemptCtx, target, NoResume))
 		cancel()
 		if answer == nil {
 			continue
--- a/internal/nodes/record.go
+++ b/internal/nodes/record.go
@@ -15,6 +15,8 @@
 	Address string `msgpack:"address"`
 	// DataCentre is where it runs.
 	DataCentre core.DataCentre `msgpack:"data_centre"`
+	// Processor is its share of the processor, in cores.
+	Processor float64 `msgpack:"processor,omitempty"`
 	// Until is the store's clock up to which the node counts as alive.
 	Until time.Duration `msgpack:"until"`
 }
--- /dev/null
+++ b/internal/placement/electorate.go
@@ -0,0 +1,82 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+
+	"gentiantide.example/gentiantide/internal/core"
+	"gentiantide.example/gentiantide/internal/nodes"
+)
+
+// hubShare is the part of the largest node's processor share from which a node
+// may be a hub. Small nodes are busy with their own requests.
+const hubShare = 0.75
+
+// electorate is the live nodes as of one reading of the directory.
+type electorate struct {
+	records []nodes.Record
+	self    nodes.Record
+	ranks   sync.Map // of a service: its hubs, []core.NodeID
+}
+
+func newElectorate(alive map[string]nodes.Record, self nodes.Record) *electorate {
+	e := &electorate{self: self}
+	for _, record := range alive {
+		if record.Address != "" {
+			e.records = append(e.records, record)
+		}
+	}
+	return e
+}
+
+// hubs returns the nodes to ask about a service, the first one first: the two
+// that lead by rendezvous hashing, so that all nodes agree also when one is
+// lost, and the leader of the own data centre, which is reached when the others
+// are cut off.
+// The slice is not to be changed.
+func (e *electorate) hubs(service core.DeploymentID) []core.NodeID {
+	if known, ok := e.ranks.Load(service); ok {
+		return known.([]core.NodeID)
+	}
+	all := e.ranked(service, func(*nodes.Record) bool { return true })
+	near := e.ranked(service, func(r *nodes.Record) bool { return r.DataCentre == e.self.DataCentre })
+	var out []core.NodeID
+	for _, id := range append(all[:min(2, len(all))], near[:min(1, len(near))]...) {
+		if !slices.Contains(out, id) {
+			out = append(out, id)
+		}
+	}
+	e.ranks.Store(service, out)
+	return out
+}
+
+// ranked returns the large nodes among those allowed, by rendezvous hashing.
+func (e *electorate) ranked(service core.DeploymentID, allowed func(*nodes.Record) bool) []core.NodeID {
+	type candidate struct {
+		id    core.NodeID
+		score uint64
+	}
+	largest := 0.0
+	for i := range e.records {
+		if r := &e.records[i]; allowed(r) {
+			largest = max(largest, r.Processor)
+		}
+	}
+	var found []candidate
+	for i := range e.records {
+		if r := &e.records[i]; allowed(r) && r.Processor >= hubShare*largest {
+			found = append(found, candidate{r.ID, xxhash.Sum64String(string(service) + "|" + string(r.ID))})
+		}
+	}
+	slices.SortFunc(found, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.id, b.id))
+	})
+	out := make([]core.NodeID, len(found))
+	for i := range found {
+		out[i] = found[i].id
+	}
+	return out
+}
--- /dev/null
+++ b/internal/placement/hub.go
@@ -0,0 +1,259 @@
+package placement
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"gentiantide.example/gentiantide/internal/core"
+	"gentiantide.example/gentiantide/internal/peer"
+	"gentiantide.example/gentiantide/internal/replica"
+)
+
+const (
+	// hubTick is the time between looks at the waiting requests without a
+	// message that frees a slot.
+	hubTick = 20 * time.Millisecond
+	// totalsEvery is the least time between totals: items of jobs need free
+	// slots, which turn over about every 90 ms a replica.
+	totalsEvery = 100 * time.Millisecond
+	// totalsPerNode lengthens it in large fleets, so that a hub sends at most
+	// 500 messages a second.
+	totalsPerNode = 2 * time.Millisecond
+	// hubIdle is how long a hub that nobody addresses keeps the account of a
+	// service.
+	hubIdle = 3 * time.Second
+)
+
+var errStopping = errors.New("this node stops and places no more requests")
+
+// hub is the part of a node that places requests for all nodes.
+type hub struct {
+	transport *peer.Transport
+	registry  *replica.Registry
+	yield     func(core.NodeID, core.ReplicaID)
+	log       *slog.Logger
+	stopping  atomic.Bool
+	// begun has an entry after an account was opened.
+	begun chan struct{}
+
+	mu    sync.Mutex
+	pools map[core.DeploymentID]*account
+}
+
+// account is the pool of one service.
+type account struct {
+	*pool
+	heard time.Time // the last question or counts
+	sent  time.Time // the last totals
+	held  int       // requests that waited since the last log line
+}
+
+func newHub(o *Options, yield func(core.NodeID, core.ReplicaID)) *hub {
+	h := &hub{transport: o.Transport, registry: o.Registry, yield: yield, log: o.Log, begun: make(chan struct{}, 1), pools: make(map[core.DeploymentID]*account)}
+	o.Transport.Handle(kindAsk, h.ask)
+	o.Transport.Handle(kindCounts, h.counts)
+	o.Transport.Handle(kindWithdraw, h.withdraw)
+	return h
+}
+
+// account returns the account of a service with its present replicas. The
+// caller holds the lock.
+func (h *hub) account(service core.DeploymentID, now time.Time) *account {
+	a, ok := h.pools[service]
+	if !ok {
+		a = &account{pool: newPool(), heard: now}
+		h.pools[service] = a
+		h.log.Info("placement begins here", "service", service)
+		select {
+		case h.begun <- struct{}{}:
+		default: // it ticks already or is about to
+		}
+	}
+	a.replicas = slots(a.replicas[:0], h.registry.Ready(service), now)
+	return a
+}
+
+// slots lists the replicas that are not avoided, or all if there are no others.
+func slots(out []slot, ready []*replica.Replica, now time.Time) []slot {
+	add := func(r *replica.Replica) {
+		info := r.Info()
+		out = append(out, slot{id: info.ID, dc: info.DataCentre, slots: max(1, info.Slots)})
+	}
+	for _, r := range ready {
+		if !r.Avoided(now) {
+			add(r)
+		}
+	}
+	if len(out) == 0 {
+		for _, r := range ready {
+			add(r)
+		}
+	}
+	return out
+}
+
+func (h *hub) ask(_ context.Context, from core.NodeID, body []byte) ([]byte, error) {
+	if h.stopping.Load() {
+		return nil, errStopping
+	}
+	var question ask
+	if err := msgpack.Unmarshal(body, &question); err != nil {
+		return nil, err
+	}
+	now := time.Now()
+	h.mu.Lock()
+	a := h.account(question.Service, now)
+	a.heard = now
+	answer, done := a.ask(from, &question, now)
+	if answer.Verdict == verdictQueued {
+		a.held++
+	}
+	send := h.preempt(a, done)
+	h.mu.Unlock()
+	send()
+	return msgpack.Marshal(&answer)
+}
+
+// preempt picks the batch work that leaves its slot to the placed request. The
+// question to it is sent by the function returned, without the lock.
+func (h *hub) preempt(a *account, done *placed) func() {
+	if done == nil || !done.preempts {
+		return func() {}
+	}
+	holder, ok := a.batchHolder(done.replica)
+	if !ok {
+		return func() {}
+	}
+	return func() { h.yield(holder, done.replica) }
+}
+
+func (h *hub) counts(_ context.Context, from core.NodeID, body []byte) ([]byte, error) {
+	var c counts
+	if err := msgpack.Unmarshal(body, &c); err != nil {
+		return nil, err
+	}
+	now := time.Now()
+	h.mu.Lock()
+	a := h.account(c.Service, now)
+	a.heard = now
+	a.tell(from, &c, now)
+	send := h.pump(a, now)
+	h.mu.Unlock()
+	send()
+	return nil, nil
+}
+
+func (h *hub) withdraw(_ context.Context, from core.NodeID, body []byte) ([]byte, error) {
+	var w withdraw
+	if err := msgpack.Unmarshal(body, &w); err != nil {
+		return nil, err
+	}
+	now := time.Now()
+	h.mu.Lock()
+	a := h.account(w.Service, now)
+	a.withdraw(from, w.ID)
+	send := h.pump(a, now)
+	h.mu.Unlock()
+	send()
+	return nil, nil
+}
+
+// pump places waiting requests. The function returned tells their nodes.
+func (h *hub) pump(a *account, now time.Time) func() {
+	done := a.pump(now)
+	if len(done) == 0 {
+		return func() {}
+	}
+	yields := make([]func(), len(done))
+	for i, d := range done {
+		yields[i] = h.preempt(a, d)
+	}
+	return func() {
+		for i, d := range done {
+			yields[i]()
+			if err := h.transport.Send(d.node, kindGranted, &granted{ID: d.id, Replica: d.replica, Grant: d.grant}); err != nil {
+				h.log.Info("grant not sent, the node asks again", "node", d.node, "error", err)
+			}
+		}
+	}
+}
+
+// tick looks at every account: what has expired, who may go, who is to be told.
+// It reports whether there are accounts left.
+func (h *hub) tick(now time.Time, everyone []core.NodeID) bool {
+	var sends []func()
+	h.mu.Lock()
+	for service, a := range h.pools {
+		h.account(service, now).expire(now)
+		if now.Sub(a.heard) > hubIdle {
+			delete(h.pools, service)
+			h.log.Info("placement ends here", "service", service)
+			continue
+		}
+		sends = append(sends, h.pump(a, now))
+		if now.Sub(a.sent) >= max(totalsEvery, time.Duration(len(everyone))*totalsPerNode) {
+			a.sent = now
+			sends = append(sends, h.totals(service, a, everyone))
+		}
+	}
+	busy := len(h.pools) > 0
+	h.mu.Unlock()
+	for _, send := range sends {
+		send()
+	}
+	return busy
+}
+
+// totals tells everyone the work at the replicas.
+func (h *hub) totals(service core.DeploymentID, a *account, everyone []core.NodeID) func() {
+	message := &totals{Service: service}
+	for _, r := range a.replicas {
+		sum := a.sum(r.id)
+		message.Replicas = append(message.Replicas, count{ID: r.id, Online: sum.online + a.pending[r.id], Batch: sum.batch})
+	}
+	if a.held > 0 {
+		h.log.Info("requests waited for a slot", "count", a.held, "waiting", len(a.waiting), "replicas", len(a.replicas),
+			"service_ms", int64(a.turnover.service*1e3))
+		a.held = 0
+	}
+	body, err := msgpack.Marshal(message)
+	if err != nil {
+		h.log.Error("totals cannot be encoded", "error", err)
+		return func() {}
+	}
+	return func() {
+		for _, node := range everyone {
+			if err := h.transport.Send(node, kindTotals, msgpack.RawMessage(body)); err != nil {
+				h.log.Debug("totals not sent", "node", node, "error", err)
+			}
+		}
+	}
+}
+
+// run ticks while there are accounts, until ctx ends.
+func (h *hub) run(ctx context.Context, everyone func() []core.NodeID) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-h.begun:
+		}
+		ticker := time.NewTicker(hubTick)
+		for busy := true; busy; {
+			select {
+			case <-ctx.Done():
+				ticker.Stop()
+				return
+			case now := <-ticker.C:
+				busy = h.tick(now, everyone())
+			}
+		}
+		ticker.Stop()
+	}
+}
--- /dev/null
+++ b/internal/placement/service.go
@@ -0,0 +1,232 @@
+package placement
+
+import (
+	"context"
+	"log/slog"
+	"math"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"gentiantide.example/gentiantide/internal/core"
+	"gentiantide.example/gentiantide/internal/nodes"
+	"gentiantide.example/gentiantide/internal/peer"
+	"gentiantide.example/gentiantide/internal/replica"
+)
+
+const (
+	// tellEvery is the least time between counts of a node.
+	tellEvery = 10 * time.Millisecond
+	// maxSilence is the longest time without counts while the node has work or
+	// asks.
+	maxSilence = 300 * time.Millisecond
+	// reportFresh is the age of a load report up to which it is told.
+	reportFresh = 300 * time.Millisecond
+)
+
+// Options are what a Service needs.
+type Options struct {
+	Transport *peer.Transport
+	Registry  *replica.Registry
+	Nodes     *nodes.Directory
+	// Yield lets one item of this node's batch work at a replica give way and
+	// reports whether there was one.
+	Yield func(*replica.Replica) bool
+	Log   *slog.Logger
+}
+
+// Service places this node's online requests, and those of all nodes for the
+// services whose hub this node is.
+type Service struct {
+	Options
+	hub       *hub
+	electable atomic.Pointer[electorate]
+	run       uint64 // a random number of this process
+	asks      atomic.Uint64
+
+	mu sync.Mutex
+	// known are the addresses that the transport has.
+	known map[core.NodeID]string
+	// down is until when a hub that did not answer is not asked.
+	down map[core.NodeID]time.Time
+	// waits are the requests that wait at a hub.
+	waits map[uint64]chan granted
+	// tellings is what hubs were told, by service.
+	tellings map[core.DeploymentID]*telling
+	serial   uint64
+}
+
+// telling is what the hub of a service knows of this node.
+type telling struct {
+	hub  core.NodeID
+	seen []uint64 // grants to confirm
+	// empty is set if the last counts had no work.
+	empty bool
+}
+
+// New registers the handlers. The transport is started afterwards.
+func New(o Options) *Service {
+	s := &Service{
+		Options: o, run: rand.Uint64(), known: make(map[core.NodeID]string), down: make(map[core.NodeID]time.Time),
+		waits: make(map[uint64]chan granted), tellings: make(map[core.DeploymentID]*telling),
+	}
+	s.electable.Store(newElectorate(nil, o.Nodes.Self()))
+	s.hub = newHub(&s.Options, s.sendYield)
+	o.Transport.Handle(kindGranted, s.granted)
+	o.Transport.Handle(kindTotals, s.totals)
+	o.Transport.Handle(kindYield, s.yield)
+	o.Transport.Handle(kindSilent, s.silent)
+	return s
+}
+
+// Run tells the hubs this node's work until ctx ends.
+func (s *Service) Run(ctx context.Context) {
+	go s.hub.run(ctx, s.everyone)
+	silence := time.NewTicker(maxSilence)
+	defer silence.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.Registry.Changes():
+		case <-silence.C:
+			s.follow()
+		}
+		s.tell(time.Now())
+		// Changes that come meanwhile go out together.
+		pause := time.NewTimer(tellEvery)
+		select {
+		case <-ctx.Done():
+			pause.Stop()
+			return
+		case <-pause.C:
+		}
+	}
+}
+
+// Stop makes this node place no more requests of others. Their nodes ask the
+// next hub.
+func (s *Service) Stop() { s.hub.stopping.Store(true) }
+
+// follow takes the addresses of the live nodes.
+func (s *Service) follow() {
+	alive := s.Nodes.View().Alive
+	s.electable.Store(newElectorate(alive, s.Nodes.Self()))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	present := make(map[core.NodeID]string)
+	for _, record := range alive {
+		if record.ID != s.Transport.Self() && record.Address != "" {
+			present[record.ID] = record.Address
+		}
+	}
+	for id, address := range present {
+		if s.known[id] != address {
+			s.Transport.SetAddress(id, address)
+		}
+	}
+	for id := range s.known {
+		if _, ok := present[id]; !ok {
+			s.Transport.Forget(id)
+		}
+	}
+	s.known = present
+}
+
+// everyone returns all live nodes, this one included.
+func (s *Service) everyone() []core.NodeID {
+	e := s.electable.Load()
+	out := make([]core.NodeID, 0, len(e.records))
+	for i := range e.records {
+		out = append(out, e.records[i].ID)
+	}
+	return out
+}
+
+// tell sends the work at the replicas of each service to its hub.
+func (s *Service) tell(now time.Time) {
+	s.mu.Lock()
+	services := make(map[core.DeploymentID]bool)
+	for service := range s.tellings {
+		services[service] = true
+	}
+	s.mu.Unlock()
+	for _, r := range s.Registry.All() {
+		if online, batch := r.Own(); online+batch > 0 {
+			services[r.Info().Service] = true
+		}
+	}
+	for service := range services {
+		if hubs := s.usable(service, now); len(hubs) > 0 {
+			s.tellHub(service, hubs[0], now)
+		}
+	}
+}
+
+// tellHub sends the work at the replicas of one service. Without any work it
+// does so once.
+func (s *Service) tellHub(service core.DeploymentID, to core.NodeID, now time.Time) {
+	s.mu.Lock()
+	t, ok := s.tellings[service]
+	if !ok {
+		t = &telling{}
+		s.tellings[service] = t
+	}
+	if t.hub != to {
+		t.hub, t.seen, t.empty = to, nil, false
+	}
+	c := s.ownCounts(service, now)
+	if len(c.Replicas) == 0 && len(t.seen) == 0 && t.empty {
+		s.mu.Unlock()
+		return
+	}
+	t.empty = len(c.Replicas) == 0
+	c.Seen, t.seen = t.seen, nil
+	s.serial++
+	c.Serial = s.serial
+	s.mu.Unlock()
+	if err := s.Transport.Send(to, kindCounts, c); err != nil {
+		s.Log.Debug("counts not sent", "node", to, "error", err)
+	}
+}
+
+// ownCounts returns this node's work at the replicas of a service, also that at
+// replicas which leave. The caller holds the lock, so that no grant is taken
+// meanwhile.
+func (s *Service) ownCounts(service core.DeploymentID, now time.Time) *counts {
+	c := &counts{Service: service, Run: s.run}
+	for _, r := range s.Registry.All() {
+		online, batch := r.Own()
+		if online+batch == 0 || r.Info().Service != service {
+			continue
+		}
+		one := count{ID: r.Info().ID, Online: online, Batch: batch}
+		if slowdown, ok := r.ReportedSlowdown(now, reportFresh); ok {
+			one.Slowdown = int(math.Round(slowdown * usualSlowdown))
+		}
+		c.Replicas = append(c.Replicas, one)
+	}
+	return c
+}
+
+// totals takes the work of all nodes, as the hub that this node asks tells it.
+func (s *Service) totals(_ context.Context, from core.NodeID, body []byte) ([]byte, error) {
+	var t totals
+	if err := msgpack.Unmarshal(body, &t); err != nil {
+		return nil, err
+	}
+	now := time.Now()
+	if hubs := s.usable(t.Service, now); len(hubs) == 0 || hubs[0] != from {
+		return nil, nil // another hub knows better
+	}
+	for _, one := range t.Replicas {
+		if r := s.Registry.Get(one.ID); r != nil {
+			online, batch := r.Own()
+			r.Share(max(0, one.Online-online), max(0, one.Batch-batch), now)
+		}
+	}
+	return nil, nil
+}
--- a/internal/replica/choose.go
+++ b/internal/replica/choose.go
@@ -1,7 +1,6 @@
 package replica
 
 import (
-	"math"
 	"math/rand/v2"
 	"time"
 
@@ -15,9 +14,9 @@
 	// sampleShare is the part of a large service's replicas that is compared: one
 	// in four, so that some of the own data centre are among them.
 	sampleShare = 4
-	// remoteCost is added, in requests, for a replica of another data centre:
+	// RemoteCost is added, in requests, for a replica of another data centre:
 	// bytes between data centres cost money, and ties should stay at home.
-	remoteCost = 0.3
+	RemoteCost = 0.3
 )
 
 // Query describes the work that needs a replica.
@@ -29,9 +28,6 @@
 	Tried []core.ReplicaID
 	// Room, if positive, is the number of free slots that a replica must have.
 	Room int
-
-	// remoteCost is the cost of a replica of another data centre.
-	remoteCost float64
 }
 
 // Choose returns a replica with little work, or nil. Replicas with recent
@@ -41,7 +37,6 @@
 	if len(ready) == 0 {
 		return nil
 	}
-	q.remoteCost = remoteCost + math.Float64frombits(g.staleCost.Load())
 	if r := q.least(ready, false); r != nil {
 		return r
 	}
@@ -83,7 +78,7 @@
 func (q *Query) score(r *Replica, busy float64) float64 {
 	info := r.Info()
 	if info.DataCentre != q.DataCentre {
-		busy += q.remoteCost
+		busy += RemoteCost
 	}
 	return (busy + 1) / float64(max(1, info.Slots)) * r.Slowdown(q.Now)
 }
--- a/internal/replica/registry.go
+++ b/internal/replica/registry.go
@@ -1,7 +1,6 @@
 package replica
 
 import (
-	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,13 +11,9 @@
 // Registry is a node's list of the registered replicas. Reads are lock-free.
 type Registry struct {
 	view atomic.Pointer[view]
-	// changes has an entry after this node's work at a replica changed.
+	// changes has an entry after work ended or batch work began.
 	changes chan struct{}
 
-	// staleCost is added to the work of replicas of other data centres; the bits
-	// of a float64.
-	staleCost atomic.Uint64
-
 	mu  sync.Mutex
 	all map[core.ReplicaID]*Replica
 }
@@ -97,11 +92,8 @@
 // Get returns a replica by id, or nil.
 func (g *Registry) Get(id core.ReplicaID) *Replica { return g.view.Load().byID[id] }
 
-// SetStaleCost sets what is added, in requests, to the work of a replica of
-// another data centre, whose work this node knows late.
-func (g *Registry) SetStaleCost(requests float64) { g.staleCost.Store(math.Float64bits(requests)) }
-
-// Changes has an entry after this node's work at some replica changed.
+// Changes has an entry after this node's work at some replica changed, except
+// for online work that began: its hub placed it.
 func (g *Registry) Changes() <-chan struct{} { return g.changes }
 
 // ExpireIdle closes connections that have been unused for too long.
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -83,6 +83,9 @@
 
 func (r *Replica) change(class core.Class, n int32) {
 	r.counter(class).Add(n)
+	if class == core.ClassOnline && n > 0 {
+		return
+	}
 	select {
 	case r.changes <- struct{}{}:
 	default: // a notice is waiting
@@ -141,11 +144,18 @@
 // Slowdown returns how long work takes at the replica as a multiple of the
 // usual, at least 1.
 func (r *Replica) Slowdown(now time.Time) float64 {
+	slowdown, _ := r.ReportedSlowdown(now, slowdownFresh)
+	return max(1, slowdown)
+}
+
+// ReportedSlowdown returns how long work takes at the replica by a report that
+// is at most that old.
+func (r *Replica) ReportedSlowdown(now time.Time, age time.Duration) (float64, bool) {
 	report := r.report.Load()
-	if report == nil || now.Sub(report.at) > slowdownFresh {
-		return 1
+	if report == nil || report.load.Slowdown == 0 || now.Sub(report.at) > age {
+		return 0, false
 	}
-	return max(1, report.load.Slowdown)
+	return report.load.Slowdown, true
 }
 
 // Failed records a failure that says that the replica may be gone.
--- a/internal/routes/route.go
+++ b/internal/routes/route.go
@@ -16,6 +16,11 @@
 	Backends []Backend
 	// Timeout is the longest time that a request is kept waiting.
 	Timeout time.Duration
+	// Objective is the time in which an answer should begin.
+	Objective time.Duration
+	// Patience is how long callers wait for the first event of a stream; 0 means
+	// as long as the timeout allows.
+	Patience time.Duration
 	// MaxAttempts bounds the replicas that run one request.
 	MaxAttempts int
 	// CanResume is set if a stream may go on at another replica.
