--- a/internal/placement/load_test.go
+++ b/internal/placement/load_test.go
@@ -226,7 +226,7 @@
 		t.Logf("seed %d: on time alone %d of %d, by the hub %d of %d, possible %.0f; served %d and %d",
 			seed, alone.onTime, alone.asked, hub.onTime, hub.asked, hub.possible, alone.served, hub.served)
 		g.Expect(float64(hub.onTime)).To(gomega.BeNumerically(">=", 0.95*hub.possible))
-		g.Expect(hub.onTime*alone.asked).To(gomega.BeNumerically(">", alone.onTime*hub.asked))
+		g.Expect(hub.onTime * alone.asked).To(gomega.BeNumerically(">", alone.onTime*hub.asked))
 		g.Expect(hub.served).To(gomega.BeNumerically(">=", int(0.95*float64(hub.asked))))
 	}
 }
