Keep one hub while nodes are cut off from the store only

Change: nodes whose lease ran out and that did not leave stay in the ranking of hubs. One that does not answer is asked again after 0.5 s, doubled up to 16 s. A node tells its hub the replicas' load reports at once, and the hub counts what two reports in a row show beyond what it was told.

--- a/internal/nodes/directory.go
+++ b/internal/nodes/directory.go
@@ -39,6 +39,10 @@
 type View struct {
 	// Alive holds the nodes whose lease runs, by owner name.
 	Alive map[string]Record
+	// Lapsed holds the nodes whose lease ran out and that did not leave, by owner
+	// name, for as long as their rows are kept. They may be cut off from the
+	// store only.
+	Lapsed map[string]Record
 	// Clock is the store's clock at the reading.
 	Clock time.Duration
 	// At is the local time at which the reading began.
@@ -152,7 +156,7 @@
 		return err
 	}
 	txn := infra.RowTxn{Writes: []infra.RowWrite{{RowKey: d.key(record.ID), Value: value}}}
-	view := &View{Alive: make(map[string]Record), Clock: set.Clock, At: at, Settled: d.settled(at)}
+	view := &View{Alive: make(map[string]Record), Lapsed: make(map[string]Record), Clock: set.Clock, At: at, Settled: d.settled(at)}
 	for _, row := range set.Rows {
 		var other Record
 		if err := msgpack.Unmarshal(row.Value, &other); err != nil {
@@ -166,6 +170,8 @@
 		case other.Until+forgetAfter < set.Clock:
 			txn.Conditions = append(txn.Conditions, infra.RowCondition{RowKey: row.RowKey, Version: row.Version})
 			txn.Writes = append(txn.Writes, infra.RowWrite{RowKey: row.RowKey, Delete: true})
+		default:
+			view.Lapsed[other.Owner()] = other
 		}
 	}
 	version, err := d.store.CommitRows(ctx, txn)
--- a/internal/placement/electorate.go
+++ b/internal/placement/electorate.go
@@ -15,18 +15,23 @@
 // may be a hub. Small nodes are busy with their own requests.
 const hubShare = 0.75
 
-// electorate is the live nodes as of one reading of the directory.
+// electorate is the nodes as of one reading of the directory. It includes those
+// whose lease ran out: a node that is cut off from the store only goes on as a
+// hub, so that all nodes keep to the same one. Whether it lives is found out by
+// asking it.
 type electorate struct {
 	records []nodes.Record
 	self    nodes.Record
 	ranks   sync.Map // of a service: its hubs, []core.NodeID
 }
 
-func newElectorate(alive map[string]nodes.Record, self nodes.Record) *electorate {
+func newElectorate(view *nodes.View, self nodes.Record) *electorate {
 	e := &electorate{self: self}
-	for _, record := range alive {
-		if record.Address != "" {
-			e.records = append(e.records, record)
+	for _, list := range []map[string]nodes.Record{view.Alive, view.Lapsed} {
+		for _, record := range list {
+			if record.Address != "" {
+				e.records = append(e.records, record)
+			}
 		}
 	}
 	return e
--- a/internal/placement/hub.go
+++ b/internal/placement/hub.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -186,7 +188,7 @@
 
 // tick looks at every account: what has expired, who may go, who is to be told.
 // It reports whether there are accounts left.
-func (h *hub) tick(now time.Time, everyone []core.NodeID) bool {
+func (h *hub) tick(now time.Time) bool {
 	var sends []func()
 	h.mu.Lock()
 	for service, a := range h.pools {
@@ -197,9 +199,9 @@
 			continue
 		}
 		sends = append(sends, h.pump(a, now))
-		if now.Sub(a.sent) >= max(totalsEvery, time.Duration(len(everyone))*totalsPerNode) {
+		if now.Sub(a.sent) >= max(totalsEvery, time.Duration(len(a.nodes))*totalsPerNode) {
 			a.sent = now
-			sends = append(sends, h.totals(service, a, everyone))
+			sends = append(sends, h.totals(service, a))
 		}
 	}
 	busy := len(h.pools) > 0
@@ -210,8 +212,8 @@
 	return busy
 }
 
-// totals tells everyone the work at the replicas.
-func (h *hub) totals(service core.DeploymentID, a *account, everyone []core.NodeID) func() {
+// totals tells the nodes that use this hub the work at the replicas.
+func (h *hub) totals(service core.DeploymentID, a *account) func() {
 	message := &totals{Service: service}
 	for _, r := range a.replicas {
 		sum := a.sum(r.id)
@@ -227,8 +229,9 @@
 		h.log.Error("totals cannot be encoded", "error", err)
 		return func() {}
 	}
+	nodes := slices.Collect(maps.Keys(a.nodes))
 	return func() {
-		for _, node := range everyone {
+		for _, node := range nodes {
 			if err := h.transport.Send(node, kindTotals, msgpack.RawMessage(body)); err != nil {
 				h.log.Debug("totals not sent", "node", node, "error", err)
 			}
@@ -237,7 +240,7 @@
 }
 
 // run ticks while there are accounts, until ctx ends.
-func (h *hub) run(ctx context.Context, everyone func() []core.NodeID) {
+func (h *hub) run(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
@@ -251,7 +254,7 @@
 				ticker.Stop()
 				return
 			case now := <-ticker.C:
-				busy = h.tick(now, everyone())
+				busy = h.tick(now)
 			}
 		}
 		ticker.Stop()
--- a/internal/placement/message.go
+++ b/internal/placement/message.go
@@ -43,9 +43,11 @@
 	ID       core.ReplicaID
 	Online   int
 	Batch    int
-	// Slowdown is how long work takes at the replica in hundredths of the usual,
-	// by a report of this moment; 0 if there is none.
+	// Slowdown is how long work takes at the replica in hundredths of the usual
+	// and Reported is its work, running and waiting, both by a report of this
+	// moment; 0 if there is none.
 	Slowdown int
+	Reported int
 }
 
 // ask is a request that needs a replica.
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -19,8 +19,10 @@
 	// askAgain is when a request that waits asks again: the hub may have
 	// restarted, or its message was lost.
 	askAgain = 300 * time.Millisecond
-	// hubRetry is how long a hub that did not answer is not asked.
-	hubRetry = 3 * time.Second
+	// hubRetryMin is how long a hub that did not answer is not asked. Each further
+	// failure in a row doubles it, up to hubRetryMax.
+	hubRetryMin = 500 * time.Millisecond
+	hubRetryMax = 16 * time.Second
 )
 
 var errHubKnowsNone = errors.New("the hub knows no replica for the request")
@@ -47,6 +49,7 @@
 		r, wait, err := s.placeAt(ctx, hub, q)
 		switch {
 		case err == nil:
+			s.answered(hub)
 			return r, wait
 		case ctx.Err() != nil:
 			return nil, 0
@@ -63,15 +66,36 @@
 	hubs := s.electable.Load().hubs(service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return slices.DeleteFunc(slices.Clone(hubs), func(id core.NodeID) bool { return now.Before(s.down[id]) })
+	return slices.DeleteFunc(slices.Clone(hubs), func(id core.NodeID) bool { return now.Before(s.down[id].until) })
 }
 
 // giveUp does not ask a hub for a while.
 func (s *Service) giveUp(hub core.NodeID, err error) {
+	now := time.Now()
 	s.mu.Lock()
-	s.down[hub] = time.Now().Add(hubRetry)
+	last, known := s.down[hub]
+	if now.Before(last.until) { // another request has found out
+		s.mu.Unlock()
+		return
+	}
+	pause := hubRetryMin
+	if known {
+		pause = min(2*last.pause, hubRetryMax)
+	}
+	s.down[hub] = absence{until: now.Add(pause), pause: pause}
 	s.mu.Unlock()
-	s.Log.Warn("node that places requests does not answer", "node", hub, "error", err)
+	s.Log.Warn("node that places requests does not answer", "node", hub, "error", err, "retry_ms", pause.Milliseconds())
+}
+
+// answered ends the absence of a hub.
+func (s *Service) answered(hub core.NodeID) {
+	s.mu.Lock()
+	_, known := s.down[hub]
+	delete(s.down, hub)
+	s.mu.Unlock()
+	if known {
+		s.Log.Info("node that places requests answers again", "node", hub)
+	}
 }
 
 // placeAlone chooses by what this node knows itself.
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -62,6 +62,7 @@
 	grants   map[uint64]grant
 	pending  map[core.ReplicaID]int // grants by replica
 	slow     map[core.ReplicaID]slowness
+	unseen   map[core.ReplicaID]unseen
 	waiting  []*waiter
 	serial   uint64
 	turnover turnover
@@ -71,6 +72,7 @@
 	return &pool{
 		ledger: newLedger(), grants: make(map[uint64]grant),
 		pending: make(map[core.ReplicaID]int), slow: make(map[core.ReplicaID]slowness),
+		unseen: make(map[core.ReplicaID]unseen),
 	}
 }
 
@@ -120,7 +122,7 @@
 			continue
 		}
 		sum := p.sum(r.id)
-		busy := sum.online + sum.batch + p.pending[r.id]
+		busy := p.told(r.id) + p.unseen[r.id].work(now)
 		full := busy >= r.slots
 		if full && (sum.batch == 0 || busy-sum.batch >= r.slots) {
 			continue
@@ -140,6 +142,12 @@
 	return best, preempts
 }
 
+// told is the work at a replica that this hub knows of.
+func (p *pool) told(id core.ReplicaID) int {
+	sum := p.sum(id)
+	return sum.online + sum.batch + p.pending[id]
+}
+
 func (p *pool) slowdown(id core.ReplicaID, now time.Time) float64 {
 	if s, ok := p.slow[id]; ok && now.Sub(s.at) <= slowdownTTL {
 		return max(1, s.factor)
@@ -169,6 +177,9 @@
 		if one.Slowdown > 0 {
 			p.slow[one.ID] = slowness{factor: float64(one.Slowdown) / usualSlowdown, at: now}
 		}
+		if one.Reported > 0 {
+			p.unseen[one.ID] = p.unseen[one.ID].learn(one.Reported-p.told(one.ID), now)
+		}
 	}
 }
 
--- a/internal/placement/pool_test.go
+++ b/internal/placement/pool_test.go
@@ -179,3 +179,26 @@
 	tell(2, 1, 1)
 	g.Expect(p.sum("r0").online).To(gomega.Equal(1))
 }
+
+// Guards against replicas that look free because the nodes that use them ask
+// another hub: nodes that are cut off from the store keep to a hub that the
+// others have given up. The replica's own reports show that work.
+func TestWorkOfOtherHubsCounts(t *testing.T) {
+	g := gomega.NewWithT(t)
+	p := testPool(2, 2)
+	now := time.Now()
+	report := func(id core.ReplicaID, reported int) {
+		p.tell("a", &counts{Replicas: []count{{ID: id, Online: 1, Reported: reported}}}, now)
+	}
+	report("r0", 2)
+	r, _ := p.choose(newWaiter("b", question(1), now), now)
+	g.Expect(r.id).To(gomega.Equal(core.ReplicaID("r1")))
+	g.Expect(p.unseen["r0"].work(now)).To(gomega.Equal(0), "one report")
+	report("r0", 2)
+	g.Expect(p.unseen["r0"].work(now)).To(gomega.Equal(1))
+	p.tell("b", &counts{Replicas: []count{{ID: "r1", Online: 2}}}, now)
+	answer, _ := p.ask("b", question(1), now)
+	g.Expect(answer.Verdict).To(gomega.Equal(verdictQueued))
+	now = now.Add(unseenTTL + time.Millisecond)
+	g.Expect(p.pump(now)).To(gomega.HaveLen(1), "old reports")
+}
--- a/internal/placement/service.go
+++ b/internal/placement/service.go
@@ -23,8 +23,9 @@
 	// maxSilence is the longest time without counts while the node has work or
 	// asks.
 	maxSilence = 300 * time.Millisecond
-	// reportFresh is the age of a load report up to which it is told.
-	reportFresh = 300 * time.Millisecond
+	// reportFresh is the age of a load report up to which it is told. It is sent
+	// at once, so that the hub can compare it with what it is told.
+	reportFresh = 25 * time.Millisecond
 )
 
 // Options are what a Service needs.
@@ -50,8 +51,8 @@
 	mu sync.Mutex
 	// known are the addresses that the transport has.
 	known map[core.NodeID]string
-	// down is until when a hub that did not answer is not asked.
-	down map[core.NodeID]time.Time
+	// down are the hubs that did not answer when last asked.
+	down map[core.NodeID]absence
 	// waits are the requests that wait at a hub.
 	waits map[uint64]chan granted
 	// tellings is what hubs were told, by service.
@@ -59,6 +60,12 @@
 	serial   uint64
 }
 
+// absence is a hub that does not answer.
+type absence struct {
+	until time.Time // it is not asked before
+	pause time.Duration
+}
+
 // telling is what the hub of a service knows of this node.
 type telling struct {
 	hub  core.NodeID
@@ -70,10 +77,10 @@
 // New registers the handlers. The transport is started afterwards.
 func New(o Options) *Service {
 	s := &Service{
-		Options: o, run: rand.Uint64(), known: make(map[core.NodeID]string), down: make(map[core.NodeID]time.Time),
+		Options: o, run: rand.Uint64(), known: make(map[core.NodeID]string), down: make(map[core.NodeID]absence),
 		waits: make(map[uint64]chan granted), tellings: make(map[core.DeploymentID]*telling),
 	}
-	s.electable.Store(newElectorate(nil, o.Nodes.Self()))
+	s.electable.Store(newElectorate(o.Nodes.View(), o.Nodes.Self()))
 	s.hub = newHub(&s.Options, s.sendYield)
 	o.Transport.Handle(kindGranted, s.granted)
 	o.Transport.Handle(kindTotals, s.totals)
@@ -84,7 +91,7 @@
 
 // Run tells the hubs this node's work until ctx ends.
 func (s *Service) Run(ctx context.Context) {
-	go s.hub.run(ctx, s.everyone)
+	go s.hub.run(ctx)
 	silence := time.NewTicker(maxSilence)
 	defer silence.Stop()
 	for {
@@ -111,15 +118,15 @@
 // next hub.
 func (s *Service) Stop() { s.hub.stopping.Store(true) }
 
-// follow takes the addresses of the live nodes.
+// follow takes the addresses of the nodes.
 func (s *Service) follow() {
-	alive := s.Nodes.View().Alive
-	s.electable.Store(newElectorate(alive, s.Nodes.Self()))
+	e := newElectorate(s.Nodes.View(), s.Nodes.Self())
+	s.electable.Store(e)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	present := make(map[core.NodeID]string)
-	for _, record := range alive {
-		if record.ID != s.Transport.Self() && record.Address != "" {
+	for i := range e.records {
+		if record := &e.records[i]; record.ID != s.Transport.Self() {
 			present[record.ID] = record.Address
 		}
 	}
@@ -136,16 +143,6 @@
 	s.known = present
 }
 
-// everyone returns all live nodes, this one included.
-func (s *Service) everyone() []core.NodeID {
-	e := s.electable.Load()
-	out := make([]core.NodeID, 0, len(e.records))
-	for i := range e.records {
-		out = append(out, e.records[i].ID)
-	}
-	return out
-}
-
 // tell sends the work at the replicas of each service to its hub.
 func (s *Service) tell(now time.Time) {
 	s.mu.Lock()
@@ -204,8 +201,9 @@
 			continue
 		}
 		one := count{ID: r.Info().ID, Online: online, Batch: batch}
-		if slowdown, ok := r.ReportedSlowdown(now, reportFresh); ok {
-			one.Slowdown = int(math.Round(slowdown * usualSlowdown))
+		if load, ok := r.LastReport(now, reportFresh); ok {
+			one.Slowdown = int(math.Round(load.Slowdown * usualSlowdown))
+			one.Reported = load.Running + load.Waiting
 		}
 		c.Replicas = append(c.Replicas, one)
 	}
--- a/internal/placement/service_test.go
+++ b/internal/placement/service_test.go
@@ -41,7 +41,7 @@
 		f.start(id, replicas)
 	}
 	for _, n := range f.nodes {
-		f.Eventually(func() int { n.follow(); return len(n.everyone()) }, settle, "10ms").Should(gomega.Equal(len(ids)))
+		f.Eventually(func() int { n.follow(); return len(n.electable.Load().records) }, settle, "10ms").Should(gomega.Equal(len(ids)))
 	}
 	return f
 }
--- a/internal/placement/yield.go
+++ b/internal/placement/yield.go
@@ -31,7 +31,9 @@
 // Suspect tells the other nodes of a replica that went silent here. Each goes by
 // what it hears of the replica itself, if it does.
 func (s *Service) Suspect(r *replica.Replica) {
-	for _, node := range s.everyone() {
+	e := s.electable.Load()
+	for i := range e.records {
+		node := e.records[i].ID
 		if node == s.Transport.Self() {
 			continue
 		}
--- a/internal/replica/registry.go
+++ b/internal/replica/registry.go
@@ -11,7 +11,8 @@
 // Registry is a node's list of the registered replicas. Reads are lock-free.
 type Registry struct {
 	view atomic.Pointer[view]
-	// changes has an entry after work ended or batch work began.
+	// changes has an entry after work ended, batch work began or a replica
+	// reported its load.
 	changes chan struct{}
 
 	mu  sync.Mutex
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -83,9 +83,13 @@
 
 func (r *Replica) change(class core.Class, n int32) {
 	r.counter(class).Add(n)
-	if class == core.ClassOnline && n > 0 {
-		return
+	if class == core.ClassBatch || n < 0 {
+		r.notify()
 	}
+}
+
+// notify tells that there is something new to tell the other nodes.
+func (r *Replica) notify() {
 	select {
 	case r.changes <- struct{}{}:
 	default: // a notice is waiting
@@ -108,6 +112,7 @@
 func (r *Replica) Reported(load Load, now time.Time) {
 	online, batch := r.Own()
 	r.report.Store(&reportedLoad{load: load, at: now, own: online + batch})
+	r.notify()
 }
 
 // Share records the work of other nodes at the replica.
@@ -144,18 +149,17 @@
 // Slowdown returns how long work takes at the replica as a multiple of the
 // usual, at least 1.
 func (r *Replica) Slowdown(now time.Time) float64 {
-	slowdown, _ := r.ReportedSlowdown(now, slowdownFresh)
-	return max(1, slowdown)
+	load, _ := r.LastReport(now, slowdownFresh)
+	return max(1, load.Slowdown)
 }
 
-// ReportedSlowdown returns how long work takes at the replica by a report that
-// is at most that old.
-func (r *Replica) ReportedSlowdown(now time.Time, age time.Duration) (float64, bool) {
+// LastReport returns the last load report if it is at most that old.
+func (r *Replica) LastReport(now time.Time, age time.Duration) (Load, bool) {
 	report := r.report.Load()
-	if report == nil || report.load.Slowdown == 0 || now.Sub(report.at) > age {
-		return 0, false
+	if report == nil || now.Sub(report.at) > age {
+		return Load{}, false
 	}
-	return report.load.Slowdown, true
+	return report.load, true
 }
 
 // Failed records a failure that says that the replica may be gone.
