Place items of jobs by the hub

The order in which items are due held at each node only.

Change: a node seeks slots for its pending items at the hub, eight at a time. The hub gives them what callers leave, except 3 in 100 of the slots, to the item of all nodes that is due first and can still be in time, then to late ones. A node without a hub places items as before. When a slot comes, the node starts the item that is the next one then.

--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -104,16 +104,16 @@
 		ID: settings.Node, Lifetime: lifetime, Address: n.peerListener.Addr().String(), DataCentre: settings.DataCentre,
 		Processor: settings.Processor,
 	}, log)
-	n.jobs = jobs.New(jobs.Options{
-		Table: n.store, Objects: n.store, Nodes: n.nodes, Clock: n.store.Clock, Keep: settings.Keep, Log: log,
-		Executor: &jobs.Executor{
-			Codec: platform.Headers{}, Registry: n.registry, Routes: &n.configs.Table, DataCentre: settings.DataCentre, Log: log,
-		},
-	})
 	n.peers = peer.New(settings.Node, log)
 	n.peers.Handle(kindCopy, n.giveCopy)
 	n.placer = placement.New(placement.Options{
-		Transport: n.peers, Registry: n.registry, Nodes: n.nodes, Yield: n.jobs.Yield, Log: log,
+		Transport: n.peers, Registry: n.registry, Nodes: n.nodes, Log: log,
+		Yield: func(r *replica.Replica) bool { return n.jobs.Yield(r) },
+	})
+	n.jobs = jobs.New(jobs.Options{
+		Table: n.store, Objects: n.store, Nodes: n.nodes, Clock: n.store.Clock, Keep: settings.Keep, Log: log,
+		Placer:   n.placer,
+		Executor: &jobs.Executor{Codec: platform.Headers{}, Routes: &n.configs.Table, Log: log},
 	})
 	n.jobsAPI = &platform.JobsAPI{Jobs: n.jobs}
 	scope, handler, closer := metrics.New()
--- a/internal/jobs/commit_test.go
+++ b/internal/jobs/commit_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -10,8 +11,10 @@
 	"github.com/onsi/gomega"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"gentiantide.example/gentiantide/internal/core"
 	"gentiantide.example/gentiantide/internal/infra"
 	"gentiantide.example/gentiantide/internal/infra/infratest"
+	"gentiantide.example/gentiantide/internal/nodes"
 	"gentiantide.example/gentiantide/internal/replica"
 	"gentiantide.example/gentiantide/internal/routes"
 )
@@ -22,9 +25,10 @@
 // replicas.
 type bench struct {
 	*gomega.WithT
-	rows   *infratest.Rows
-	store  *store
-	runner *Runner
+	rows     *infratest.Rows
+	store    *store
+	runner   *Runner
+	registry *replica.Registry
 }
 
 func newBench(t *testing.T, owner string) *bench {
@@ -32,11 +36,16 @@
 	rows := infratest.NewRows()
 	s := &store{table: rows, objects: infratest.NewObjects()}
 	log := slog.New(slog.DiscardHandler)
-	exec := &Executor{Registry: replica.NewRegistry(), Routes: &atomic.Pointer[routes.Table]{}, Log: log}
+	exec := &Executor{Routes: &atomic.Pointer[routes.Table]{}, Log: log}
 	book := NewBook(log)
-	runner := newRunner(s, book, exec, owner, rows.Clock, log)
+	id, lifetime, _ := strings.Cut(owner, "/")
+	self := nodes.Record{ID: core.NodeID(id), Lifetime: lifetime}
+	placer := &localPlacer{registry: replica.NewRegistry()}
+	runner := newRunner(s, book, &Options{
+		Executor: exec, Placer: placer, Nodes: nodes.NewDirectory(rows, self, log), Clock: rows.Clock, Log: log,
+	})
 	book.Notify = runner.Changed
-	return &bench{WithT: gomega.NewWithT(t), rows: rows, store: s, runner: runner}
+	return &bench{WithT: gomega.NewWithT(t), rows: rows, store: s, runner: runner, registry: placer.registry}
 }
 
 // job stores a job of the given items and lets the runner own it.
--- a/internal/jobs/executor.go
+++ b/internal/jobs/executor.go
@@ -11,7 +11,6 @@
 	"sync/atomic"
 	"time"
 
-	"gentiantide.example/gentiantide/internal/core"
 	"gentiantide.example/gentiantide/internal/events"
 	"gentiantide.example/gentiantide/internal/forward"
 	"gentiantide.example/gentiantide/internal/replica"
@@ -23,9 +22,6 @@
 	// elsewhere. Events come every 30 ms; an engine under pressure may preempt
 	// a request and read it again.
 	silentItem = 1500 * time.Millisecond
-	// freeSlots is the number of free slots that an item needs, itself
-	// included. The others are left to online work that arrives meanwhile.
-	freeSlots = 3
 	// readBuffer takes a few events at once.
 	readBuffer = 4 << 10
 )
@@ -37,11 +33,9 @@
 
 // Executor runs items at replicas.
 type Executor struct {
-	Codec      forward.Codec
-	Registry   *replica.Registry
-	Routes     *atomic.Pointer[routes.Table]
-	DataCentre core.DataCentre
-	Log        *slog.Logger
+	Codec  forward.Codec
+	Routes *atomic.Pointer[routes.Table]
+	Log    *slog.Logger
 }
 
 type routeVerdict int
@@ -68,14 +62,6 @@
 	return route, routeFound
 }
 
-// place chooses a replica with free slots, or nil.
-func (e *Executor) place(route *routes.Route, now time.Time) *replica.Replica {
-	return e.Registry.Choose(&replica.Query{
-		Service:    route.Pick(uint64(now.UnixNano())),
-		DataCentre: e.DataCentre, Now: now, Room: freeSlots,
-	})
-}
-
 // run sends an item to a replica and collects its output.
 func (e *Executor) run(ctx context.Context, w *work, target *replica.Replica) ending {
 	runCtx, cancel := context.WithCancelCause(ctx)
--- a/internal/jobs/executor_test.go
+++ b/internal/jobs/executor_test.go
@@ -40,7 +40,7 @@
 			registry := replica.NewRegistry()
 			registry.Put(replica.Info{ID: "i-1", Service: "m", Address: server.Listener.Addr().String(), Slots: 8})
 			target := registry.Get("i-1")
-			exec := &Executor{Codec: provenCodec{}, Registry: registry, Log: slog.New(slog.DiscardHandler)}
+			exec := &Executor{Codec: provenCodec{}, Log: slog.New(slog.DiscardHandler)}
 			w := workDue("x", time.Hour, 10, 0)
 			w.item.Path, w.last = "/b/x", forward.NoResume
 			g.Expect(exec.run(context.Background(), w, target)).To(gomega.Equal(want.end))
--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -5,12 +5,14 @@
 	"context"
 	"errors"
 	"log/slog"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
 	"gentiantide.example/gentiantide/internal/core"
 	"gentiantide.example/gentiantide/internal/forward"
+	"gentiantide.example/gentiantide/internal/placement"
 	"gentiantide.example/gentiantide/internal/replica"
 	"gentiantide.example/gentiantide/internal/routes"
 )
@@ -21,6 +23,12 @@
 	dispatchTick = 100 * time.Millisecond
 	// repeatPause keeps an item that failed from being sent again at once.
 	repeatPause = 150 * time.Millisecond
+	// maxSeeking bounds the searches of a node for slots of one service. The hub
+	// orders the items of all nodes, so that more would only wait there.
+	maxSeeking = 8
+	// seekPatience is the time after which a search ends, so that the next one
+	// tells the hub which item is due now.
+	seekPatience = 2 * time.Second
 )
 
 var errPreempted = errors.New("gave way to online work")
@@ -35,18 +43,27 @@
 	log   *slog.Logger
 	wake  chan struct{}
 
+	placer Placer
+	// seekCtx ends with the execution.
+	seekCtx     context.Context
+	stopSeeking context.CancelFunc
+
 	mu       sync.Mutex
 	jobs     map[string]*ownedJob
+	seeking  map[core.DeploymentID]int // searches for slots, by service
 	pace     *pace
 	stopping bool
 	tasks    sync.WaitGroup
 }
 
-func newRunner(s *store, book *Book, exec *Executor, owner string, clock func() (time.Duration, bool), log *slog.Logger) *Runner {
-	return &Runner{
-		store: s, book: book, exec: exec, owner: owner, clock: clock, log: log,
-		wake: make(chan struct{}, 1), jobs: make(map[string]*ownedJob), pace: newPace(),
+func newRunner(s *store, book *Book, o *Options) *Runner {
+	self := o.Nodes.Self()
+	r := &Runner{
+		store: s, book: book, exec: o.Executor, placer: o.Placer, owner: self.Owner(), clock: o.Clock, log: o.Log,
+		wake: make(chan struct{}, 1), jobs: make(map[string]*ownedJob), pace: newPace(), seeking: make(map[core.DeploymentID]int),
 	}
+	r.seekCtx, r.stopSeeking = context.WithCancel(context.Background())
+	return r
 }
 
 // Run places items until ctx ends.
@@ -136,7 +153,7 @@
 	r.log.Info("job dropped", "job", job.entry.ID, "reason", reason, "committed", job.committed, "total", job.entry.Total)
 }
 
-// dispatch places pending items.
+// dispatch looks for replicas for the pending items.
 func (r *Runner) dispatch(now time.Time) {
 	clock, known := r.clock()
 	r.mu.Lock()
@@ -144,27 +161,53 @@
 	if r.stopping {
 		return
 	}
-	full := make(map[*routes.Route]bool)
+	wanted := make(map[core.DeploymentID]int)
 	for _, w := range r.ready(now, clock) {
 		if known && clock > w.job.entry.GiveUp {
 			r.abandon(w, "past its time")
 			continue
 		}
 		route, verdict := r.exec.route(w)
-		switch {
-		case verdict == routeGone:
+		switch verdict {
+		case routeGone:
 			r.abandon(w, "its route is gone")
 			continue
-		case verdict == routeUnknown || full[route]:
+		case routeUnknown:
 			continue
 		}
-		target := r.exec.place(route, now)
-		if target == nil {
-			full[route] = true
+		service := route.Pick(rand.Uint64())
+		wanted[service]++
+		if wanted[service] <= r.seeking[service] || r.seeking[service] >= maxSeeking {
 			continue
 		}
-		r.start(w, route, target)
+		r.seeking[service]++
+		go r.seek(&placement.Query{
+			Service: service, Class: core.ClassBatch, Arrived: now, Patience: seekPatience,
+			DueIn: w.job.entry.Due - clock, Late: !r.pace.inTime(w, clock),
+		})
+	}
+}
+
+// seek waits for a replica and starts the item there that is the next one then.
+func (r *Runner) seek(q *placement.Query) {
+	ctx, cancel := context.WithTimeout(r.seekCtx, seekPatience)
+	target, _ := r.placer.Place(ctx, q)
+	cancel()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.seeking[q.Service]--
+	if target == nil {
+		return // the next look at the pending items goes on
+	}
+	clock, _ := r.clock()
+	for _, w := range r.ready(time.Now(), clock) {
+		if route, verdict := r.exec.route(w); verdict == routeFound && route.Serves(q.Service) && !r.stopping {
+			r.start(w, route, target)
+			r.signal() // others may seek now
+			return
+		}
 	}
+	target.End(core.ClassBatch) // nothing is pending any more
 }
 
 // ready returns the pending items that may be sent, in the order of their
@@ -189,13 +232,13 @@
 	r.finish(w.job, Result{Item: w.item.ID, State: ItemDead})
 }
 
-// start runs an item. The caller holds the lock.
+// start runs an item at a replica where it was counted. The caller holds the
+// lock.
 func (r *Runner) start(w *work, route *routes.Route, target *replica.Replica) {
 	w.job.takePending(w)
 	w.job.running[w] = struct{}{}
 	ctx, cancel := context.WithCancelCause(w.job.ctx)
 	w.replica, w.cancel = target, cancel
-	target.Begin(core.ClassBatch) // before the next item is placed
 	r.tasks.Add(1)
 	go func() {
 		defer r.tasks.Done()
@@ -278,6 +321,7 @@
 	r.mu.Lock()
 	r.stopping = true
 	r.mu.Unlock()
+	r.stopSeeking()
 	done := make(chan struct{})
 	go func() {
 		r.tasks.Wait()
--- a/internal/jobs/service.go
+++ b/internal/jobs/service.go
@@ -7,15 +7,24 @@
 
 	"gentiantide.example/gentiantide/internal/infra"
 	"gentiantide.example/gentiantide/internal/nodes"
+	"gentiantide.example/gentiantide/internal/placement"
 	"gentiantide.example/gentiantide/internal/replica"
 	"gentiantide.example/gentiantide/internal/routes"
 )
 
+// Placer finds replicas for items.
+type Placer interface {
+	// Place waits for a replica, counts the item there and returns it, or nil if
+	// there was none in time.
+	Place(ctx context.Context, q *placement.Query) (*replica.Replica, time.Duration)
+}
+
 // Options are what a Service needs.
 type Options struct {
 	Table    infra.PartitionedTable
 	Objects  infra.Objects
 	Executor *Executor
+	Placer   Placer
 	// Nodes is the directory of nodes; its own record names the owner.
 	Nodes *nodes.Directory
 	// Clock is the store's steady clock; ok is false until it is known.
@@ -41,7 +50,7 @@
 	s := &store{table: o.Table, objects: o.Objects}
 	owner := o.Nodes.Self()
 	book := NewBook(o.Log)
-	runner := newRunner(s, book, o.Executor, owner.Owner(), o.Clock, o.Log)
+	runner := newRunner(s, book, &o)
 	service := &Service{
 		Book:   book,
 		Reader: &Reader{store: s, book: book, cache: newItemCache()},
--- a/internal/placement/message.go
+++ b/internal/placement/message.go
@@ -66,6 +66,11 @@
 	Patience  time.Duration `msgpack:"p"`
 	// Urgent is set for a stream that goes on after a break.
 	Urgent bool `msgpack:"u,omitempty"`
+	// Batch is set for an item of a job. DueIn is the time until it is due, Late
+	// is set if it cannot be done by then.
+	Batch bool          `msgpack:"b,omitempty"`
+	DueIn time.Duration `msgpack:"e,omitempty"`
+	Late  bool          `msgpack:"l,omitempty"`
 }
 
 // verdict is the answer to a request that needs a replica.
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -19,6 +19,12 @@
 	// askAgain is when a request that waits asks again: the hub may have
 	// restarted, or its message was lost.
 	askAgain = 300 * time.Millisecond
+	// itemAskAgain is the same for an item of a job, of which many may wait.
+	itemAskAgain = time.Second
+	// itemRoom is the number of free slots that an item needs at a replica,
+	// itself included, if no hub places it. The others are left to online work
+	// that this node does not know of yet.
+	itemRoom = 3
 	// hubRetryMin is how long a hub that did not answer is not asked. Each further
 	// failure in a row doubles it, up to hubRetryMax.
 	hubRetryMin = 500 * time.Millisecond
@@ -27,7 +33,7 @@
 
 var errHubKnowsNone = errors.New("the hub knows no replica for the request")
 
-// Query describes a request that needs a replica.
+// Query describes a request, or an item of a job, that needs a replica.
 type Query struct {
 	Service core.DeploymentID
 	// Tried are the replicas that the request must not return to.
@@ -40,6 +46,11 @@
 	Patience  time.Duration
 	// Urgent is set for a stream that goes on after a break.
 	Urgent bool
+	// Class says whether it is a caller's request or an item of a job. An item is
+	// due in DueIn, or Late if it cannot be done by then.
+	Class core.Class
+	DueIn time.Duration
+	Late  bool
 }
 
 // Place returns a replica at which the request was counted. Without one it
@@ -100,17 +111,21 @@
 
 // placeAlone chooses by what this node knows itself.
 func (s *Service) placeAlone(q *Query) *replica.Replica {
+	s.alone.Lock() // items placed together must see each other
+	defer s.alone.Unlock()
 	now := time.Now()
-	r := s.Registry.Choose(&replica.Query{
-		Service: q.Service, DataCentre: s.Nodes.Self().DataCentre, Now: now, Tried: q.Tried,
-	})
+	choice := &replica.Query{Service: q.Service, DataCentre: s.Nodes.Self().DataCentre, Now: now, Tried: q.Tried}
+	if q.Class == core.ClassBatch {
+		choice.Room = itemRoom
+	}
+	r := s.Registry.Choose(choice)
 	if r == nil {
 		return nil
 	}
-	if r.Busy(now) >= float64(r.Info().Slots) {
+	if q.Class == core.ClassOnline && r.Busy(now) >= float64(r.Info().Slots) {
 		s.Yield(r)
 	}
-	r.Begin(core.ClassOnline)
+	r.Begin(q.Class)
 	return r
 }
 
@@ -177,7 +192,7 @@
 		case verdictRefused:
 			return granted{}, max(answer.Wait, time.Millisecond), nil
 		case verdictQueued:
-			if given, err := next(ctx, grants); err != nil || given.Replica != "" {
+			if given, err := next(ctx, grants, q.again()); err != nil || given.Replica != "" {
 				return given, 0, err
 			}
 		default:
@@ -186,9 +201,17 @@
 	}
 }
 
+// again is the time after which a request that waits asks again.
+func (q *Query) again() time.Duration {
+	if q.Class == core.ClassBatch {
+		return itemAskAgain
+	}
+	return askAgain
+}
+
 // next waits for a grant; it returns none when it is time to ask again.
-func next(ctx context.Context, grants <-chan granted) (granted, error) {
-	timer := time.NewTimer(askAgain)
+func next(ctx context.Context, grants <-chan granted, again time.Duration) (granted, error) {
+	timer := time.NewTimer(again)
 	defer timer.Stop()
 	select {
 	case g := <-grants:
@@ -207,6 +230,7 @@
 	err := s.Transport.Call(ctx, hub, kindAsk, &ask{
 		Service: q.Service, ID: id, DataCentre: s.Nodes.Self().DataCentre, Not: not, Urgent: q.Urgent,
 		Waited: time.Since(q.Arrived), Objective: q.Objective, Patience: q.Patience,
+		Batch: q.Class == core.ClassBatch, DueIn: q.DueIn, Late: q.Late,
 	}, &answer)
 	return answer, err
 }
@@ -220,7 +244,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	r.Begin(core.ClassOnline)
+	r.Begin(q.Class)
 	if t := s.tellings[q.Service]; t != nil && t.hub == hub {
 		t.seen = append(t.seen, g.Grant)
 	}
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -18,6 +19,9 @@
 	// preemptCost is added, in requests, for a slot that batch work has to leave
 	// first.
 	preemptCost = 1.0
+	// headroomShare is the share of the slots that batch work leaves free, so that
+	// not each request that arrives has to wait for an item to give way.
+	headroomShare = 0.03
 	// usualSlowdown is the slowdown of a replica that is as fast as usual, in
 	// hundredths.
 	usualSlowdown = 100
@@ -83,7 +87,7 @@
 		return *known, nil
 	}
 	w := newWaiter(node, a, now)
-	if len(p.waiting) == 0 || w.urgent {
+	if !slices.ContainsFunc(p.waiting, func(o *waiter) bool { return o.before(w, now) }) {
 		if r, preempts := p.choose(w, now); r != nil {
 			done := p.grant(w, r, preempts, now)
 			return askAnswer{Verdict: verdictGranted, Replica: done.replica, Grant: done.grant}, done
@@ -92,7 +96,7 @@
 	if !slices.ContainsFunc(p.replicas, func(r slot) bool { return !w.excludes(r.id) }) {
 		return askAnswer{Verdict: verdictNone}, nil
 	}
-	if wait := p.expectedWait(); now.Add(wait).After(w.goneAt) {
+	if wait := p.expectedWait(); !w.batch && now.Add(wait).After(w.goneAt) {
 		return askAnswer{Verdict: verdictRefused, Wait: wait}, nil
 	}
 	p.waiting = append(p.waiting, w)
@@ -113,8 +117,11 @@
 }
 
 // choose returns a replica with a free slot, or one where batch work leaves a
-// slot, or nil.
+// slot, or nil. An item of a job gets none of the last free slots.
 func (p *pool) choose(w *waiter, now time.Time) (best *slot, preempts bool) {
+	if w.batch && p.free(now) <= p.headroom() {
+		return nil, false
+	}
 	bestScore := 0.0
 	for i := range p.replicas {
 		r := &p.replicas[i]
@@ -124,7 +131,7 @@
 		sum := p.sum(r.id)
 		busy := p.told(r.id) + p.unseen[r.id].work(now)
 		full := busy >= r.slots
-		if full && (sum.batch == 0 || busy-sum.batch >= r.slots) {
+		if full && (w.batch || sum.batch == 0 || busy-sum.batch >= r.slots) {
 			continue
 		}
 		score := float64(busy + 1)
@@ -142,6 +149,28 @@
 	return best, preempts
 }
 
+// free is the number of free slots.
+func (p *pool) free(now time.Time) int {
+	n := 0
+	for _, r := range p.replicas {
+		n += max(0, r.slots-p.told(r.id)-p.unseen[r.id].work(now))
+	}
+	return n
+}
+
+// headroom is the number of slots that batch work leaves free.
+func (p *pool) headroom() int {
+	return int(math.Ceil(headroomShare * float64(p.slots())))
+}
+
+func (p *pool) slots() int {
+	n := 0
+	for _, r := range p.replicas {
+		n += r.slots
+	}
+	return n
+}
+
 // told is the work at a replica that this hub knows of.
 func (p *pool) told(id core.ReplicaID) int {
 	sum := p.sum(id)
@@ -160,7 +189,9 @@
 	p.serial++
 	p.grants[p.serial] = grant{node: w.node, request: w.id, replica: r.id, at: now}
 	p.pending[r.id]++
-	p.turnover.granted++
+	if !w.batch {
+		p.turnover.granted++
+	}
 	return &placed{waiter: w, replica: r.id, grant: p.serial, preempts: preempts}
 }
 
@@ -228,7 +259,7 @@
 		case r != nil:
 			out = append(out, p.grant(w, r, preempts, now))
 			continue
-		case len(w.not) == 0: // there is no free slot for anyone
+		case len(w.not) == 0: // there is no free slot for anyone behind
 			p.waiting = append(kept, p.waiting[i:]...)
 			return out
 		}
@@ -256,9 +287,11 @@
 // expectedWait estimates how long a new request would wait if it were served
 // last.
 func (p *pool) expectedWait() time.Duration {
-	slots := 0
-	for _, r := range p.replicas {
-		slots += r.slots
+	online := 0
+	for _, w := range p.waiting {
+		if !w.batch {
+			online++
+		}
 	}
-	return p.turnover.wait(len(p.waiting)+1, slots)
+	return p.turnover.wait(online+1, p.slots())
 }
--- a/internal/placement/pool_test.go
+++ b/internal/placement/pool_test.go
@@ -202,3 +202,30 @@
 	now = now.Add(unseenTTL + time.Millisecond)
 	g.Expect(p.pump(now)).To(gomega.HaveLen(1), "old reports")
 }
+
+// Guards against items of jobs that take the slots of callers, and against items
+// that are late anyway and make others late: more items than slots, as in the
+// bulk hours of both users. The first free slots go to callers, then to the item
+// that is due first and can still be in time.
+func TestItemsComeLastInTheOrderTheyAreDue(t *testing.T) {
+	g := gomega.NewWithT(t)
+	p := testPool(2, 20)
+	now := time.Now()
+	item := func(id uint64, due time.Duration, late bool) *ask {
+		return &ask{ID: id, DataCentre: "dc-a", Batch: true, DueIn: due, Late: late, Patience: time.Minute}
+	}
+	p.tell("a", &counts{Replicas: []count{{ID: "r0", Online: 20}, {ID: "r1", Online: 18}}}, now)
+	for id, due := range []time.Duration{9, 3, 6} {
+		answer, _ := p.ask("a", item(uint64(id), due*time.Second, id == 1), now)
+		g.Expect(answer.Verdict).To(gomega.Equal(verdictQueued), "two slots are the headroom")
+	}
+	answer, _ := p.ask("a", question(10), now)
+	g.Expect(answer.Verdict).To(gomega.Equal(verdictGranted))
+	p.withdraw("a", 10)
+	p.tell("a", &counts{Replicas: []count{{ID: "r0", Online: 20}, {ID: "r1", Online: 15}}}, now)
+	var order []uint64
+	for _, d := range p.pump(now) {
+		order = append(order, d.id)
+	}
+	g.Expect(order).To(gomega.Equal([]uint64{2, 0, 1}))
+}
--- a/internal/placement/service.go
+++ b/internal/placement/service.go
@@ -47,6 +47,7 @@
 	electable atomic.Pointer[electorate]
 	run       uint64 // a random number of this process
 	asks      atomic.Uint64
+	alone     sync.Mutex // held while this node chooses itself
 
 	mu sync.Mutex
 	// known are the addresses that the transport has.
--- a/internal/placement/service_test.go
+++ b/internal/placement/service_test.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -138,3 +139,25 @@
 	}
 	f.Expect(<-f.place(t.Context(), other.Transport.Self())).NotTo(gomega.BeNil())
 }
+
+// Guards against items of one look at the pending ones that all go to the same
+// replica of a node that reaches no hub: a job of sixteen items at once, on
+// replicas with eight slots.
+func TestItemsPlacedAloneSpread(t *testing.T) {
+	replicas := []replica.Info{
+		{ID: "r1", Service: "m", DataCentre: "dc-a", Slots: 8}, {ID: "r2", Service: "m", DataCentre: "dc-a", Slots: 8},
+	}
+	f := newFleet(t, replicas, "a")
+	f.nodes["a"].Stop()
+	var wait sync.WaitGroup
+	for range 16 {
+		wait.Go(func() {
+			f.nodes["a"].Place(t.Context(), &Query{Service: "m", Class: core.ClassBatch, Arrived: time.Now(), Patience: settle})
+		})
+	}
+	wait.Wait()
+	for _, r := range f.nodes["a"].registry.All() {
+		_, batch := r.Own()
+		f.Expect(batch).To(gomega.Equal(8 - itemRoom + 1))
+	}
+}
--- a/internal/placement/waiter.go
+++ b/internal/placement/waiter.go
@@ -25,6 +25,10 @@
 	lateAt time.Time
 	goneAt time.Time
 	urgent bool
+	// batch is set for an item of a job, which is due at dueAt or is late.
+	batch   bool
+	dueAt   time.Time
+	dueLate bool
 }
 
 func newWaiter(node core.NodeID, a *ask, now time.Time) *waiter {
@@ -33,13 +37,24 @@
 		node: node, id: a.ID, dc: a.DataCentre, not: a.Not, since: since, urgent: a.Urgent,
 		lateAt: since.Add(time.Duration(float64(a.Objective) * onTimeShare)),
 		goneAt: since.Add(a.Patience),
+		batch:  a.Batch, dueAt: now.Add(a.DueIn), dueLate: a.Late,
 	}
 }
 
 // before reports whether w gets a slot before o: streams that go on first, then
 // requests that can still begin in time, then the others, each by arrival. A
-// request that is late anyway takes no slot from one that is not.
+// request that is late anyway takes no slot from one that is not. Items of jobs
+// come last, in the order in which they are due, late ones behind the others.
 func (w *waiter) before(o *waiter, now time.Time) bool {
+	if w.batch != o.batch {
+		return o.batch
+	}
+	if w.batch && w.dueLate != o.dueLate {
+		return o.dueLate
+	}
+	if w.batch {
+		return w.dueAt.Before(o.dueAt)
+	}
 	if w.urgent != o.urgent {
 		return w.urgent
 	}
--- a/internal/routes/route.go
+++ b/internal/routes/route.go
@@ -1,6 +1,7 @@
 package routes
 
 import (
+	"slices"
 	"time"
 
 	"gentiantide.example/gentiantide/internal/core"
@@ -45,6 +46,11 @@
 	Weight  int
 }
 
+// Serves reports whether requests of the route may go to a service.
+func (r *Route) Serves(service core.DeploymentID) bool {
+	return slices.ContainsFunc(r.Backends, func(b Backend) bool { return b.Service == service })
+}
+
 // Pick chooses a service by weight with a number drawn at random.
 func (r *Route) Pick(random uint64) core.DeploymentID {
 	total := 0
