Probe a hub that did not answer apart from requests

Change: a hub that did not answer gets no request until it has answered a probe, first after 0.3 s, then at growing intervals up to 5 s.

--- a/internal/placement/hub.go
+++ b/internal/placement/hub.go
@@ -59,6 +59,7 @@
 func newHub(o *Options, yield func(core.NodeID, core.ReplicaID)) *hub {
 	h := &hub{transport: o.Transport, registry: o.Registry, yield: yield, log: o.Log, begun: make(chan struct{}, 1), pools: make(map[core.DeploymentID]*account)}
 	o.Transport.Handle(kindAsk, h.ask)
+	o.Transport.Handle(kindProbe, h.probe)
 	o.Transport.Handle(kindCounts, h.counts)
 	o.Transport.Handle(kindWithdraw, h.withdraw)
 	return h
@@ -100,6 +101,13 @@
 	return out
 }
 
+func (h *hub) probe(context.Context, core.NodeID, []byte) ([]byte, error) {
+	if h.stopping.Load() {
+		return nil, errStopping
+	}
+	return nil, nil
+}
+
 func (h *hub) ask(_ context.Context, from core.NodeID, body []byte) ([]byte, error) {
 	if h.stopping.Load() {
 		return nil, errStopping
--- a/internal/placement/message.go
+++ b/internal/placement/message.go
@@ -13,6 +13,8 @@
 	kindTotals = "placement.totals"
 	// kindAsk is a call of a node to a hub; the answer is immediate.
 	kindAsk = "placement.ask"
+	// kindProbe is a call of a node to a hub that did not answer before.
+	kindProbe = "placement.probe"
 	// kindGranted is a one-way message of a hub to a node whose request waited.
 	kindGranted = "placement.granted"
 	// kindWithdraw is a one-way message of a node: a request does not wait any
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -25,10 +25,6 @@
 	// itself included, if no hub places it. The others are left to online work
 	// that this node does not know of yet.
 	itemRoom = 3
-	// hubRetryMin is how long a hub that did not answer is not asked. Each further
-	// failure in a row doubles it, up to hubRetryMax.
-	hubRetryMin = 500 * time.Millisecond
-	hubRetryMax = 16 * time.Second
 )
 
 var errHubKnowsNone = errors.New("the hub knows no replica for the request")
@@ -56,11 +52,10 @@
 // Place returns a replica at which the request was counted. Without one it
 // returns the time after which a slot may be free, or 0 if that is not known.
 func (s *Service) Place(ctx context.Context, q *Query) (*replica.Replica, time.Duration) {
-	for _, hub := range s.usable(q.Service, time.Now()) {
+	for _, hub := range s.usable(q.Service) {
 		r, wait, err := s.placeAt(ctx, hub, q)
 		switch {
 		case err == nil:
-			s.answered(hub)
 			return r, wait
 		case ctx.Err() != nil:
 			return nil, 0
@@ -72,43 +67,6 @@
 	return s.placeAlone(q), 0
 }
 
-// usable returns the hubs of a service that answered when last asked.
-func (s *Service) usable(service core.DeploymentID, now time.Time) []core.NodeID {
-	hubs := s.electable.Load().hubs(service)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return slices.DeleteFunc(slices.Clone(hubs), func(id core.NodeID) bool { return now.Before(s.down[id].until) })
-}
-
-// giveUp does not ask a hub for a while.
-func (s *Service) giveUp(hub core.NodeID, err error) {
-	now := time.Now()
-	s.mu.Lock()
-	last, known := s.down[hub]
-	if now.Before(last.until) { // another request has found out
-		s.mu.Unlock()
-		return
-	}
-	pause := hubRetryMin
-	if known {
-		pause = min(2*last.pause, hubRetryMax)
-	}
-	s.down[hub] = absence{until: now.Add(pause), pause: pause}
-	s.mu.Unlock()
-	s.Log.Warn("node that places requests does not answer", "node", hub, "error", err, "retry_ms", pause.Milliseconds())
-}
-
-// answered ends the absence of a hub.
-func (s *Service) answered(hub core.NodeID) {
-	s.mu.Lock()
-	_, known := s.down[hub]
-	delete(s.down, hub)
-	s.mu.Unlock()
-	if known {
-		s.Log.Info("node that places requests answers again", "node", hub)
-	}
-}
-
 // placeAlone chooses by what this node knows itself.
 func (s *Service) placeAlone(q *Query) *replica.Replica {
 	s.alone.Lock() // items placed together must see each other
--- a/internal/placement/service.go
+++ b/internal/placement/service.go
@@ -53,7 +53,7 @@
 	// known are the addresses that the transport has.
 	known map[core.NodeID]string
 	// down are the hubs that did not answer when last asked.
-	down map[core.NodeID]absence
+	down map[core.NodeID]*absence
 	// waits are the requests that wait at a hub.
 	waits map[uint64]chan granted
 	// tellings is what hubs were told, by service.
@@ -61,12 +61,6 @@
 	serial   uint64
 }
 
-// absence is a hub that does not answer.
-type absence struct {
-	until time.Time // it is not asked before
-	pause time.Duration
-}
-
 // telling is what the hub of a service knows of this node.
 type telling struct {
 	hub  core.NodeID
@@ -78,7 +72,7 @@
 // New registers the handlers. The transport is started afterwards.
 func New(o Options) *Service {
 	s := &Service{
-		Options: o, run: rand.Uint64(), known: make(map[core.NodeID]string), down: make(map[core.NodeID]absence),
+		Options: o, run: rand.Uint64(), known: make(map[core.NodeID]string), down: make(map[core.NodeID]*absence),
 		waits: make(map[uint64]chan granted), tellings: make(map[core.DeploymentID]*telling),
 	}
 	s.electable.Store(newElectorate(o.Nodes.View(), o.Nodes.Self()))
@@ -102,6 +96,7 @@
 		case <-s.Registry.Changes():
 		case <-silence.C:
 			s.follow()
+			s.probeAbsent(ctx, time.Now())
 		}
 		s.tell(time.Now())
 		// Changes that come meanwhile go out together.
@@ -158,7 +153,7 @@
 		}
 	}
 	for service := range services {
-		if hubs := s.usable(service, now); len(hubs) > 0 {
+		if hubs := s.usable(service); len(hubs) > 0 {
 			s.tellHub(service, hubs[0], now)
 		}
 	}
@@ -218,7 +213,7 @@
 		return nil, err
 	}
 	now := time.Now()
-	if hubs := s.usable(t.Service, now); len(hubs) == 0 || hubs[0] != from {
+	if hubs := s.usable(t.Service); len(hubs) == 0 || hubs[0] != from {
 		return nil, nil // another hub knows better
 	}
 	for _, one := range t.Replicas {
--- a/internal/placement/service_test.go
+++ b/internal/placement/service_test.go
@@ -130,7 +130,7 @@
 	f.Expect(<-f.place(t.Context(), other.Transport.Self())).NotTo(gomega.BeNil())
 	f.nodes[hub].Stop()
 	f.Expect(<-f.place(t.Context(), other.Transport.Self())).NotTo(gomega.BeNil())
-	f.Expect(other.usable("m", time.Now())).NotTo(gomega.ContainElement(hub))
+	f.Expect(other.usable("m")).NotTo(gomega.ContainElement(hub))
 	f.nodes[hub].transport.Close()
 	f.Expect(<-f.place(t.Context(), other.Transport.Self())).NotTo(gomega.BeNil())
 	for _, n := range f.nodes { // no node answers any more
@@ -161,3 +161,18 @@
 		f.Expect(batch).To(gomega.Equal(8 - itemRoom + 1))
 	}
 }
+
+// Guards against a hub that is never asked again after it did not answer once,
+// and against requests that pay for finding out whether it is back.
+func TestHubThatIsBackIsAskedAgain(t *testing.T) {
+	f := newFleet(t, oneReplica(4), "a", "b")
+	hub := f.hub()
+	other := f.nodes[map[core.NodeID]core.NodeID{"a": "b", "b": "a"}[hub]]
+	cut := func(id core.NodeID) bool { return id == hub }
+	other.transport.Block(cut)
+	f.Expect(<-f.place(t.Context(), other.Transport.Self())).NotTo(gomega.BeNil())
+	f.Expect(other.usable("m")).NotTo(gomega.ContainElement(hub))
+	f.Consistently(func() []core.NodeID { return other.usable("m") }, "700ms").ShouldNot(gomega.ContainElement(hub))
+	other.transport.Block(nil)
+	f.Eventually(func() []core.NodeID { return other.usable("m") }, settle).Should(gomega.ContainElement(hub))
+}
