Log errors without their stack

Change: both daemons' handlers write an error as its message. TestErrorsAreOneShortLine failed with the former handler.

--- a/cmd/gentiantided/platform.go
+++ b/cmd/gentiantided/platform.go
@@ -13,6 +13,7 @@
 
 	"gentiantide.example/gentiantide/internal/asynclog"
 	"gentiantide.example/gentiantide/internal/entry"
+	"gentiantide.example/gentiantide/internal/logline"
 	"gentiantide.example/gentiantide/platform"
 )
 
@@ -59,7 +60,7 @@
 	}
 	output := asynclog.New(os.Stdout)
 	defer output.Close()
-	log := slog.New(slog.NewTextHandler(output, nil))
+	log := slog.New(logline.NewHandler(output, slog.LevelInfo))
 	node, err := entry.New(settings, log)
 	if err == nil {
 		err = node.Run(signals)
--- a/cmd/gentiantided/run.go
+++ b/cmd/gentiantided/run.go
@@ -12,6 +12,7 @@
 	"github.com/google/subcommands"
 
 	"gentiantide.example/gentiantide/internal/config"
+	"gentiantide.example/gentiantide/internal/logline"
 	"gentiantide.example/gentiantide/internal/node"
 )
 
@@ -45,7 +46,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitFailure
 	}
-	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: cfg.LogLevel}))
+	log := slog.New(logline.NewHandler(os.Stderr, cfg.LogLevel))
 	if err := node.New(cfg, log).Run(stopSignal(log)); err != nil {
 		log.Error("node failed", "error", err)
 		return subcommands.ExitFailure
