Answer the operators' command line on a platform node

Change: the readiness listener serves the endpoints of these commands. Nodes whose lease ran out are shown with that reason, backend servers with the work that all nodes have there. settings and drain say that the node follows the platform's configuration. The version moves to core, as both daemons show it.

--- a/cmd/gentiantided/version.go
+++ b/cmd/gentiantided/version.go
@@ -7,7 +7,7 @@
 
 	"github.com/google/subcommands"
 
-	"gentiantide.example/gentiantide/internal/node"
+	"gentiantide.example/gentiantide/internal/core"
 )
 
 // versionCommand prints the version.
@@ -27,6 +27,6 @@
 
 // Execute implements subcommands.Command.
 func (*versionCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
-	fmt.Println("gentiantided", node.Version)
+	fmt.Println("gentiantided", core.Version)
 	return subcommands.ExitSuccess
 }
--- a/internal/node/version.go
+++ b/internal/core/version.go
@@ -1,4 +1,4 @@
-package node
+package core
 
 // Version is the version of the program.
 const Version = "0.1.0-dev"
--- a/internal/entry/dump.go
+++ b/internal/entry/dump.go
@@ -1,8 +1,6 @@
 package entry
 
 import (
-	"encoding/json"
-	"net/http"
 	"time"
 
 	"gentiantide.example/gentiantide/internal/replica"
@@ -29,8 +27,8 @@
 	Avoided bool    `json:"avoided"`
 }
 
-// dump writes the state of the process.
-func (n *Node) dump(w http.ResponseWriter, _ *http.Request) {
+// dumpView is the state of the process.
+func (n *Node) dumpView() dumpState {
 	now := time.Now()
 	clock, _ := n.store.Clock()
 	state := dumpState{
@@ -47,8 +45,5 @@
 	for owner := range n.nodes.View().Alive {
 		state.Nodes = append(state.Nodes, owner)
 	}
-	w.Header().Set("Content-Type", "application/json")
-	if err := json.NewEncoder(w).Encode(state); err != nil {
-		n.log.Info("state dump not sent", "error", err)
-	}
+	return state
 }
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -215,12 +215,14 @@
 	n.forward.ServeHTTP(w, in)
 }
 
-// readinessMux serves the balancer's question and the state of the process.
+// readinessMux serves the balancer's question, the state of the process and the
+// operators' command line.
 func (n *Node) readinessMux() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+platform.ReadinessPath, n.readiness)
-	mux.HandleFunc("GET /dump", n.dump)
+	mux.HandleFunc("GET /dump", func(w http.ResponseWriter, _ *http.Request) { n.writeJSON(w, n.dumpView()) })
 	mux.Handle("GET /metrics", n.metrics)
+	n.registerOperators(mux)
 	return mux
 }
 
--- a/internal/httpapi/operators/server.go
+++ b/internal/httpapi/operators/server.go
@@ -20,6 +20,7 @@
 
 // Server has what the endpoints need.
 type Server struct {
+	// Editor is nil on a node whose configuration comes from elsewhere.
 	Editor Editor
 	// Fleet lists nodes and backend servers with state and reason.
 	Fleet func() any
@@ -47,10 +48,7 @@
 }
 
 func (s *Server) registerAdmin(mux *http.ServeMux) {
-	mux.HandleFunc("GET /admin/v1/settings", s.getSettings)
-	mux.HandleFunc("POST /admin/v1/settings", s.changeSettings)
-	mux.HandleFunc("GET /admin/v1/settings/history", s.history)
-	mux.HandleFunc("POST /admin/v1/drain", s.drain)
+	s.registerSettings(mux)
 	mux.HandleFunc("GET /admin/v1/fleet", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, s.Fleet()) })
 	mux.HandleFunc("GET /admin/v1/dump", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, s.Dump()) })
 	mux.HandleFunc("GET /admin/v1/version", s.version)
@@ -62,6 +60,22 @@
 	})
 }
 
+func (s *Server) registerSettings(mux *http.ServeMux) {
+	if s.Editor == nil {
+		elsewhere := func(w http.ResponseWriter, _ *http.Request) {
+			writeRefusal(w, core.Refuse(core.CodeNotFound, "this node has no settings tree: it follows the configuration and the drains in the platform's store"))
+		}
+		mux.HandleFunc("/admin/v1/settings", elsewhere)
+		mux.HandleFunc("/admin/v1/settings/", elsewhere)
+		mux.HandleFunc("/admin/v1/drain", elsewhere)
+		return
+	}
+	mux.HandleFunc("GET /admin/v1/settings", s.getSettings)
+	mux.HandleFunc("POST /admin/v1/settings", s.changeSettings)
+	mux.HandleFunc("GET /admin/v1/settings/history", s.history)
+	mux.HandleFunc("POST /admin/v1/drain", s.drain)
+}
+
 func (s *Server) version(w http.ResponseWriter, _ *http.Request) {
 	writeJSON(w, http.StatusOK, map[string]string{"version": s.Version})
 }
--- a/internal/node/dump.go
+++ b/internal/node/dump.go
@@ -35,7 +35,7 @@
 	runtime.ReadMemStats(&memory)
 	sent, read := n.transport.Traffic()
 	return Dump{
-		At: time.Now().UTC(), Node: n.cfg.ID, Version: Version, Started: n.started.UTC(),
+		At: time.Now().UTC(), Node: n.cfg.ID, Version: core.Version, Started: n.started.UTC(),
 		Stopping: n.stopping.Load(), Goroutines: runtime.NumGoroutine(), HeapBytes: memory.HeapAlloc,
 		PeerSent: sent, PeerRead: read, Settings: n.settings.Status(),
 		Fleet: n.fleetStatus(),
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -202,7 +202,7 @@
 	})
 	operatorsMux := http.NewServeMux()
 	server := &operators.Server{
-		Editor: n.settings, Dump: n.dump, Metrics: n.metricsHandler, Version: Version,
+		Editor: n.settings, Dump: n.dump, Metrics: n.metricsHandler, Version: core.Version,
 		Fleet: func() any { return n.fleetStatus() }, TokenDigests: n.cfg.Operators.TokenDigests,
 	}
 	server.Register(operatorsMux)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -126,6 +126,15 @@
 	return float64(online+batch) + r.others(now)
 }
 
+// Load returns the work at the replica from all nodes as they last told.
+func (r *Replica) Load(now time.Time) (online, batch int) {
+	online, batch = r.Own()
+	if s := r.shared.Load(); s != nil && now.Sub(s.at) < sharedFresh {
+		online, batch = online+s.online, batch+s.batch
+	}
+	return online, batch
+}
+
 // others estimates the work of other nodes: by a report of this moment, else by
 // what they told, else by an older report.
 func (r *Replica) others(now time.Time) float64 {
