Let the hub avoid what its nodes avoid, and return to a cut data centre at once

Its hub had met none of the failures itself: for its own node's requests it gave slots at replicas beyond the cut again 0.4 s after other nodes had told that they were silent, and each such request lost 200 ms or its stream. After the cut the nodes waited up to 4 s for the trial of each replica alone, and up to 5 s for the probe of the former hub: 22 requests waited before 4 replicas.

Change: each question to a hub names what its node avoids; the hub avoids what two nodes, and three in ten of those that ask, avoid. An unreachable replica is tried each second, and one that is back has the others of its data centre tried at once. Absent hubs are probed each second at the longest.

--- a/internal/placement/absence.go
+++ b/internal/placement/absence.go
@@ -12,7 +12,7 @@
 	// probeMin is how long after a hub did not answer it is probed. Each further
 	// failure in a row doubles it, up to probeMax.
 	probeMin = 300 * time.Millisecond
-	probeMax = 5 * time.Second
+	probeMax = time.Second
 )
 
 // absence is a hub that does not answer. No request is held for it: it is asked
--- a/internal/placement/message.go
+++ b/internal/placement/message.go
@@ -58,8 +58,11 @@
 	// ID names the request at its node.
 	ID         uint64          `msgpack:"i"`
 	DataCentre core.DataCentre `msgpack:"d"`
-	// Not are replicas that the request must not go to.
+	// Not are replicas that the request must not go to: those that it was sent
+	// to, and those that its node avoids after failures.
 	Not []core.ReplicaID `msgpack:"x,omitempty"`
+	// Avoided is the number of entries of Not that the node avoids.
+	Avoided int `msgpack:"a,omitempty"`
 	// Waited is how long the request has waited, Objective the time in which it
 	// should begin and Patience the time after which its caller leaves, all
 	// from its arrival. Durations travel because the clocks of nodes differ.
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -95,10 +95,10 @@
 	if t == nil || t.hub != hub {
 		s.tellHub(q.Service, hub, time.Now())
 	}
-	not := append(s.avoided(q.Service), q.Tried...)
+	tried := slices.Clone(q.Tried)
 	for {
 		id := s.asks.Add(1)
-		given, wait, err := s.await(ctx, hub, q, id, not)
+		given, wait, err := s.await(ctx, hub, q, id, tried)
 		if err != nil || wait > 0 {
 			s.sendWithdraw(hub, q.Service, id)
 			return nil, wait, err
@@ -107,7 +107,7 @@
 			return r, 0, nil
 		}
 		s.sendWithdraw(hub, q.Service, id)
-		not = append(not, given.Replica)
+		tried = append(tried, given.Replica)
 	}
 }
 
@@ -129,7 +129,7 @@
 
 // await asks and waits for the grant. For a request that is refused it returns
 // the expected wait instead.
-func (s *Service) await(ctx context.Context, hub core.NodeID, q *Query, id uint64, not []core.ReplicaID) (granted, time.Duration, error) {
+func (s *Service) await(ctx context.Context, hub core.NodeID, q *Query, id uint64, tried []core.ReplicaID) (granted, time.Duration, error) {
 	grants := make(chan granted, 1)
 	s.mu.Lock()
 	s.waits[id] = grants
@@ -140,7 +140,7 @@
 		s.mu.Unlock()
 	}()
 	for {
-		answer, err := s.ask(ctx, hub, q, id, not)
+		answer, err := s.ask(ctx, hub, q, id, tried)
 		if err != nil {
 			return granted{}, 0, err
 		}
@@ -181,12 +181,14 @@
 	}
 }
 
-func (s *Service) ask(ctx context.Context, hub core.NodeID, q *Query, id uint64, not []core.ReplicaID) (askAnswer, error) {
+func (s *Service) ask(ctx context.Context, hub core.NodeID, q *Query, id uint64, tried []core.ReplicaID) (askAnswer, error) {
+	avoided := s.avoided(q.Service)
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	var answer askAnswer
 	err := s.Transport.Call(ctx, hub, kindAsk, &ask{
-		Service: q.Service, ID: id, DataCentre: s.Nodes.Self().DataCentre, Not: not, Urgent: q.Urgent,
+		Service: q.Service, ID: id, DataCentre: s.Nodes.Self().DataCentre, Urgent: q.Urgent,
+		Not: append(avoided, tried...), Avoided: len(avoided),
 		Waited: time.Since(q.Arrived), Objective: q.Objective, Patience: q.Patience,
 		Batch: q.Class == core.ClassBatch, DueIn: q.DueIn, Late: q.Late,
 	}, &answer)
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -67,6 +67,7 @@
 	pending  map[core.ReplicaID]int // grants by replica
 	slow     map[core.ReplicaID]slowness
 	unseen   map[core.ReplicaID]unseen
+	shunned  shunned
 	waiting  []*waiter
 	serial   uint64
 	turnover turnover
@@ -76,13 +77,14 @@
 	return &pool{
 		ledger: newLedger(), grants: make(map[uint64]grant),
 		pending: make(map[core.ReplicaID]int), slow: make(map[core.ReplicaID]slowness),
-		unseen: make(map[core.ReplicaID]unseen),
+		unseen: make(map[core.ReplicaID]unseen), shunned: make(shunned),
 	}
 }
 
 // ask places a request, lets it wait or refuses it. A request that is known gets
 // its present state.
 func (p *pool) ask(node core.NodeID, a *ask, now time.Time) (askAnswer, *placed) {
+	p.shunned.learn(node, a.Not[:min(a.Avoided, len(a.Not))], now)
 	if known := p.known(node, a.ID); known != nil {
 		return *known, nil
 	}
@@ -122,10 +124,11 @@
 	if w.batch && p.free(now) <= p.headroom() {
 		return nil, false
 	}
+	shun := p.shunned.list(p.replicas, now)
 	bestScore := 0.0
 	for i := range p.replicas {
 		r := &p.replicas[i]
-		if w.excludes(r.id) {
+		if w.excludes(r.id) || shun[r.id] {
 			continue
 		}
 		sum := p.sum(r.id)
--- a/internal/placement/pool_test.go
+++ b/internal/placement/pool_test.go
@@ -229,3 +229,29 @@
 	}
 	g.Expect(order).To(gomega.Equal([]uint64{2, 0, 1}))
 }
+
+// Guards against requests of a node that has not met the failures which all
+// others met: a data centre is cut off, and the node's own streams go elsewhere.
+// Trouble that one node of many sees is left to that node.
+func TestReplicasThatOthersAvoidGetNothing(t *testing.T) {
+	g := gomega.NewWithT(t)
+	p := testPool(2, 8)
+	now := time.Now()
+	ask := func(node core.NodeID, id uint64, avoided ...core.ReplicaID) core.ReplicaID {
+		q := question(id)
+		q.Not, q.Avoided = avoided, len(avoided)
+		answer, _ := p.ask(node, q, now)
+		return answer.Replica
+	}
+	g.Expect(ask("a", 1, "r0")).To(gomega.Equal(core.ReplicaID("r1")))
+	g.Expect(ask("b", 2)).To(gomega.Equal(core.ReplicaID("r0")), "one node")
+	ask("c", 3, "r0")
+	for id := range uint64(4) {
+		g.Expect(ask("b", 10+id)).To(gomega.Equal(core.ReplicaID("r1")), "two of three nodes")
+	}
+	ask("c", 20, "r0", "r1")
+	ask("a", 21, "r0", "r1")
+	g.Expect(ask("b", 22)).NotTo(gomega.BeEmpty(), "all replicas are avoided")
+	now = now.Add(shunTTL + time.Millisecond)
+	g.Expect(ask("b", 23)).To(gomega.Equal(core.ReplicaID("r0")), "long ago")
+}
--- a/internal/replica/silence.go
+++ b/internal/replica/silence.go
@@ -17,6 +17,9 @@
 	silentShare = 0.5
 	// silentMin is the least number of silent replicas for that.
 	silentMin = 2
+	// tryPause is the time between trials of an unreachable replica. One that
+	// fails costs a packet, and a data centre that is back is missed at once.
+	tryPause = time.Second
 )
 
 // silence is what one look at the replicas shows.
@@ -83,24 +86,31 @@
 	}
 	for _, r := range g.All() {
 		if r.unreachable.Load() && !r.avoidedUntil.After(now) && r.trying.CompareAndSwap(false, true) {
-			go r.try()
+			go g.try(r)
 		}
 	}
 	return found
 }
 
 // try opens a connection to an unreachable replica. One that opens is kept for
-// the next request, so that the trial costs no more than that request would.
-func (r *Replica) try() {
+// the next request, so that the trial costs no more than that request would. It
+// is a sign that the rest of the data centre may be back, too.
+func (g *Registry) try(r *Replica) {
 	defer r.trying.Store(false)
 	c, err := dial(context.Background(), r.Info().Address)
 	now := time.Now()
 	if err != nil {
-		r.Failed(now)
+		r.failures.Add(1)
+		r.avoidedUntil.Set(now.Add(tryPause))
 		return
 	}
 	r.pool.put(c, now)
 	r.failures.Store(0)
 	r.avoidedUntil.Clear()
 	r.unreachable.Store(false)
+	for _, other := range g.All() {
+		if other.unreachable.Load() && other.Info().DataCentre == r.Info().DataCentre {
+			other.avoidedUntil.Set(now)
+		}
+	}
 }
--- a/internal/replica/silence_test.go
+++ b/internal/replica/silence_test.go
@@ -94,6 +94,27 @@
 	gm.Expect(r.pool.idle).To(gomega.HaveLen(1))
 }
 
+// Guards against a data centre that stays unused for seconds after a cut has
+// ended, because each of its replicas waits for its own trial.
+func TestDataCentreThatIsBackIsTriedAtOnce(t *testing.T) {
+	gm := gomega.NewWithT(t)
+	g := NewRegistry()
+	now := time.Now()
+	for _, id := range []core.ReplicaID{"a", "b"} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		gm.Expect(err).NotTo(gomega.HaveOccurred())
+		defer listener.Close()
+		g.Put(Info{ID: id, Service: "m", Address: listener.Addr().String(), DataCentre: "x", Slots: 8})
+		g.Get(id).Unreachable(now)
+	}
+	g.Get("a").avoidedUntil.Set(now.Add(-time.Second)) // its trial is due
+	g.Get("b").avoidedUntil.Set(now.Add(time.Hour))
+	gm.Eventually(func() bool {
+		g.Review(time.Now())
+		return g.Get("a").Avoided(time.Now()) || g.Get("b").Avoided(time.Now())
+	}, "10s", "1ms").Should(gomega.BeFalse())
+}
+
 // Guards against the word of another node that goes before what this node hears.
 func TestSuspicionOfAnotherNode(t *testing.T) {
 	gm := gomega.NewWithT(t)
