--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -39,6 +39,9 @@
 	// reviewEvery is the time between looks at the replicas: for silent ones and
 	// for connections that have been unused for too long.
 	reviewEvery = 100 * time.Millisecond
+	// jobsInterval is the least time between readings of changed job rows. The
+	// end of a job must reach its owner within 3 s.
+	jobsInterval = 500 * time.Millisecond
 )
 
 // Node is one process of the system.
@@ -125,6 +128,7 @@
 	}
 	n.routing = []*watch.Watcher{n.configs.Watcher(n.store), n.replicas.Watcher(n.store, platform.ReplicaTable)}
 	n.jobRows = watch.New(n.store, jobs.JobsTable, jobs.Partitions(), n.jobs.Book, log)
+	n.jobRows.Interval = jobsInterval
 }
 
 // CallersAddress is where the node serves callers.
--- a/internal/watch/watcher.go
+++ b/internal/watch/watcher.go
@@ -39,6 +39,9 @@
 	Partitions []string
 	Handler    Handler
 	Log        *slog.Logger
+	// Interval is the least time between calls while there are changes, which
+	// then come together. Each change costs a call of every node otherwise.
+	Interval time.Duration
 
 	// mu guards the copy and the calls of the handler.
 	mu   sync.Mutex
@@ -95,10 +98,14 @@
 	if !known {
 		return w.load(ctx)
 	}
+	began := time.Now()
 	set, err := w.Store.Follow(ctx, w.Table, w.version, followWait)
 	if err != nil {
 		return err
 	}
+	if len(set.Rows) > 0 {
+		defer func() { sleep(ctx, w.Interval-time.Since(began)) }()
+	}
 	if set.Version < w.version {
 		w.Log.Warn("answer is older than one before, ignored", "version", set.Version, "known", w.version)
 		return nil
--- a/internal/watch/watcher_test.go
+++ b/internal/watch/watcher_test.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"log/slog"
+	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/onsi/gomega"
@@ -162,3 +165,38 @@
 	g.Expect(w.Offer(offered)).To(gomega.BeFalse())
 	g.Expect(r.get("a")).To(gomega.Equal("store"))
 }
+
+// countedReads counts the calls that wait for changes.
+type countedReads struct {
+	*infratest.Rows
+	calls atomic.Int32
+}
+
+func (c *countedReads) Follow(ctx context.Context, table string, after uint64, wait time.Duration) (infra.RowSet, error) {
+	c.calls.Add(1)
+	return c.Rows.Follow(ctx, table, after, wait)
+}
+
+// Guards against a call of each node for each change: jobs come several times a
+// second, and every node follows them.
+func TestChangesInQuickSuccessionComeTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		store := &countedReads{Rows: infratest.NewRows()}
+		r := &recorder{rows: make(map[string]string)}
+		w := New(store, "t", []string{"0"}, r, slog.New(slog.DiscardHandler))
+		w.Interval = 500 * time.Millisecond
+		ctx, cancel := context.WithCancel(t.Context())
+		go w.Run(ctx)
+		<-w.Loaded()
+		for i := range 100 { // one each 100 ms, for 10 s
+			write(g, store.Rows, "0", "k", strconv.Itoa(i))
+			time.Sleep(100 * time.Millisecond)
+		}
+		g.Expect(store.calls.Load()).To(gomega.BeNumerically("<=", 21))
+		time.Sleep(w.Interval)
+		g.Expect(r.get("k")).To(gomega.Equal("99"))
+		cancel()
+		synctest.Wait()
+	})
+}
