--- a/internal/placement/service_test.go
+++ b/internal/placement/service_test.go
@@ -75,7 +75,7 @@
 	out := make(chan *replica.Replica, 1)
 	go func() {
 		r, _ := f.nodes[node].Place(ctx, &Query{
-			Service: "m", Arrived: time.Now(), Objective: testObjective, Patience: settle,
+			Service: "m", Arrived: time.Now(), Objective: testObjective, Patience: time.Hour,
 		})
 		out <- r
 	}()
@@ -90,6 +90,13 @@
 	return ""
 }
 
+// waiting returns the number of requests that wait at the hub.
+func (h *hub) waiting(service core.DeploymentID) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.pools[service].waiting)
+}
+
 func oneReplica(slots int) []replica.Info {
 	return []replica.Info{{ID: "r", Service: "m", Address: "127.0.0.1:1", DataCentre: "dc-a", Slots: slots}}
 }
@@ -116,6 +123,7 @@
 	f.Consistently(left, "50ms").ShouldNot(gomega.Receive())
 	leave()
 	f.Eventually(left, settle).Should(gomega.Receive(gomega.BeNil()))
+	f.Eventually(func() int { return f.nodes[f.hub()].hub.waiting("m") }, settle, "5ms").Should(gomega.Equal(0))
 	stays := f.place(t.Context(), "b")
 	held.End(core.ClassOnline)
 	f.Eventually(stays, settle).Should(gomega.Receive(gomega.Not(gomega.BeNil())))
