Split large services among several hubs

A hub looked at all replicas of its service, and listed them, for each of some thousands of messages a second, and told 3,000 totals to every node.

Change: replicas of a service belong to groups of 96 at most by hash, each with its own hub; one group as before up to 96 replicas. A node asks the hub of a random group, and tells a hub only what changed. The replicas of a large service are listed every 0.1 s, totals are told half as often or less in large fleets.

--- a/internal/placement/absence.go
+++ b/internal/placement/absence.go
@@ -23,9 +23,9 @@
 	probing bool
 }
 
-// usable returns the hubs of a service that are not absent.
-func (s *Service) usable(service core.DeploymentID) []core.NodeID {
-	hubs := s.electable.Load().hubs(service)
+// usable returns the hubs of a group that are not absent.
+func (s *Service) usable(g group) []core.NodeID {
+	hubs := s.electable.Load().hubs(g)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return slices.DeleteFunc(slices.Clone(hubs), func(id core.NodeID) bool { return s.down[id] != nil })
--- a/internal/placement/electorate.go
+++ b/internal/placement/electorate.go
@@ -22,7 +22,7 @@
 type electorate struct {
 	records []nodes.Record
 	self    nodes.Record
-	ranks   sync.Map // of a service: its hubs, []core.NodeID
+	ranks   sync.Map // of a group: its hubs, []core.NodeID
 }
 
 func newElectorate(view *nodes.View, self nodes.Record) *electorate {
@@ -37,34 +37,34 @@
 	return e
 }
 
-// hubs returns the nodes to ask about a service, the first one first: the two
+// hubs returns the nodes to ask about a group, the first one first: the two
 // that lead by rendezvous hashing, so that all nodes agree also when one is
 // lost, and the leader of the own data centre, which is reached when the others
 // are cut off.
 // The slice is not to be changed.
-func (e *electorate) hubs(service core.DeploymentID) []core.NodeID {
-	if known, ok := e.ranks.Load(service); ok {
+func (e *electorate) hubs(g group) []core.NodeID {
+	if known, ok := e.ranks.Load(g); ok {
 		return known.([]core.NodeID)
 	}
-	all := e.ranked(service, func(*nodes.Record) bool { return true })
-	near := e.ranked(service, func(r *nodes.Record) bool { return r.DataCentre == e.self.DataCentre })
+	all := e.ranked(g, func(*nodes.Record) bool { return true })
+	near := e.ranked(g, func(r *nodes.Record) bool { return r.DataCentre == e.self.DataCentre })
 	var out []core.NodeID
 	for _, id := range append(all[:min(2, len(all))], near[:min(1, len(near))]...) {
 		if !slices.Contains(out, id) {
 			out = append(out, id)
 		}
 	}
-	e.ranks.Store(service, out)
+	e.ranks.Store(g, out)
 	return out
 }
 
 // ranked returns the large nodes among those allowed, by rendezvous hashing.
-func (e *electorate) ranked(service core.DeploymentID, allowed func(*nodes.Record) bool) []core.NodeID {
+func (e *electorate) ranked(g group, allowed func(*nodes.Record) bool) []core.NodeID {
 	type candidate struct {
 		id    core.NodeID
 		score uint64
 	}
-	largest := 0.0
+	largest, key := 0.0, g.name()
 	for i := range e.records {
 		if r := &e.records[i]; allowed(r) {
 			largest = max(largest, r.Processor)
@@ -73,7 +73,7 @@
 	var found []candidate
 	for i := range e.records {
 		if r := &e.records[i]; allowed(r) && r.Processor >= hubShare*largest {
-			found = append(found, candidate{r.ID, xxhash.Sum64String(string(service) + "|" + string(r.ID))})
+			found = append(found, candidate{r.ID, xxhash.Sum64String(key + "|" + string(r.ID))})
 		}
 	}
 	slices.SortFunc(found, func(a, b candidate) int {
--- a/internal/placement/hub.go
+++ b/internal/placement/hub.go
@@ -25,10 +25,13 @@
 	// slots, which turn over about every 90 ms a replica.
 	totalsEvery = 100 * time.Millisecond
 	// totalsPerNode lengthens it in large fleets, so that a hub sends at most
-	// 500 messages a second.
-	totalsPerNode = 2 * time.Millisecond
+	// 200 messages a second.
+	totalsPerNode = 5 * time.Millisecond
+	// listEvery is the least time between lists of the replicas of a large
+	// service, of which a group is a part.
+	listEvery = 100 * time.Millisecond
 	// hubIdle is how long a hub that nobody addresses keeps the account of a
-	// service.
+	// group.
 	hubIdle = 3 * time.Second
 )
 
@@ -45,19 +48,20 @@
 	begun chan struct{}
 
 	mu    sync.Mutex
-	pools map[core.DeploymentID]*account
+	pools map[group]*account
 }
 
-// account is the pool of one service.
+// account is the pool of one group.
 type account struct {
 	*pool
-	heard time.Time // the last question or counts
-	sent  time.Time // the last totals
-	held  int       // requests that waited since the last log line
+	listed time.Time // when the replicas were listed
+	heard  time.Time // the last question or counts
+	sent   time.Time // the last totals
+	held   int       // requests that waited since the last log line
 }
 
 func newHub(o *Options, yield func(core.NodeID, core.ReplicaID)) *hub {
-	h := &hub{transport: o.Transport, registry: o.Registry, yield: yield, log: o.Log, begun: make(chan struct{}, 1), pools: make(map[core.DeploymentID]*account)}
+	h := &hub{transport: o.Transport, registry: o.Registry, yield: yield, log: o.Log, begun: make(chan struct{}, 1), pools: make(map[group]*account)}
 	o.Transport.Handle(kindAsk, h.ask)
 	o.Transport.Handle(kindProbe, h.probe)
 	o.Transport.Handle(kindCounts, h.counts)
@@ -65,27 +69,34 @@
 	return h
 }
 
-// account returns the account of a service with its present replicas. The
-// caller holds the lock.
-func (h *hub) account(service core.DeploymentID, now time.Time) *account {
-	a, ok := h.pools[service]
+// account returns the account of a group with its replicas. The caller holds the
+// lock.
+func (h *hub) account(g group, now time.Time) *account {
+	a, ok := h.pools[g]
 	if !ok {
 		a = &account{pool: newPool(), heard: now}
-		h.pools[service] = a
-		h.log.Info("placement begins here", "service", service)
+		h.pools[g] = a
+		h.log.Info("placement begins here", "group", g.name())
 		select {
 		case h.begun <- struct{}{}:
 		default: // it ticks already or is about to
 		}
 	}
-	a.replicas = slots(a.replicas[:0], h.registry.Ready(service), now)
+	if ready := h.registry.Ready(g.Service); now.Sub(a.listed) >= listEvery || len(ready) <= groupSize {
+		a.listed = now
+		a.replicas = slots(a.replicas[:0], g, ready, now)
+	}
 	return a
 }
 
-// slots lists the replicas that are not avoided, or all if there are no others.
-func slots(out []slot, ready []*replica.Replica, now time.Time) []slot {
+// slots lists the replicas of a group that are not avoided, or all if there are
+// no others.
+func slots(out []slot, g group, ready []*replica.Replica, now time.Time) []slot {
 	add := func(r *replica.Replica) {
 		info := r.Info()
+		if groupOf(g.Service, info.ID, g.Count) != g {
+			return
+		}
 		out = append(out, slot{id: info.ID, dc: info.DataCentre, slots: max(1, info.Slots)})
 	}
 	for _, r := range ready {
@@ -118,7 +129,7 @@
 	}
 	now := time.Now()
 	h.mu.Lock()
-	a := h.account(question.Service, now)
+	a := h.account(question.Group, now)
 	a.heard = now
 	answer, done := a.ask(from, &question, now)
 	if answer.Verdict == verdictQueued {
@@ -150,7 +161,7 @@
 	}
 	now := time.Now()
 	h.mu.Lock()
-	a := h.account(c.Service, now)
+	a := h.account(c.Group, now)
 	a.heard = now
 	a.tell(from, &c, now)
 	send := h.pump(a, now)
@@ -166,7 +177,7 @@
 	}
 	now := time.Now()
 	h.mu.Lock()
-	a := h.account(w.Service, now)
+	a := h.account(w.Group, now)
 	a.withdraw(from, w.ID)
 	send := h.pump(a, now)
 	h.mu.Unlock()
@@ -199,17 +210,17 @@
 func (h *hub) tick(now time.Time) bool {
 	var sends []func()
 	h.mu.Lock()
-	for service, a := range h.pools {
-		h.account(service, now).expire(now)
+	for g, a := range h.pools {
+		h.account(g, now).expire(now)
 		if now.Sub(a.heard) > hubIdle {
-			delete(h.pools, service)
-			h.log.Info("placement ends here", "service", service)
+			delete(h.pools, g)
+			h.log.Info("placement ends here", "group", g.name())
 			continue
 		}
 		sends = append(sends, h.pump(a, now))
 		if now.Sub(a.sent) >= max(totalsEvery, time.Duration(len(a.nodes))*totalsPerNode) {
 			a.sent = now
-			sends = append(sends, h.totals(service, a))
+			sends = append(sends, h.totals(g, a))
 		}
 	}
 	busy := len(h.pools) > 0
@@ -221,8 +232,8 @@
 }
 
 // totals tells the nodes that use this hub the work at the replicas.
-func (h *hub) totals(service core.DeploymentID, a *account) func() {
-	message := &totals{Service: service}
+func (h *hub) totals(g group, a *account) func() {
+	message := &totals{Group: g}
 	for _, r := range a.replicas {
 		sum := a.sum(r.id)
 		message.Replicas = append(message.Replicas, count{ID: r.id, Online: sum.online + a.pending[r.id], Batch: sum.batch})
--- a/internal/placement/message.go
+++ b/internal/placement/message.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	// kindCounts is a one-way message of a node to the hub of a service.
+	// kindCounts is a one-way message of a node to the hub of a group.
 	kindCounts = "placement.counts"
 	// kindTotals is a one-way message of a hub to all nodes.
 	kindTotals = "placement.totals"
@@ -26,9 +26,9 @@
 	kindSilent = "placement.silent"
 )
 
-// counts is all work of a node at the replicas of a service.
+// counts is all work of a node at the replicas of a group.
 type counts struct {
-	Service core.DeploymentID `msgpack:"s"`
+	Group group `msgpack:"s"`
 	// Run is a random number of the process, Serial counts its messages:
 	// messages may overtake each other.
 	Run      uint64  `msgpack:"u"`
@@ -54,7 +54,7 @@
 
 // ask is a request that needs a replica.
 type ask struct {
-	Service core.DeploymentID `msgpack:"s"`
+	Group group `msgpack:"s"`
 	// ID names the request at its node.
 	ID         uint64          `msgpack:"i"`
 	DataCentre core.DataCentre `msgpack:"d"`
@@ -108,14 +108,14 @@
 
 // withdraw ends a request that waits, or a grant that is not used.
 type withdraw struct {
-	Service core.DeploymentID `msgpack:"s"`
-	ID      uint64            `msgpack:"i"`
+	Group group  `msgpack:"s"`
+	ID    uint64 `msgpack:"i"`
 }
 
-// totals is the work of all nodes at the replicas of a service.
+// totals is the work of all nodes at the replicas of a group.
 type totals struct {
-	Service  core.DeploymentID `msgpack:"s"`
-	Replicas []count           `msgpack:"r"`
+	Group    group   `msgpack:"s"`
+	Replicas []count `msgpack:"r"`
 }
 
 // yield asks a node to let one item of batch work at a replica give way.
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -52,8 +53,10 @@
 // Place returns a replica at which the request was counted. Without one it
 // returns the time after which a slot may be free, or 0 if that is not known.
 func (s *Service) Place(ctx context.Context, q *Query) (*replica.Replica, time.Duration) {
-	for _, hub := range s.usable(q.Service) {
-		r, wait, err := s.placeAt(ctx, hub, q)
+	g := group{Service: q.Service, Count: s.groups(q.Service)}
+	g.Index = rand.IntN(g.Count)
+	for _, hub := range s.usable(g) {
+		r, wait, err := s.placeAt(ctx, hub, g, q)
 		switch {
 		case err == nil:
 			return r, wait
@@ -88,25 +91,25 @@
 }
 
 // placeAt asks one hub until it places or refuses the request.
-func (s *Service) placeAt(ctx context.Context, hub core.NodeID, q *Query) (*replica.Replica, time.Duration, error) {
+func (s *Service) placeAt(ctx context.Context, hub core.NodeID, g group, q *Query) (*replica.Replica, time.Duration, error) {
 	s.mu.Lock()
-	t := s.tellings[q.Service]
+	t := s.tellings[g]
 	s.mu.Unlock()
 	if t == nil || t.hub != hub {
-		s.tellHub(q.Service, hub, time.Now())
+		s.tellHub(g, hub, time.Now())
 	}
 	tried := slices.Clone(q.Tried)
 	for {
 		id := s.asks.Add(1)
-		given, wait, err := s.await(ctx, hub, q, id, tried)
+		given, wait, err := s.await(ctx, hub, g, q, id, tried)
 		if err != nil || wait > 0 {
-			s.sendWithdraw(hub, q.Service, id)
+			s.sendWithdraw(hub, g, id)
 			return nil, wait, err
 		}
-		if r := s.accept(hub, q, given); r != nil {
+		if r := s.accept(hub, g, q, given); r != nil {
 			return r, 0, nil
 		}
-		s.sendWithdraw(hub, q.Service, id)
+		s.sendWithdraw(hub, g, id)
 		tried = append(tried, given.Replica)
 	}
 }
@@ -129,7 +132,7 @@
 
 // await asks and waits for the grant. For a request that is refused it returns
 // the expected wait instead.
-func (s *Service) await(ctx context.Context, hub core.NodeID, q *Query, id uint64, tried []core.ReplicaID) (granted, time.Duration, error) {
+func (s *Service) await(ctx context.Context, hub core.NodeID, g group, q *Query, id uint64, tried []core.ReplicaID) (granted, time.Duration, error) {
 	grants := make(chan granted, 1)
 	s.mu.Lock()
 	s.waits[id] = grants
@@ -140,7 +143,7 @@
 		s.mu.Unlock()
 	}()
 	for {
-		answer, err := s.ask(ctx, hub, q, id, tried)
+		answer, err := s.ask(ctx, hub, g, q, id, tried)
 		if err != nil {
 			return granted{}, 0, err
 		}
@@ -181,13 +184,13 @@
 	}
 }
 
-func (s *Service) ask(ctx context.Context, hub core.NodeID, q *Query, id uint64, tried []core.ReplicaID) (askAnswer, error) {
+func (s *Service) ask(ctx context.Context, hub core.NodeID, g group, q *Query, id uint64, tried []core.ReplicaID) (askAnswer, error) {
 	avoided := s.avoided(q.Service)
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	var answer askAnswer
 	err := s.Transport.Call(ctx, hub, kindAsk, &ask{
-		Service: q.Service, ID: id, DataCentre: s.Nodes.Self().DataCentre, Urgent: q.Urgent,
+		Group: g, ID: id, DataCentre: s.Nodes.Self().DataCentre, Urgent: q.Urgent,
 		Not: append(avoided, tried...), Avoided: len(avoided),
 		Waited: time.Since(q.Arrived), Objective: q.Objective, Patience: q.Patience,
 		Batch: q.Class == core.ClassBatch, DueIn: q.DueIn, Late: q.Late,
@@ -197,22 +200,22 @@
 
 // accept counts the request at the replica, unless the replica takes no new
 // work by what this node knows.
-func (s *Service) accept(hub core.NodeID, q *Query, g granted) *replica.Replica {
-	r := s.Registry.Get(g.Replica)
-	if r == nil || r.Info().Leaving || r.Info().Service != q.Service || slices.Contains(q.Tried, g.Replica) {
+func (s *Service) accept(hub core.NodeID, g group, q *Query, given granted) *replica.Replica {
+	r := s.Registry.Get(given.Replica)
+	if r == nil || r.Info().Leaving || r.Info().Service != q.Service || slices.Contains(q.Tried, given.Replica) {
 		return nil
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r.Begin(q.Class)
-	if t := s.tellings[q.Service]; t != nil && t.hub == hub {
-		t.seen = append(t.seen, g.Grant)
+	if t := s.tellings[g]; t != nil && t.hub == hub {
+		t.seen = append(t.seen, given.Grant)
 	}
 	return r
 }
 
-func (s *Service) sendWithdraw(hub core.NodeID, service core.DeploymentID, id uint64) {
-	if err := s.Transport.Send(hub, kindWithdraw, &withdraw{Service: service, ID: id}); err != nil {
+func (s *Service) sendWithdraw(hub core.NodeID, g group, id uint64) {
+	if err := s.Transport.Send(hub, kindWithdraw, &withdraw{Group: g, ID: id}); err != nil {
 		s.Log.Debug("withdrawal not sent, it expires", "node", hub, "error", err)
 	}
 }
--- a/internal/placement/service.go
+++ b/internal/placement/service.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -56,24 +57,24 @@
 	down map[core.NodeID]*absence
 	// waits are the requests that wait at a hub.
 	waits map[uint64]chan granted
-	// tellings is what hubs were told, by service.
-	tellings map[core.DeploymentID]*telling
+	// tellings is what hubs were told, by group.
+	tellings map[group]*telling
 	serial   uint64
 }
 
-// telling is what the hub of a service knows of this node.
+// telling is what the hub of a group knows of this node.
 type telling struct {
 	hub  core.NodeID
 	seen []uint64 // grants to confirm
-	// empty is set if the last counts had no work.
-	empty bool
+	last []count
+	sent time.Time
 }
 
 // New registers the handlers. The transport is started afterwards.
 func New(o Options) *Service {
 	s := &Service{
 		Options: o, run: rand.Uint64(), known: make(map[core.NodeID]string), down: make(map[core.NodeID]*absence),
-		waits: make(map[uint64]chan granted), tellings: make(map[core.DeploymentID]*telling),
+		waits: make(map[uint64]chan granted), tellings: make(map[group]*telling),
 	}
 	s.electable.Store(newElectorate(o.Nodes.View(), o.Nodes.Self()))
 	s.hub = newHub(&s.Options, s.sendYield)
@@ -139,45 +140,52 @@
 	s.known = present
 }
 
-// tell sends the work at the replicas of each service to its hub.
+// groups returns the number of groups of a service.
+func (s *Service) groups(service core.DeploymentID) int {
+	return groupCount(len(s.Registry.Ready(service)))
+}
+
+// tell sends the work at the replicas of each group to its hub.
 func (s *Service) tell(now time.Time) {
 	s.mu.Lock()
-	services := make(map[core.DeploymentID]bool)
-	for service := range s.tellings {
-		services[service] = true
+	groups := make(map[group]bool)
+	for g := range s.tellings {
+		groups[g] = true
 	}
 	s.mu.Unlock()
 	for _, r := range s.Registry.All() {
 		if online, batch := r.Own(); online+batch > 0 {
-			services[r.Info().Service] = true
+			service := r.Info().Service
+			groups[groupOf(service, r.Info().ID, s.groups(service))] = true
 		}
 	}
-	for service := range services {
-		if hubs := s.usable(service); len(hubs) > 0 {
-			s.tellHub(service, hubs[0], now)
+	for g := range groups {
+		if hubs := s.usable(g); len(hubs) > 0 {
+			s.tellHub(g, hubs[0], now)
 		}
 	}
 }
 
-// tellHub sends the work at the replicas of one service. Without any work it
-// does so once.
-func (s *Service) tellHub(service core.DeploymentID, to core.NodeID, now time.Time) {
+// tellHub sends the work at the replicas of one group, at once if it changed and
+// every maxSilence. Without any work it does so once, and forgets the group.
+func (s *Service) tellHub(g group, to core.NodeID, now time.Time) {
 	s.mu.Lock()
-	t, ok := s.tellings[service]
-	if !ok {
-		t = &telling{}
-		s.tellings[service] = t
+	t, ok := s.tellings[g]
+	if !ok || t.hub != to {
+		t = &telling{hub: to}
+		s.tellings[g] = t
 	}
-	if t.hub != to {
-		t.hub, t.seen, t.empty = to, nil, false
+	c := s.ownCounts(g, now)
+	known := !t.sent.IsZero() && len(t.seen) == 0 && slices.Equal(c.Replicas, t.last)
+	if known && len(c.Replicas) == 0 && now.Sub(t.sent) > maxSilence {
+		delete(s.tellings, g)
 	}
-	c := s.ownCounts(service, now)
-	if len(c.Replicas) == 0 && len(t.seen) == 0 && t.empty {
+	if known && (len(c.Replicas) == 0 || now.Sub(t.sent) < maxSilence/2) {
 		s.mu.Unlock()
 		return
 	}
-	t.empty = len(c.Replicas) == 0
 	c.Seen, t.seen = t.seen, nil
+	t.last, t.sent = c.Replicas, now
 	s.serial++
 	c.Serial = s.serial
 	s.mu.Unlock()
@@ -186,14 +194,14 @@
 	}
 }
 
-// ownCounts returns this node's work at the replicas of a service, also that at
+// ownCounts returns this node's work at the replicas of a group, also that at
 // replicas which leave. The caller holds the lock, so that no grant is taken
 // meanwhile.
-func (s *Service) ownCounts(service core.DeploymentID, now time.Time) *counts {
-	c := &counts{Service: service, Run: s.run}
+func (s *Service) ownCounts(g group, now time.Time) *counts {
+	c := &counts{Group: g, Run: s.run}
 	for _, r := range s.Registry.All() {
 		online, batch := r.Own()
-		if online+batch == 0 || r.Info().Service != service {
+		if online+batch == 0 || r.Info().Service != g.Service || groupOf(g.Service, r.Info().ID, g.Count) != g {
 			continue
 		}
 		one := count{ID: r.Info().ID, Online: online, Batch: batch}
@@ -213,7 +221,7 @@
 		return nil, err
 	}
 	now := time.Now()
-	if hubs := s.usable(t.Service); len(hubs) == 0 || hubs[0] != from {
+	if hubs := s.usable(t.Group); len(hubs) == 0 || hubs[0] != from {
 		return nil, nil // another hub knows better
 	}
 	for _, one := range t.Replicas {
--- a/internal/placement/service_test.go
+++ b/internal/placement/service_test.go
@@ -21,6 +21,8 @@
 // settle bounds what takes milliseconds; it only ends a test that hangs.
 const settle = 20 * time.Second
 
+var testGroup = group{Service: "m", Count: 1}
+
 // fleet is nodes in this process that talk over loopback.
 type fleet struct {
 	*gomega.WithT
@@ -85,16 +87,16 @@
 // hub returns the node that all ask first.
 func (f *fleet) hub() core.NodeID {
 	for _, n := range f.nodes {
-		return n.electable.Load().hubs("m")[0]
+		return n.electable.Load().hubs(testGroup)[0]
 	}
 	return ""
 }
 
 // waiting returns the number of requests that wait at the hub.
-func (h *hub) waiting(service core.DeploymentID) int {
+func (h *hub) waiting(g group) int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return len(h.pools[service].waiting)
+	return len(h.pools[g].waiting)
 }
 
 func oneReplica(slots int) []replica.Info {
@@ -123,7 +125,7 @@
 	f.Consistently(left, "50ms").ShouldNot(gomega.Receive())
 	leave()
 	f.Eventually(left, settle).Should(gomega.Receive(gomega.BeNil()))
-	f.Eventually(func() int { return f.nodes[f.hub()].hub.waiting("m") }, settle, "5ms").Should(gomega.Equal(0))
+	f.Eventually(func() int { return f.nodes[f.hub()].hub.waiting(testGroup) }, settle, "5ms").Should(gomega.Equal(0))
 	stays := f.place(t.Context(), "b")
 	held.End(core.ClassOnline)
 	f.Eventually(stays, settle).Should(gomega.Receive(gomega.Not(gomega.BeNil())))
@@ -138,7 +140,7 @@
 	f.Expect(<-f.place(t.Context(), other.Transport.Self())).NotTo(gomega.BeNil())
 	f.nodes[hub].Stop()
 	f.Expect(<-f.place(t.Context(), other.Transport.Self())).NotTo(gomega.BeNil())
-	f.Expect(other.usable("m")).NotTo(gomega.ContainElement(hub))
+	f.Expect(other.usable(testGroup)).NotTo(gomega.ContainElement(hub))
 	f.nodes[hub].transport.Close()
 	f.Expect(<-f.place(t.Context(), other.Transport.Self())).NotTo(gomega.BeNil())
 	for _, n := range f.nodes { // no node answers any more
@@ -179,8 +181,8 @@
 	cut := func(id core.NodeID) bool { return id == hub }
 	other.transport.Block(cut)
 	f.Expect(<-f.place(t.Context(), other.Transport.Self())).NotTo(gomega.BeNil())
-	f.Expect(other.usable("m")).NotTo(gomega.ContainElement(hub))
-	f.Consistently(func() []core.NodeID { return other.usable("m") }, "700ms").ShouldNot(gomega.ContainElement(hub))
+	f.Expect(other.usable(testGroup)).NotTo(gomega.ContainElement(hub))
+	f.Consistently(func() []core.NodeID { return other.usable(testGroup) }, "700ms").ShouldNot(gomega.ContainElement(hub))
 	other.transport.Block(nil)
-	f.Eventually(func() []core.NodeID { return other.usable("m") }, settle).Should(gomega.ContainElement(hub))
+	f.Eventually(func() []core.NodeID { return other.usable(testGroup) }, settle).Should(gomega.ContainElement(hub))
 }
