Number a node's questions from a random start

Cause: found by reading. A node that is restarted counts its questions from 1 again; a hub that still has a grant or a place in the queue for that number would have answered for the former run. A negative count of avoided replicas in a message would have ended the hub's process.

Change: the first number is random; the count is bounded below. TestNoReplicaIsToldAtOnce panics without the bound.

--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -57,7 +57,7 @@
 	preempts bool
 }
 
-// pool is the account of the replicas of one service: the policy of the hub. It
+// pool is the account of the replicas of one group: the policy of the hub. It
 // is a function of its inputs and the times passed in, and not safe for
 // concurrent use.
 type pool struct {
@@ -84,7 +84,7 @@
 // ask places a request, lets it wait or refuses it. A request that is known gets
 // its present state.
 func (p *pool) ask(node core.NodeID, a *ask, now time.Time) (askAnswer, *placed) {
-	p.shunned.learn(node, a.Not[:min(a.Avoided, len(a.Not))], now)
+	p.shunned.learn(node, a.Not[:min(max(0, a.Avoided), len(a.Not))], now)
 	if known := p.known(node, a.ID); known != nil {
 		return *known, nil
 	}
--- a/internal/placement/pool_test.go
+++ b/internal/placement/pool_test.go
@@ -159,7 +159,7 @@
 	answer, _ := testPool(0, 0).ask("a", question(1), time.Now())
 	g.Expect(answer.Verdict).To(gomega.Equal(verdictNone))
 	q := question(1)
-	q.Not = []core.ReplicaID{"r0"}
+	q.Not, q.Avoided = []core.ReplicaID{"r0"}, -1 // a count that no node sends
 	answer, _ = testPool(1, 2).ask("a", q, time.Now())
 	g.Expect(answer.Verdict).To(gomega.Equal(verdictNone))
 }
--- a/internal/placement/service.go
+++ b/internal/placement/service.go
@@ -76,6 +76,8 @@
 		Options: o, run: rand.Uint64(), known: make(map[core.NodeID]string), down: make(map[core.NodeID]*absence),
 		waits: make(map[uint64]chan granted), tellings: make(map[group]*telling),
 	}
+	// A hub may still know requests of a former run of this node.
+	s.asks.Store(rand.Uint64())
 	s.electable.Store(newElectorate(o.Nodes.View(), o.Nodes.Self()))
 	s.hub = newHub(&s.Options, s.sendYield)
 	o.Transport.Handle(kindGranted, s.granted)
--- a/internal/placement/service_test.go
+++ b/internal/placement/service_test.go
@@ -186,3 +186,10 @@
 	other.transport.Block(nil)
 	f.Eventually(func() []core.NodeID { return other.usable(testGroup) }, settle).Should(gomega.ContainElement(hub))
 }
+
+// Guards against a node that is restarted and gets the grants or the place in
+// the queue of its former run, as both count their questions.
+func TestQuestionsOfTwoRunsDiffer(t *testing.T) {
+	f := newFleet(t, oneReplica(4), "a", "b")
+	f.Expect(f.nodes["a"].asks.Load()).NotTo(gomega.Equal(f.nodes["b"].asks.Load()))
+}
