Look at the replicas before the queue when a slot may be free

Cause: found by reading.

Change: the queue is sorted and gone through only while a slot is free, or in use by batch work, at a replica that the hub does not avoid.

--- a/internal/placement/load_test.go
+++ b/internal/placement/load_test.go
@@ -230,3 +230,31 @@
 		g.Expect(hub.served).To(gomega.BeNumerically(">=", int(0.95*float64(hub.asked))))
 	}
 }
+
+// BenchmarkPumpWhileACutLasts measures what each message of a node costs a hub
+// with a long queue: all slots in use, and every request names the replicas of
+// the data centre that is cut off.
+func BenchmarkPumpWhileACutLasts(b *testing.B) {
+	p := testPool(loadReplicas, loadSlots)
+	now := time.Now()
+	c := &counts{}
+	var cut []core.ReplicaID
+	for i, r := range p.replicas {
+		if i%3 == 0 {
+			cut = append(cut, r.id)
+			continue
+		}
+		c.Replicas = append(c.Replicas, count{ID: r.id, Online: loadSlots})
+	}
+	p.tell("a", c, now)
+	for id := range uint64(400) {
+		q := question(id)
+		q.Not, q.Avoided, q.Batch, q.Patience = cut, len(cut), id%2 == 0, time.Hour
+		p.ask(nodeName(int(id%loadNodes)), q, now)
+	}
+	for b.Loop() {
+		if len(p.pump(now)) > 0 {
+			b.Fatal("a slot was given")
+		}
+	}
+}
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -239,39 +239,58 @@
 	}
 }
 
-// pump gives free slots to those who wait, the next one first.
+// pump gives free slots to those who wait, the next one first. While there are
+// none, which is the usual case when many wait, it looks at the replicas only.
 func (p *pool) pump(now time.Time) []*placed {
 	p.waiting = slices.DeleteFunc(p.waiting, func(w *waiter) bool { return now.After(w.goneAt) })
-	if len(p.waiting) == 0 {
+	if len(p.waiting) == 0 || !p.open(now) {
 		return nil
 	}
-	slices.SortStableFunc(p.waiting, func(a, b *waiter) int {
-		switch {
-		case a.before(b, now):
-			return -1
-		case b.before(a, now):
-			return 1
-		}
-		return 0
-	})
+	p.sortWaiting(now)
 	var out []*placed
 	kept := p.waiting[:0:0]
 	for i, w := range p.waiting {
+		if w.batch && p.free(now) <= p.headroom() {
+			kept = append(kept, p.waiting[i:]...) // items come last
+			break
+		}
 		r, preempts := p.choose(w, now)
-		switch {
-		case r != nil:
-			out = append(out, p.grant(w, r, preempts, now))
+		if r == nil {
+			kept = append(kept, w)
 			continue
-		case len(w.not) == 0: // there is no free slot for anyone behind
-			p.waiting = append(kept, p.waiting[i:]...)
-			return out
 		}
-		kept = append(kept, w)
+		out = append(out, p.grant(w, r, preempts, now))
+		if !p.open(now) {
+			kept = append(kept, p.waiting[i+1:]...)
+			break
+		}
 	}
 	p.waiting = kept
 	return out
 }
 
+func (p *pool) sortWaiting(now time.Time) {
+	slices.SortStableFunc(p.waiting, func(a, b *waiter) int {
+		switch {
+		case a.before(b, now):
+			return -1
+		case b.before(a, now):
+			return 1
+		}
+		return 0
+	})
+}
+
+// open reports whether a slot is free, or in use by batch work, at a replica
+// that is not avoided.
+func (p *pool) open(now time.Time) bool {
+	shun := p.shunned.list(p.replicas, now)
+	return slices.ContainsFunc(p.replicas, func(r slot) bool {
+		busy := p.told(r.id) + p.unseen[r.id].work(now)
+		return !shun[r.id] && (busy < r.slots || busy-p.sum(r.id).batch < r.slots)
+	})
+}
+
 // expire forgets silent nodes and grants that no node confirmed.
 func (p *pool) expire(now time.Time) {
 	p.ledger.expire(now)
