Keep a group in mind while a request waits for it

Cause: since a node forgot a group in which it had no work for 0.3 s. If a request of it waited for longer at the hub, the grant was never confirmed and its slot counted twice for a second.

Change: groups are not forgotten. TestGrantAfterALongWaitIsConfirmed failed before.

--- a/internal/placement/service.go
+++ b/internal/placement/service.go
@@ -169,7 +169,7 @@
 }
 
 // tellHub sends the work at the replicas of one group, at once if it changed and
-// every maxSilence. Without any work it does so once, and forgets the group.
+// every maxSilence. Without any work it does so once.
 func (s *Service) tellHub(g group, to core.NodeID, now time.Time) {
 	s.mu.Lock()
 	t, ok := s.tellings[g]
@@ -179,9 +179,6 @@
 	}
 	c := s.ownCounts(g, now)
 	known := !t.sent.IsZero() && len(t.seen) == 0 && slices.Equal(c.Replicas, t.last)
-	if known && len(c.Replicas) == 0 && now.Sub(t.sent) > maxSilence {
-		delete(s.tellings, g)
-	}
 	if known && (len(c.Replicas) == 0 || now.Sub(t.sent) < maxSilence/2) {
 		s.mu.Unlock()
 		return
--- a/internal/placement/service_test.go
+++ b/internal/placement/service_test.go
@@ -193,3 +193,21 @@
 	f := newFleet(t, oneReplica(4), "a", "b")
 	f.Expect(f.nodes["a"].asks.Load()).NotTo(gomega.Equal(f.nodes["b"].asks.Load()))
 }
+
+// Guards against a grant that is never confirmed, so that its slot counts twice
+// for a second: a node without other work forgot the group while its request
+// waited for longer than maxSilence. A plain service with few replicas then
+// loses most of its slots as soon as requests wait.
+func TestGrantAfterALongWaitIsConfirmed(t *testing.T) {
+	f := newFleet(t, oneReplica(1), "a", "b")
+	held := <-f.place(t.Context(), "a")
+	waits := f.place(t.Context(), "b")
+	f.Consistently(waits, "1s").ShouldNot(gomega.Receive()) // several times maxSilence
+	n := f.nodes["b"]
+	n.mu.Lock()
+	told := n.tellings[testGroup] != nil
+	n.mu.Unlock()
+	f.Expect(told).To(gomega.BeTrue())
+	held.End(core.ClassOnline)
+	f.Eventually(waits, settle).Should(gomega.Receive(gomega.Not(gomega.BeNil())))
+}
