--- a/internal/placement/hub.go
+++ b/internal/placement/hub.go
@@ -21,8 +21,8 @@
 	// hubTick is the time between looks at the waiting requests without a
 	// message that frees a slot.
 	hubTick = 20 * time.Millisecond
-	// totalsEvery is the least time between totals: items of jobs need free
-	// slots, which turn over about every 90 ms a replica.
+	// totalsEvery is the least time between totals. Nodes go by them while they
+	// have to choose alone; a slot turns over about every 90 ms a replica.
 	totalsEvery = 100 * time.Millisecond
 	// totalsPerNode lengthens it in large fleets, so that a hub sends at most
 	// 200 messages a second.
@@ -112,6 +112,7 @@
 	return out
 }
 
+// probe tells a node that had no answer whether it may ask again.
 func (h *hub) probe(context.Context, core.NodeID, []byte) ([]byte, error) {
 	if h.stopping.Load() {
 		return nil, errStopping
@@ -119,6 +120,7 @@
 	return nil, nil
 }
 
+// ask answers a question for a replica.
 func (h *hub) ask(_ context.Context, from core.NodeID, body []byte) ([]byte, error) {
 	if h.stopping.Load() {
 		return nil, errStopping
@@ -154,6 +156,7 @@
 	return func() { h.yield(holder, done.replica) }
 }
 
+// counts takes what a node has at its replicas, which may free slots.
 func (h *hub) counts(_ context.Context, from core.NodeID, body []byte) ([]byte, error) {
 	var c counts
 	if err := msgpack.Unmarshal(body, &c); err != nil {
@@ -170,6 +173,7 @@
 	return nil, nil
 }
 
+// withdraw ends a request that waits, or a grant that is not used.
 func (h *hub) withdraw(_ context.Context, from core.NodeID, body []byte) ([]byte, error) {
 	var w withdraw
 	if err := msgpack.Unmarshal(body, &w); err != nil {
