Let a platform node become ready only once it knows the other nodes

Cause: readiness asked for the configuration and a replica only. A node was ready before its first lease renewal, listed no node in `gentiantide fleet`, and placed its first requests without a hub.

Change: readiness waits for hub candidates, or for a failed lease renewal (a node that gets no lease serves as before). The placement service follows new views at once. The fleet list has the node that was asked even without lease.

--- a/internal/nodes/directory.go
+++ b/internal/nodes/directory.go
@@ -67,11 +67,13 @@
 	left bool
 	// version is the version of this node's row as last written by this process.
 	version uint64
+	// changes receives a signal after the view was replaced.
+	changes chan struct{}
 }
 
 // NewDirectory returns a directory for the node with the given record.
 func NewDirectory(store infra.PartitionedTable, self Record, log *slog.Logger) *Directory {
-	d := &Directory{store: store, self: self, log: log}
+	d := &Directory{store: store, self: self, log: log, changes: make(chan struct{}, 1)}
 	d.view.Store(&View{})
 	return d
 }
@@ -82,6 +84,9 @@
 // View returns the state as of the latest successful renewal.
 func (d *Directory) View() *View { return d.view.Load() }
 
+// Changes receives a signal after the view was replaced. It has one receiver.
+func (d *Directory) Changes() <-chan struct{} { return d.changes }
+
 // Run renews this node's lease and reads the table until ctx ends.
 func (d *Directory) Run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -185,5 +190,9 @@
 	d.version = version
 	view.Alive[record.Owner()] = record
 	d.view.Store(view)
+	select {
+	case d.changes <- struct{}{}:
+	default: // a signal is already pending
+	}
 	return nil
 }
--- a/internal/placement/service.go
+++ b/internal/placement/service.go
@@ -105,6 +105,8 @@
 		case <-ctx.Done():
 			return
 		case <-s.Registry.Changes():
+		case <-s.Nodes.Changes():
+			s.updateNodes()
 		case <-refresh.C:
 			s.updateNodes()
 			s.probeDownHubs(ctx, time.Now())
@@ -125,6 +127,9 @@
 // ask the next hub.
 func (s *Service) Stop() { s.hub.stopping.Store(true) }
 
+// KnowsNodes reports whether the service knows any node that can be a hub.
+func (s *Service) KnowsNodes() bool { return len(s.candidates.Load().records) > 0 }
+
 // updateNodes refreshes the hub candidates and passes changed node addresses to
 // the transport.
 func (s *Service) updateNodes() {
--- a/internal/platformnode/node.go
+++ b/internal/platformnode/node.go
@@ -234,9 +234,11 @@
 }
 
 // readiness answers 200 while the node can serve: it is not stopping and knows the
-// configuration and at least one replica.
+// configuration, at least one replica and the other nodes. A node that cannot get a
+// lease serves without them.
 func (n *Node) readiness(w http.ResponseWriter, _ *http.Request) {
-	if n.stopping.Load() || n.configs.Table.Load() == nil || len(n.registry.All()) == 0 {
+	knowsNodes := n.placer.KnowsNodes() || n.nodes.Failing()
+	if n.stopping.Load() || n.configs.Table.Load() == nil || len(n.registry.All()) == 0 || !knowsNodes {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/platformnode/operators.go
+++ b/internal/platformnode/operators.go
@@ -75,6 +75,12 @@
 			ID: string(record.ID), DataCentre: string(record.DataCentre), Address: record.Address, State: "live",
 		})
 	}
+	self := n.nodes.Self()
+	if _, leased := view.Alive[self.Owner()]; !leased {
+		out.Nodes = append(out.Nodes, operators.FleetNode{
+			ID: string(self.ID), DataCentre: string(self.DataCentre), Address: self.Address, State: "live", Reason: "it has no lease yet",
+		})
+	}
 	for _, record := range view.Lapsed {
 		out.Nodes = append(out.Nodes, operators.FleetNode{
 			ID: string(record.ID), DataCentre: string(record.DataCentre), Address: record.Address, State: "unknown", Reason: "its lease ran out",
