Keep the callers' port closed until a starting node is ready

Cause: a node of `run` accepted callers from its first moment.

Change: the callers' listener is opened when the node is ready, after 10 s at the latest. The log line "node accepts callers" says when.

--- a/internal/node/listeners_test.go
+++ b/internal/node/listeners_test.go
@@ -32,7 +32,9 @@
 		Platform:    config.Platform{Table: platform, Objects: platform, Weights: platform, Fleet: platform},
 		PeerSecrets: []core.Secret{secret},
 	}, slog.New(slog.NewTextHandler(io.Discard, nil)))
-	callersL, operatorsL, peersL, err := n.listen()
+	operatorsL, peersL, err := n.listen()
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	callersL, err := n.open("callers", n.cfg.Listen.Callers, maxCallerConns)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	n.transport.Start(peersL)
 	defer n.transport.Close()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -267,22 +267,23 @@
 	n.directory.SetFleet(vms)
 }
 
-// listen opens the listeners for callers, operators and peers, each with a limit on
-// its open connections.
-func (n *Node) listen() (callersL, operatorsL, peersL net.Listener, err error) {
-	open := func(name, address string, limit int) net.Listener {
-		if err != nil {
-			return nil
-		}
-		var l net.Listener
-		if l, err = net.Listen("tcp", address); err != nil {
-			err = errors.Wrapf(err, "open the listener for %s", name)
-			return nil
-		}
-		return connlimit.New(l, limit, n.log.With("role", name))
+// listen opens the listeners for operators and peers. That for callers is opened
+// when the node is ready.
+func (n *Node) listen() (operatorsL, peersL net.Listener, err error) {
+	if operatorsL, err = n.open("operators", n.cfg.Listen.Operators, maxOperatorConns); err != nil {
+		return nil, nil, err
+	}
+	if peersL, err = n.open("peers", n.cfg.Listen.Peers, maxPeerConns); err != nil {
+		_ = operatorsL.Close()
+	}
+	return operatorsL, peersL, err
+}
+
+// open opens a listener with a limit on its open connections.
+func (n *Node) open(name, address string, limit int) (net.Listener, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "open the listener for %s", name)
 	}
-	callersL = open("callers", n.cfg.Listen.Callers, maxCallerConns)
-	operatorsL = open("operators", n.cfg.Listen.Operators, maxOperatorConns)
-	peersL = open("peers", n.cfg.Listen.Peers, maxPeerConns)
-	return callersL, operatorsL, peersL, err
+	return connlimit.New(l, limit, n.log.With("role", name)), nil
 }
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -19,6 +19,11 @@
 	// runningAttemptWait is how long a resent non-idempotent call waits for the
 	// response of the attempt that is still running. Most calls end sooner.
 	runningAttemptWait = 3 * time.Second
+	// maxStartup is the longest time for which a starting node keeps the callers'
+	// port closed. After that it answers callers with the reason why it is not ready.
+	maxStartup = 10 * time.Second
+	// readyPollInterval is how often a starting node checks whether it is ready.
+	readyPollInterval = 10 * time.Millisecond
 	// leaveTimeout bounds the announcement of the shutdown to the other nodes.
 	leaveTimeout = 1 * time.Second
 	// batchStopTimeout is how long a shutdown waits for the batch items in
@@ -46,7 +51,7 @@
 // streams in progress complete, and batch ranges are released. It returns when the
 // shutdown is complete.
 func (n *Node) Run(stop <-chan struct{}) error {
-	callersL, operatorsL, peersL, err := n.listen()
+	operatorsL, peersL, err := n.listen()
 	if err != nil {
 		return err
 	}
@@ -68,13 +73,23 @@
 			serveErrors <- err
 		}
 	}
-	go serve(n.callersServer, callersL)
 	go serve(n.operatorsServer, operatorsL)
 	n.log.Info("node started", "node", n.cfg.ID, "data_centre", n.cfg.DataCentre,
-		"callers", callersL.Addr().String(), "operators", operatorsL.Addr().String(), "peers", peersL.Addr().String())
-	select {
-	case <-stop:
-	case err = <-serveErrors:
+		"operators", operatorsL.Addr().String(), "peers", peersL.Addr().String())
+	if n.awaitReady(stop) {
+		var callersL net.Listener
+		if callersL, err = n.open("callers", n.cfg.Listen.Callers, maxCallerConns); err == nil {
+			go serve(n.callersServer, callersL)
+			n.log.Info("node accepts callers", "callers", callersL.Addr().String(), "after_ms", time.Since(n.started).Milliseconds(), "not_ready", n.notReadyReason())
+		}
+	}
+	if err == nil {
+		select {
+		case <-stop:
+		case err = <-serveErrors:
+		}
+	}
+	if err != nil {
 		n.log.Error("HTTP server failed; shutting down", "error", err)
 	}
 	n.shutdown()
@@ -87,6 +102,31 @@
 	return err
 }
 
+// awaitReady waits until the node is ready, at most maxStartup. Until then the
+// callers' port stays closed, so that callers and load balancers use other nodes: a
+// node without settings would answer "no such model", which callers do not retry.
+// It returns false if stop is closed first.
+func (n *Node) awaitReady(stop <-chan struct{}) bool {
+	ticker := time.NewTicker(readyPollInterval)
+	defer ticker.Stop()
+	for n.ready() != nil && time.Since(n.started) < maxStartup {
+		select {
+		case <-stop:
+			return false
+		case <-ticker.C:
+		}
+	}
+	return true
+}
+
+// notReadyReason returns why the node is not ready, or "".
+func (n *Node) notReadyReason() string {
+	if refusal := n.ready(); refusal != nil {
+		return refusal.Message
+	}
+	return ""
+}
+
 func (n *Node) runInBackground(f func()) { n.background.Go(f) }
 
 // shutdown stops taking new work and waits for the work in progress. The callers'
