Count interrupted long responses as ended

Cause: a response above 1 MiB that broke off ended its handler by a panic after Counters.Begin and before Counters.End; only streams recorded their end by themselves. The count of requests in flight stayed one too high for ever.

Change: the end of a request is recorded in one deferred call, which also releases the replica of an attempt that a panic interrupts, so that its slot and its connection are given back.

--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -81,6 +81,10 @@
 	// firstByte is the time from arrival to the first byte of the response.
 	firstByte  time.Duration
 	headerSent bool // the caller was sent the response header
+	// attempt is the last attempt. outcome is set when the request ends; until then
+	// it is that of a request whose handler panics.
+	attempt *attempt
+	outcome Outcome
 }
 
 // ServeHTTP implements http.Handler.
@@ -104,16 +108,25 @@
 		refuse(w, http.StatusNotFound, "no_route", 0)
 		return
 	}
-	r := &request{h: h, w: w, in: in, reqInfo: reqInfo, route: route, configVersion: table.Version, arrived: arrived}
+	r := &request{h: h, w: w, in: in, reqInfo: reqInfo, route: route, configVersion: table.Version, arrived: arrived, outcome: OutcomeBroken}
 	r.deadline = arrived.Add(r.timeout())
 	if r.body, err = readBody(w, in, table.Limits, r.deadline); err != nil {
 		r.refuseBody(err)
 		return
 	}
 	h.Counters.Begin()
-	outcome := r.serve()
-	h.Counters.End(route.Name, outcome, time.Since(arrived))
-	r.logOutcome(outcome)
+	defer r.finish()
+	r.outcome = r.serve()
+}
+
+// finish records the outcome of the request. It also runs if the handler panics,
+// which aborts the caller's connection, and then releases the replica.
+func (r *request) finish() {
+	if r.attempt != nil {
+		r.attempt.release()
+	}
+	r.h.Counters.End(r.route.Name, r.outcome, time.Since(r.arrived))
+	r.logOutcome()
 }
 
 // timeout is the time that the request may take at this node.
@@ -182,10 +195,10 @@
 	}
 }
 
-func (r *request) logOutcome(outcome Outcome) {
+func (r *request) logOutcome() {
 	r.h.Log.Info("request", "request", r.reqInfo.ID, "route", r.route.Name,
 		"config", r.configVersion, "replicas", r.tried, "sends", r.sends, "runs", r.runs, "busy", r.busy, "slowdown", r.slowdown,
-		"outcome", string(outcome), "placed_ms", r.placementTime.Milliseconds(), "first_ms", r.firstByte.Milliseconds(),
+		"outcome", string(r.outcome), "placed_ms", r.placementTime.Milliseconds(), "first_ms", r.firstByte.Milliseconds(),
 		"ms", time.Since(r.arrived).Milliseconds())
 }
 
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -28,6 +28,7 @@
 	response *replica.Response
 	info     ResponseInfo
 	err      error
+	released bool
 }
 
 // notRun reports whether the attempt certainly did not run the request.
@@ -83,6 +84,7 @@
 	r.tried = append(r.tried, info.ID)
 	r.sends++
 	a := &attempt{replica: target}
+	r.attempt = a
 	a.response, a.err = target.Send(ctx, &replica.Request{
 		Method: r.in.Method, Target: r.in.RequestURI, Host: r.in.Host,
 		Header: r.h.Codec.ReplicaHeader(r.in.Header, SendOptions{
@@ -100,7 +102,7 @@
 func (r *request) recordResult(a *attempt, sent time.Time) {
 	now := time.Now()
 	if a.err != nil {
-		a.replica.End(core.ClassOnline)
+		a.release()
 		if !a.notRun() {
 			r.runs++
 		}
@@ -125,10 +127,17 @@
 	}
 }
 
-// release closes the response and removes the request from the replica's load. The
-// connection is reused if the response was read completely.
+// release closes the response and removes the request from the replica's load.
+// Later calls do nothing. The connection is reused if the response was read
+// completely.
 func (a *attempt) release() {
-	a.response.Close()
+	if a.released {
+		return
+	}
+	a.released = true
+	if a.response != nil {
+		a.response.Close()
+	}
 	a.replica.End(core.ClassOnline)
 }
 
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -204,16 +204,13 @@
 
 // abort closes the caller's connection in the middle of a response, so that the
 // caller does not take the response for complete. It panics with
-// http.ErrAbortHandler and so records the outcome itself.
+// http.ErrAbortHandler.
 func (s *streamRelay) abort(ctx context.Context) Outcome {
-	outcome := OutcomeBroken
 	switch {
 	case s.r.in.Context().Err() != nil:
-		outcome = OutcomeCallerGone
+		s.r.outcome = OutcomeCallerGone
 	case ctx.Err() != nil:
-		outcome = OutcomeTimeout
+		s.r.outcome = OutcomeTimeout
 	}
-	s.r.h.Counters.End(s.r.route.Name, outcome, time.Since(s.r.arrived))
-	s.r.logOutcome(outcome)
 	panic(http.ErrAbortHandler)
 }
