Leave items of jobs out of the estimate of the online service time

Cause: scheduler.expire counted every pending grant as an online request in progress, also those of items. With many items just placed, Little's law gave a service time, and so an expected wait, that was many times too long; callers that would have been served in time could be refused.

Change: pending grants know whether they belong to an item, and those are left out. Before: TestPendingItemsAreNotOnlineWork counted 41 instead of 1.

--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -41,6 +41,7 @@
 	node      core.NodeID
 	requestID uint64
 	replica   core.ReplicaID
+	batch     bool
 	grantedAt time.Time
 }
 
@@ -194,7 +195,7 @@
 // assign grants a request a slot at a replica.
 func (s *scheduler) assign(q *queuedRequest, r *replicaSlots, preempts bool, now time.Time) *assignment {
 	s.lastGrantID++
-	s.grants[s.lastGrantID] = pendingGrant{node: q.node, requestID: q.id, replica: r.id, grantedAt: now}
+	s.grants[s.lastGrantID] = pendingGrant{node: q.node, requestID: q.id, replica: r.id, batch: q.batch, grantedAt: now}
 	s.pendingByReplica[r.id]++
 	if !q.batch {
 		s.serviceTime.grantedSinceSample++
@@ -302,12 +303,15 @@
 // TTL, and updates the estimate of the service time.
 func (s *scheduler) expire(now time.Time) {
 	s.ledger.expire(now)
+	busy := 0
 	for grantID, g := range s.grants {
-		if now.Sub(g.grantedAt) > grantTTL {
+		switch {
+		case now.Sub(g.grantedAt) > grantTTL:
 			s.removeGrant(grantID, g.node)
+		case !g.batch:
+			busy++
 		}
 	}
-	busy := len(s.grants)
 	for _, sum := range s.sums {
 		busy += sum.online
 	}
--- a/internal/placement/scheduler_test.go
+++ b/internal/placement/scheduler_test.go
@@ -260,3 +260,21 @@
 	now = now.Add(ejectionVoteTTL + time.Millisecond)
 	g.Expect(ask("b", 23)).To(gomega.Equal(core.ReplicaID("r0")), "votes have expired")
 }
+
+// Guards against items of jobs in the estimate of the service time of online
+// requests: many pending grants of items made the expected wait many times too
+// long, and callers were refused.
+func TestPendingItemsAreNotOnlineWork(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := newTestScheduler(8, 8)
+	now := time.Now()
+	for id := range uint64(40) {
+		item := testRequest(id)
+		item.Batch = true
+		answer, _ := s.place("a", item, now)
+		g.Expect(answer.Outcome).To(gomega.Equal(outcomeGranted))
+	}
+	s.place("a", testRequest(100), now)
+	s.expire(now)
+	g.Expect(s.serviceTime.busyAtSample).To(gomega.Equal(1))
+}
