Apply the operator's limits of headers and idle time to callers

Cause: the configuration's header bytes, header timeout and idle timeout were parsed and never used; the HTTP server had fixed limits. A configured idle timeout above 60 s would have lost requests on kept connections. At a stop the listener was closed while connections were still in the kernel's queue, which resets them although their requests were sent.

Change: callerServers passes accepted connections to an HTTP server with the present limits; a change starts another one, and connections of the former ones are closed after their next response. A stop first accepts what is in the kernel's queue.

--- a/internal/platformnode/node.go
+++ b/internal/platformnode/node.go
@@ -24,19 +24,12 @@
 	"gentiantide.example/gentiantide/internal/peer"
 	"gentiantide.example/gentiantide/internal/placement"
 	"gentiantide.example/gentiantide/internal/replica"
+	"gentiantide.example/gentiantide/internal/routetable"
 	"gentiantide.example/gentiantide/internal/watch"
 	"gentiantide.example/gentiantide/platform"
 )
 
 const (
-	// headerTimeout and headerBytes bound the header of a request. The limits in
-	// the operator's configuration, 3 s and 16 KiB, are lower.
-	headerTimeout = 5 * time.Second
-	headerBytes   = 64 << 10
-	// idleTimeout is the time after which idle caller connections are closed.
-	// Callers reuse a connection within four fifths of the operator's limit of
-	// 15 s.
-	idleTimeout = 60 * time.Second
 	// healthCheckInterval is the time between checks for stalled replicas and for
 	// replica connections that have been idle for too long.
 	healthCheckInterval = 100 * time.Millisecond
@@ -148,8 +141,9 @@
 	n.log.Info("start", "node", n.settings.Node, "lifetime", n.nodes.Self().Lifetime, "data_centre", n.settings.DataCentre, "store", n.settings.Store)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	callers := n.serve(n.callers, http.HandlerFunc(n.serveCaller))
-	ready := n.serve(n.ready, n.readinessMux())
+	callers := newCallerServers(n.callers, http.HandlerFunc(n.serveCaller), n.callerLimits, n.log)
+	go callers.Run()
+	ready := n.serveReadiness()
 	n.peers.Start(n.peerListener)
 	defer n.peers.Close()
 	for _, w := range append(n.routingWatchers, n.jobWatcher) {
@@ -195,20 +189,28 @@
 	return signals
 }
 
-// serve starts an HTTP server on the listener.
-func (n *Node) serve(listener net.Listener, handler http.Handler) *http.Server {
+// serveReadiness starts the HTTP server of the readiness checks and of operators.
+func (n *Node) serveReadiness() *http.Server {
 	server := &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
+		Handler: n.readinessMux(), ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout, MaxHeaderBytes: defaultHeaderBytes,
 		ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelWarn),
 	}
 	go func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			n.log.Error("HTTP server failed", "address", listener.Addr().String(), "error", err)
+		if err := server.Serve(n.ready); !errors.Is(err, http.ErrServerClosed) {
+			n.log.Error("HTTP server failed", "address", n.ready.Addr().String(), "error", err)
 		}
 	}()
 	return server
 }
 
+// callerLimits returns the limits in the operator's configuration.
+func (n *Node) callerLimits() routetable.Limits {
+	if table := n.configs.Table.Load(); table != nil {
+		return table.Limits
+	}
+	return routetable.Limits{}
+}
+
 // serveCaller serves one request of a caller. While the node stops, each response
 // closes its connection.
 func (n *Node) serveCaller(w http.ResponseWriter, in *http.Request) {
--- a/internal/platformnode/stop.go
+++ b/internal/platformnode/stop.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 )
 
@@ -23,7 +22,7 @@
 // stop drains the node. It reports that the node is not ready, goes on serving
 // until the load balancer has removed the node, and then waits for the requests
 // in progress. Batch work is handed over at the same time.
-func (n *Node) stop(callers *http.Server) {
+func (n *Node) stop(callers *callerServers) {
 	n.stopping.Store(true)
 	n.placer.Stop()
 	deadline := time.Now().Add(max(n.OutOfRotationDelay, n.settings.StopGrace-exitMargin))
@@ -40,7 +39,7 @@
 	}
 	if err := callers.Shutdown(ctx); err != nil {
 		n.log.Warn("closing connections with requests in progress at the end of the stop grace period", "in_flight", n.counters.InFlight(), "error", err)
-		_ = callers.Close() // the process ends in any case
+		callers.Close()
 	}
 	<-leaveDone
 	n.log.Info("stopped", "in_flight", n.counters.InFlight())
