Preempt no item while a replica has a free slot

Cause: a full replica with an item competed by score with replicas that have free slots. A replica that reported a slowdown of 1.3 with a free slot lost against a full one at normal speed, so the item there was preempted although nobody needed its slot.

Change: an item is preempted only if no replica has a free slot, or if the free ones are more than twice as slow as usual.

Before: TestItemsAreNotPreemptedForFreeSlots failed at slowdown 1.9. After: it passes with the other tests of internal/placement.

--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -17,9 +17,10 @@
 	// slowdownTTL is how long a reported slowdown is valid. Slowdowns are caused
 	// by workloads on the same machine, which change many times a second.
 	slowdownTTL = 300 * time.Millisecond
-	// preemptCost is added to the score, in requests, of a replica at which a
-	// batch item must be preempted.
-	preemptCost = 1.0
+	// maxFreeSlowdown is the slowdown up to which a replica with a free slot is
+	// preferred to preempting a batch item elsewhere. At twice its usual duration a
+	// stream is still on time.
+	maxFreeSlowdown = 2.0
 	// headroomShare is the fraction of the slots that batch work leaves free,
 	// so that not every online request has to wait for a preemption.
 	headroomShare = 0.03
@@ -125,12 +126,12 @@
 // choose returns the best replica with a free slot, or with a batch item to
 // preempt for an online request, or nil. Items of jobs get no slot out of the
 // headroom.
-func (s *scheduler) choose(q *queuedRequest, now time.Time) (best *replicaSlots, preempts bool) {
+func (s *scheduler) choose(q *queuedRequest, now time.Time) (chosen *replicaSlots, preempts bool) {
 	if q.batch && s.freeSlots(now) <= s.headroom() {
 		return nil, false
 	}
 	ejected := s.ejectionVotes.ejected(s.replicas, now)
-	bestScore := 0.0
+	var free, occupied candidate
 	for i := range s.replicas {
 		r := &s.replicas[i]
 		if q.excludes(r.id) || ejected[r.id] {
@@ -138,23 +139,35 @@
 		}
 		sum := s.sum(r.id)
 		busy := s.trackedLoad(r.id) + s.untracked[r.id].confirmed(now)
-		full := busy >= r.slots
-		if full && (q.batch || sum.batch == 0 || busy-sum.batch >= r.slots) {
-			continue
-		}
+		slowdown := s.slowdown(r.id, now)
 		score := float64(busy + 1)
-		if full {
-			score += preemptCost
-		}
 		if r.dc != q.dc {
 			score += replica.RemoteCost
 		}
-		score *= s.slowdown(r.id, now) / float64(r.slots)
-		if best == nil || score < bestScore {
-			best, bestScore, preempts = r, score, full
+		score *= slowdown / float64(r.slots)
+		switch {
+		case busy < r.slots:
+			free.consider(r, score, slowdown)
+		case !q.batch && sum.batch > 0 && busy-sum.batch < r.slots:
+			occupied.consider(r, score, slowdown)
 		}
 	}
-	return best, preempts
+	if free.replica == nil || occupied.replica != nil && free.slowdown > maxFreeSlowdown && occupied.slowdown < free.slowdown {
+		return occupied.replica, occupied.replica != nil
+	}
+	return free.replica, false
+}
+
+// candidate is the best replica found so far by score, the lowest first.
+type candidate struct {
+	replica         *replicaSlots
+	score, slowdown float64
+}
+
+func (c *candidate) consider(r *replicaSlots, score, slowdown float64) {
+	if c.replica == nil || score < c.score {
+		*c = candidate{replica: r, score: score, slowdown: slowdown}
+	}
 }
 
 func (s *scheduler) freeSlots(now time.Time) int {
--- a/internal/placement/scheduler_test.go
+++ b/internal/placement/scheduler_test.go
@@ -278,3 +278,20 @@
 	s.expire(now)
 	g.Expect(s.serviceTime.busyAtSample).To(gomega.Equal(1))
 }
+
+// Guards against preempting an item while another replica has a free slot, as the
+// free slots are often those of replicas that run a little slower than others. An
+// item must still yield if the only free slots are at a replica that is so slow
+// that a stream would be late there.
+func TestItemsAreNotPreemptedForFreeSlots(t *testing.T) {
+	for slowdown, preempts := range map[int]bool{110: false, 190: false, 400: true} {
+		g := gomega.NewWithT(t)
+		s := newTestScheduler(2, 7)
+		now := time.Now()
+		s.receiveCounts("a", &nodeCounts{RunID: 1, Sequence: 1, Replicas: []replicaCounts{
+			{ID: "r0", Online: 6, Slowdown: slowdown}, {ID: "r1", Batch: 7, Slowdown: 100},
+		}}, now)
+		_, assigned := s.place("a", testRequest(1), now)
+		g.Expect(assigned.preempts).To(gomega.Equal(preempts), "slowdown %d", slowdown)
+	}
+}
