Preempt the item that loses least, of all nodes

Cause: the hub preempted at the replica with the best score for the request, and there an item of the node with most items, whatever that item was. So an item that could just be done in time was ended while others were late anyway or had time left.

Change: with its counts, a node says for each replica with items which one it would preempt: one that will be late first, then the one due last. The hub takes the best of all replicas, not of those that are too slow. An item's remaining time now includes the run that is in progress. Counts without victims have the same encoding as before.

--- a/internal/jobs/itemtask.go
+++ b/internal/jobs/itemtask.go
@@ -16,8 +16,10 @@
 	eventData [][]byte
 	// lastEvent is the ID of the last event received, or forward.NoResume.
 	lastEvent int64
-	// runTime is the total time of the runs that delivered events.
+	// runTime is the total time of the ended runs that delivered events. started is
+	// the start of the present run, or zero.
 	runTime time.Duration
+	started time.Time
 	// failures counts the runs that the replica answered with a failure.
 	failures int
 	// notBefore is the earliest time at which the item may be sent again.
@@ -31,6 +33,14 @@
 // output returns the data of all events, joined by newlines.
 func (task *itemTask) output() string { return string(bytes.Join(task.eventData, []byte("\n"))) }
 
+// totalRunTime returns the time of all runs, including the present one.
+func (task *itemTask) totalRunTime() time.Duration {
+	if task.started.IsZero() {
+		return task.runTime
+	}
+	return task.runTime + time.Since(task.started)
+}
+
 // runOutcome is the outcome of one run of an item.
 type runOutcome int
 
--- a/internal/jobs/order.go
+++ b/internal/jobs/order.go
@@ -31,7 +31,7 @@
 
 // remaining estimates the remaining run time of an item.
 func (m *meanTokenTime) remaining(task *itemTask) time.Duration {
-	return max(0, time.Duration(task.item.Tokens)*m.perToken-task.runTime)
+	return max(0, time.Duration(task.item.Tokens)*m.perToken-task.totalRunTime())
 }
 
 // canMeetDue reports whether an item is expected to complete by its due time if
--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -245,31 +245,31 @@
 	task.job.removePending(task)
 	task.job.running[task] = struct{}{}
 	ctx, cancel := context.WithCancelCause(task.job.ctx)
-	task.replica, task.cancel = target, cancel
+	task.replica, task.cancel, task.started = target, cancel, time.Now()
 	r.wg.Add(1)
 	go func() {
 		defer r.wg.Done()
 		defer cancel(nil)
-		began, events := time.Now(), len(task.eventData)
+		events := len(task.eventData)
 		outcome := r.exec.run(ctx, task, target)
 		target.End(core.ClassBatch)
-		if len(task.eventData) > events { // a run without events made no progress
-			task.runTime += time.Since(began)
-		}
-		r.handleOutcome(task, route, outcome)
+		r.handleOutcome(task, route, outcome, len(task.eventData) > events)
 	}()
 }
 
 // handleOutcome records the result of an item after a run, or makes the item
-// pending again.
-func (r *Runner) handleOutcome(task *itemTask, route *routetable.Route, outcome runOutcome) {
+// pending again. progressed is set if the run received events.
+func (r *Runner) handleOutcome(task *itemTask, route *routetable.Route, outcome runOutcome, progressed bool) {
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	defer r.wakeDispatch()
 	job := task.job
 	delete(job.running, task)
-	task.replica, task.cancel = nil, nil
+	if progressed {
+		task.runTime += now.Sub(task.started)
+	}
+	task.replica, task.cancel, task.started = nil, nil, time.Time{}
 	if r.jobs[job.entry.ID] != job || outcome == outcomeStopped {
 		return
 	}
@@ -301,19 +301,18 @@
 	r.startCommit(job)
 }
 
-// Preempt preempts one item at a replica whose slot is needed by online work: the
-// one with the latest due time. It reports whether an item was running there.
+// Preempt preempts one item at a replica whose slot is needed by online work. It
+// reports whether an item was running there.
 func (r *Runner) Preempt(target *replica.Replica) bool {
+	clock, _ := r.clock()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var victim *itemTask
-	for _, job := range r.jobs {
-		for task := range job.running {
-			if task.replica == target && (victim == nil || task.job.entry.Due > victim.job.entry.Due) {
-				victim = task
-			}
+	r.eachRunning(func(task *itemTask) {
+		if task.replica == target && (victim == nil || r.preemptedBefore(task, victim, clock)) {
+			victim = task
 		}
-	}
+	})
 	if victim == nil {
 		return false
 	}
@@ -323,6 +322,48 @@
 	return true
 }
 
+// Victims returns, for each replica with running items, the one that Preempt would
+// choose.
+func (r *Runner) Victims() map[core.ReplicaID]placement.Victim {
+	clock, _ := r.clock()
+	out := make(map[core.ReplicaID]placement.Victim)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.eachRunning(func(task *itemTask) {
+		if task.replica == nil {
+			return
+		}
+		id, v := task.replica.Info().ID, r.victim(task, clock)
+		if other, ok := out[id]; !ok || v.Before(other) {
+			out[id] = v
+		}
+	})
+	return out
+}
+
+// eachRunning calls fn for each running item. The caller holds the lock.
+func (r *Runner) eachRunning(fn func(*itemTask)) {
+	for _, job := range r.jobs {
+		for task := range job.running {
+			fn(task)
+		}
+	}
+}
+
+func (r *Runner) victim(task *itemTask, clock time.Duration) placement.Victim {
+	return placement.Victim{Due: task.job.entry.Due, Late: !r.meanTokenTime.canMeetDue(task, clock)}
+}
+
+// preemptedBefore reports whether an item is preempted before another one. Of two
+// that are alike, the one that has made less progress yields.
+func (r *Runner) preemptedBefore(a, b *itemTask, clock time.Duration) bool {
+	va, vb := r.victim(a, clock), r.victim(b, clock)
+	if va != vb {
+		return va.Before(vb)
+	}
+	return a.totalRunTime() < b.totalRunTime()
+}
+
 // Stop starts no more items, waits for running items and commits until ctx ends,
 // and drops the remaining jobs. Other nodes take these over.
 func (r *Runner) Stop(ctx context.Context) {
--- a/internal/jobs/service.go
+++ b/internal/jobs/service.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"time"
 
+	"gentiantide.example/gentiantide/internal/core"
 	"gentiantide.example/gentiantide/internal/infra"
 	"gentiantide.example/gentiantide/internal/nodes"
 	"gentiantide.example/gentiantide/internal/placement"
@@ -102,6 +103,9 @@
 // Preempt preempts an item to free a slot for online work; see Runner.Preempt.
 func (s *Service) Preempt(r *replica.Replica) bool { return s.runner.Preempt(r) }
 
+// Victims returns the items that Preempt would choose; see Runner.Victims.
+func (s *Service) Victims() map[core.ReplicaID]placement.Victim { return s.runner.Victims() }
+
 // Stop stops the execution of jobs; see Runner.Stop.
 func (s *Service) Stop(ctx context.Context) { s.runner.Stop(ctx) }
 
--- a/internal/placement/ledger.go
+++ b/internal/placement/ledger.go
@@ -18,6 +18,9 @@
 type ledger struct {
 	nodes map[core.NodeID]*ledgerEntry
 	sums  map[core.ReplicaID]inFlight
+	// holders are the nodes that have batch items at a replica, each with the item
+	// that it would preempt.
+	holders map[core.ReplicaID]map[core.NodeID]Victim
 }
 
 // ledgerEntry is the last message with counts from one node.
@@ -34,7 +37,10 @@
 }
 
 func newLedger() *ledger {
-	return &ledger{nodes: make(map[core.NodeID]*ledgerEntry), sums: make(map[core.ReplicaID]inFlight)}
+	return &ledger{
+		nodes: make(map[core.NodeID]*ledgerEntry), sums: make(map[core.ReplicaID]inFlight),
+		holders: make(map[core.ReplicaID]map[core.NodeID]Victim),
+	}
 }
 
 // replaceCounts replaces the counts of a node and returns the sums that
@@ -52,10 +58,35 @@
 		sum := l.sums[id]
 		l.sums[id] = inFlight{online: sum.online + rc.Online, batch: sum.batch + rc.Batch}
 		changed[id] = l.sums[id]
+		if rc.Batch > 0 {
+			l.addHolder(id, from, Victim{})
+		}
+	}
+	for _, v := range c.Victims {
+		if v.Index < 0 || v.Index >= len(c.Replicas) {
+			continue
+		}
+		if id := c.Replicas[v.Index].ID; entry.counts[id].Batch > 0 {
+			l.addHolder(id, from, Victim{Due: time.Duration(v.DueMS) * time.Millisecond, Late: v.Late})
+		}
 	}
 	return changed
 }
 
+func (l *ledger) addHolder(replica core.ReplicaID, node core.NodeID, v Victim) {
+	if l.holders[replica] == nil {
+		l.holders[replica] = make(map[core.NodeID]Victim)
+	}
+	l.holders[replica][node] = v
+}
+
+func (l *ledger) removeHolder(replica core.ReplicaID, node core.NodeID) {
+	delete(l.holders[replica], node)
+	if len(l.holders[replica]) == 0 {
+		delete(l.holders, replica)
+	}
+}
+
 // removeNode subtracts the counts of a node from the sums, adds the new sums to
 // changed and deletes the node.
 func (l *ledger) removeNode(node core.NodeID, changed map[core.ReplicaID]inFlight) {
@@ -72,6 +103,7 @@
 		} else {
 			l.sums[id] = sum
 		}
+		l.removeHolder(id, node)
 	}
 	delete(l.nodes, node)
 }
@@ -93,25 +125,32 @@
 	return l.sums[replica]
 }
 
-// claimBatchItem returns the node with the most batch items at a replica and
-// deducts one item from its count, so that further preemptions are spread over
-// the nodes.
-func (l *ledger) claimBatchItem(replica core.ReplicaID) (core.NodeID, bool) {
-	var best core.NodeID
-	most := 0
-	for id, entry := range l.nodes {
-		if n := entry.counts[replica].Batch; n > most {
-			best, most = id, n
+// victim returns the node whose item is preempted first at a replica, and that
+// item. ok is false if no node has an item there.
+func (l *ledger) victim(replica core.ReplicaID) (holder core.NodeID, v Victim, ok bool) {
+	for node, other := range l.holders[replica] {
+		if !ok || other.Before(v) || other == v && node < holder {
+			holder, v, ok = node, other, true
 		}
 	}
-	if most == 0 {
+	return holder, v, ok
+}
+
+// claimBatchItem returns the node whose item is preempted first at a replica and
+// deducts the item from its count.
+func (l *ledger) claimBatchItem(replica core.ReplicaID) (core.NodeID, bool) {
+	holder, _, ok := l.victim(replica)
+	if !ok {
 		return "", false
 	}
-	c := l.nodes[best].counts[replica]
+	c := l.nodes[holder].counts[replica]
 	c.Batch--
-	l.nodes[best].counts[replica] = c
+	l.nodes[holder].counts[replica] = c
+	if c.Batch == 0 {
+		l.removeHolder(replica, holder)
+	}
 	sum := l.sums[replica]
 	sum.batch--
 	l.sums[replica] = sum
-	return best, true
+	return holder, true
 }
--- a/internal/placement/messages.go
+++ b/internal/placement/messages.go
@@ -39,6 +39,7 @@
 	RunID    uint64          `msgpack:"u"`
 	Sequence uint64          `msgpack:"n"`
 	Replicas []replicaCounts `msgpack:"r"`
+	Victims  []replicaVictim `msgpack:"v,omitempty"`
 	// ConfirmedGrants are the grants that the counts already include.
 	ConfirmedGrants []uint64 `msgpack:"g,omitempty"`
 }
@@ -58,6 +59,18 @@
 	Reported int
 }
 
+// replicaVictim is the item of a node that is preempted first at a replica.
+type replicaVictim struct {
+	//lint:ignore U1000 read by the codec
+	_msgpack struct{} `msgpack:",as_array"`
+	// Index is the position of the replica in nodeCounts.Replicas.
+	Index int
+	// DueMS is when the item is due, in milliseconds of the store's clock. Late is
+	// set if it cannot be done by then.
+	DueMS int64
+	Late  bool
+}
+
 // placementRequest asks a hub for a replica.
 type placementRequest struct {
 	Group group `msgpack:"s"`
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -99,7 +99,7 @@
 	sent := s.sentCounts[g]
 	s.mu.Unlock()
 	if sent == nil || sent.hub != hub {
-		s.sendCounts(g, hub, time.Now())
+		s.sendCounts(g, hub, s.Victims(), time.Now())
 	}
 	tried := slices.Clone(q.Tried)
 	for {
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -123,8 +123,8 @@
 	return nil
 }
 
-// choose returns the best replica with a free slot, or with a batch item to
-// preempt for an online request, or nil. Items of jobs get no slot out of the
+// choose returns the best replica with a free slot, or for an online request that
+// with the item to preempt first, or nil. Items of jobs get no slot out of the
 // headroom.
 func (s *scheduler) choose(q *queuedRequest, now time.Time) (chosen *replicaSlots, preempts bool) {
 	if q.batch && s.freeSlots(now) <= s.headroom() {
@@ -137,36 +137,51 @@
 		if q.excludes(r.id) || ejected[r.id] {
 			continue
 		}
-		sum := s.sum(r.id)
 		busy := s.trackedLoad(r.id) + s.untracked[r.id].confirmed(now)
-		slowdown := s.slowdown(r.id, now)
-		score := float64(busy + 1)
+		c := candidate{replica: r, score: float64(busy + 1), slowdown: s.slowdown(r.id, now)}
 		if r.dc != q.dc {
-			score += replica.RemoteCost
+			c.score += replica.RemoteCost
 		}
-		score *= slowdown / float64(r.slots)
+		c.score *= c.slowdown / float64(r.slots)
 		switch {
 		case busy < r.slots:
-			free.consider(r, score, slowdown)
-		case !q.batch && sum.batch > 0 && busy-sum.batch < r.slots:
-			occupied.consider(r, score, slowdown)
+			if free.replica == nil || c.score < free.score {
+				free = c
+			}
+		case !q.batch && busy-s.sum(r.id).batch < r.slots:
+			var ok bool
+			if _, c.victim, ok = s.victim(r.id); ok && c.preemptedBefore(&occupied) {
+				occupied = c
+			}
 		}
 	}
-	if free.replica == nil || occupied.replica != nil && free.slowdown > maxFreeSlowdown && occupied.slowdown < free.slowdown {
+	if free.replica == nil || occupied.replica != nil && free.tooSlow() && !occupied.tooSlow() {
 		return occupied.replica, occupied.replica != nil
 	}
 	return free.replica, false
 }
 
-// candidate is the best replica found so far by score, the lowest first.
+// candidate is a replica that may get a request.
 type candidate struct {
 	replica         *replicaSlots
 	score, slowdown float64
+	victim          Victim // if an item must be preempted
 }
 
-func (c *candidate) consider(r *replicaSlots, score, slowdown float64) {
-	if c.replica == nil || score < c.score {
-		*c = candidate{replica: r, score: score, slowdown: slowdown}
+func (c *candidate) tooSlow() bool { return c.slowdown > maxFreeSlowdown }
+
+// preemptedBefore reports whether to preempt the item at c rather than that at o:
+// not at a replica that is too slow, then by the item, then by the score.
+func (c *candidate) preemptedBefore(o *candidate) bool {
+	switch {
+	case o.replica == nil:
+		return true
+	case c.tooSlow() != o.tooSlow():
+		return o.tooSlow()
+	case c.victim != o.victim:
+		return c.victim.Before(o.victim)
+	default:
+		return c.score < o.score
 	}
 }
 
--- a/internal/placement/service.go
+++ b/internal/placement/service.go
@@ -40,6 +40,9 @@
 	// Preempt preempts one of this node's batch items at a replica and reports
 	// whether there was one.
 	Preempt func(*replica.Replica) bool
+	// Victims returns, for each replica at which this node has batch items, the
+	// item that Preempt would choose.
+	Victims func() map[core.ReplicaID]Victim
 	Log     *slog.Logger
 }
 
@@ -72,6 +75,7 @@
 	hub         core.NodeID
 	unconfirmed []uint64 // grants to confirm with the next counts
 	lastCounts  []replicaCounts
+	lastVictims []replicaVictim
 	sentAt      time.Time
 }
 
@@ -175,9 +179,10 @@
 			groups[groupOf(service, r.Info().ID, s.numGroups(service))] = true
 		}
 	}
+	victims := s.Victims()
 	for g := range groups {
 		if hubs := s.usableHubs(g); len(hubs) > 0 {
-			s.sendCounts(g, hubs[0], now)
+			s.sendCounts(g, hubs[0], victims, now)
 		}
 	}
 }
@@ -185,21 +190,21 @@
 // sendCounts sends a hub the counts of one group, at once if they changed or
 // confirm grants, and otherwise every maxCountsInterval. Empty counts are not
 // repeated.
-func (s *Service) sendCounts(g group, to core.NodeID, now time.Time) {
+func (s *Service) sendCounts(g group, to core.NodeID, victims map[core.ReplicaID]Victim, now time.Time) {
 	s.mu.Lock()
 	sent, ok := s.sentCounts[g]
 	if !ok || sent.hub != to {
 		sent = &sentCounts{hub: to}
 		s.sentCounts[g] = sent
 	}
-	c := s.ownCounts(g, now)
-	upToDate := !sent.sentAt.IsZero() && len(sent.unconfirmed) == 0 && slices.Equal(c.Replicas, sent.lastCounts)
+	c := s.ownCounts(g, victims, now)
+	upToDate := !sent.sentAt.IsZero() && len(sent.unconfirmed) == 0 && slices.Equal(c.Replicas, sent.lastCounts) && slices.Equal(c.Victims, sent.lastVictims)
 	if upToDate && (len(c.Replicas) == 0 || now.Sub(sent.sentAt) < maxCountsInterval/2) {
 		s.mu.Unlock()
 		return
 	}
 	c.ConfirmedGrants, sent.unconfirmed = sent.unconfirmed, nil
-	sent.lastCounts, sent.sentAt = c.Replicas, now
+	sent.lastCounts, sent.lastVictims, sent.sentAt = c.Replicas, c.Victims, now
 	s.lastSequence++
 	c.Sequence = s.lastSequence
 	s.mu.Unlock()
@@ -211,7 +216,7 @@
 // ownCounts returns this node's work at the replicas of a group, including
 // those that are leaving. The caller holds the lock, so that no grant is
 // accepted in the meantime.
-func (s *Service) ownCounts(g group, now time.Time) *nodeCounts {
+func (s *Service) ownCounts(g group, victims map[core.ReplicaID]Victim, now time.Time) *nodeCounts {
 	c := &nodeCounts{Group: g, RunID: s.runID}
 	for _, r := range s.Registry.All() {
 		online, batch := r.LocalLoad()
@@ -219,6 +224,9 @@
 			continue
 		}
 		rc := replicaCounts{ID: r.Info().ID, Online: online, Batch: batch}
+		if v, ok := victims[rc.ID]; ok && batch > 0 {
+			c.Victims = append(c.Victims, replicaVictim{Index: len(c.Replicas), DueMS: v.Due.Milliseconds(), Late: v.Late})
+		}
 		if load, ok := r.LastReport(now, maxReportAge); ok {
 			rc.Slowdown = int(math.Round(load.Slowdown * normalSlowdown))
 			rc.Reported = load.Running + load.Waiting
--- a/internal/placement/service_test.go
+++ b/internal/placement/service_test.go
@@ -64,6 +64,7 @@
 	n.Service = New(Options{
 		Transport: n.transport, Registry: n.registry, Nodes: directory, Log: log,
 		Preempt: func(*replica.Replica) bool { return false },
+		Victims: func() map[core.ReplicaID]Victim { return nil },
 	})
 	n.transport.Start(listener)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/platformnode/node.go
+++ b/internal/platformnode/node.go
@@ -15,6 +15,7 @@
 	"syscall"
 	"time"
 
+	"gentiantide.example/gentiantide/internal/core"
 	"gentiantide.example/gentiantide/internal/discovery"
 	"gentiantide.example/gentiantide/internal/forward"
 	"gentiantide.example/gentiantide/internal/jobs"
@@ -107,6 +108,7 @@
 	n.placer = placement.New(placement.Options{
 		Transport: n.peers, Registry: n.registry, Nodes: n.nodes, Log: log,
 		Preempt: func(r *replica.Replica) bool { return n.jobs.Preempt(r) },
+		Victims: func() map[core.ReplicaID]placement.Victim { return n.jobs.Victims() },
 	})
 	n.jobs = jobs.New(jobs.Options{
 		Table: n.store, Objects: n.store, Nodes: n.nodes, Clock: n.store.Clock, JobRetention: settings.JobRetention, Log: log,
