Count the ejection votes of nodes as they arrive

Cause: while a data centre is cut off, each node votes for dozens of replicas. The hub added up all votes anew for each candidate request in its queue, with each message.

Change: the votes are counted when they change; asking for a replica is one map lookup. Expired votes are removed with each tick.

--- a/internal/placement/ejectionvotes.go
+++ b/internal/placement/ejectionvotes.go
@@ -23,44 +23,56 @@
 // failures of its own requests. The hub combines them because a node that has
 // not used a replica since it was cut off or crashed would still send requests
 // to it.
-type ejectionVotes map[core.NodeID]ejectionVote
+//
+// The votes are counted as they arrive: while a data centre is cut off, each of
+// hundreds of nodes votes for dozens of replicas, and the hub asks for the result
+// many times for each request.
+type ejectionVotes struct {
+	byNode map[core.NodeID]ejectionVote
+	counts map[core.ReplicaID]int // number of votes
+}
 
 type ejectionVote struct {
 	receivedAt time.Time
 	replicas   []core.ReplicaID
 }
 
-// record replaces the vote of a node.
-func (v ejectionVotes) record(node core.NodeID, replicas []core.ReplicaID, now time.Time) {
-	v[node] = ejectionVote{receivedAt: now, replicas: replicas}
+func newEjectionVotes() ejectionVotes {
+	return ejectionVotes{byNode: make(map[core.NodeID]ejectionVote), counts: make(map[core.ReplicaID]int)}
 }
 
-// ejected returns the replicas that enough nodes have ejected, or none if these
-// are all replicas of the group.
-func (v ejectionVotes) ejected(all []replicaSlots, now time.Time) map[core.ReplicaID]bool {
-	votes := make(map[core.ReplicaID]int)
-	voters := 0
-	for node, vote := range v {
-		if now.Sub(vote.receivedAt) > ejectionVoteTTL {
-			delete(v, node)
-			continue
-		}
-		voters++
-		for _, id := range vote.replicas {
-			votes[id]++
+// record replaces the vote of a node.
+func (v *ejectionVotes) record(node core.NodeID, replicas []core.ReplicaID, now time.Time) {
+	old, known := v.byNode[node]
+	if !known || !slices.Equal(old.replicas, replicas) {
+		v.remove(node)
+		for _, id := range replicas {
+			v.counts[id]++
 		}
 	}
-	if len(votes) == 0 {
-		return nil
-	}
-	out := make(map[core.ReplicaID]bool)
-	for id, n := range votes {
-		if n >= minEjectionVotes && float64(n) >= minEjectionVoteShare*float64(voters) {
-			out[id] = true
+	v.byNode[node] = ejectionVote{receivedAt: now, replicas: replicas}
+}
+
+func (v *ejectionVotes) remove(node core.NodeID) {
+	for _, id := range v.byNode[node].replicas {
+		if v.counts[id]--; v.counts[id] <= 0 {
+			delete(v.counts, id)
 		}
 	}
-	if !slices.ContainsFunc(all, func(r replicaSlots) bool { return !out[r.id] }) {
-		return nil
+	delete(v.byNode, node)
+}
+
+// expire removes the votes that were not renewed.
+func (v *ejectionVotes) expire(now time.Time) {
+	for node, vote := range v.byNode {
+		if now.Sub(vote.receivedAt) > ejectionVoteTTL {
+			v.remove(node)
+		}
 	}
-	return out
+}
+
+// ejected reports whether enough nodes have ejected a replica.
+func (v *ejectionVotes) ejected(id core.ReplicaID) bool {
+	n := v.counts[id]
+	return n >= minEjectionVotes && float64(n) >= minEjectionVoteShare*float64(len(v.byNode))
 }
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -81,7 +81,7 @@
 	return &scheduler{
 		ledger: newLedger(), grants: make(map[uint64]pendingGrant),
 		pendingByReplica: make(map[core.ReplicaID]int), slowdowns: make(map[core.ReplicaID]slowdownReport),
-		untracked: make(map[core.ReplicaID]untrackedLoad), ejectionVotes: make(ejectionVotes),
+		untracked: make(map[core.ReplicaID]untrackedLoad), ejectionVotes: newEjectionVotes(),
 	}
 }
 
@@ -130,11 +130,11 @@
 	if q.batch && s.freeSlots(now) <= s.headroom() {
 		return nil, false
 	}
-	ejected := s.ejectionVotes.ejected(s.replicas, now)
+	ignoreVotes := s.allEjected()
 	var free, occupied candidate
 	for i := range s.replicas {
 		r := &s.replicas[i]
-		if q.excludes(r.id) || ejected[r.id] {
+		if q.excludes(r.id) || !ignoreVotes && s.ejectionVotes.ejected(r.id) {
 			continue
 		}
 		busy := s.trackedLoad(r.id) + s.untracked[r.id].confirmed(now)
@@ -161,6 +161,12 @@
 	return free.replica, false
 }
 
+// allEjected reports whether the nodes have ejected all replicas. The votes are
+// then ignored, as some replica must be used.
+func (s *scheduler) allEjected() bool {
+	return !slices.ContainsFunc(s.replicas, func(r replicaSlots) bool { return !s.ejectionVotes.ejected(r.id) })
+}
+
 // candidate is a replica that may get a request.
 type candidate struct {
 	replica         *replicaSlots
@@ -320,10 +326,10 @@
 // hasCapacity reports whether any replica that is not ejected has a free slot
 // or one used by batch work.
 func (s *scheduler) hasCapacity(now time.Time) bool {
-	ejected := s.ejectionVotes.ejected(s.replicas, now)
+	ignoreVotes := s.allEjected()
 	return slices.ContainsFunc(s.replicas, func(r replicaSlots) bool {
 		busy := s.trackedLoad(r.id) + s.untracked[r.id].confirmed(now)
-		return !ejected[r.id] && (busy < r.slots || busy-s.sum(r.id).batch < r.slots)
+		return (ignoreVotes || !s.ejectionVotes.ejected(r.id)) && (busy < r.slots || busy-s.sum(r.id).batch < r.slots)
 	})
 }
 
@@ -331,6 +337,7 @@
 // TTL, and updates the estimate of the service time.
 func (s *scheduler) expire(now time.Time) {
 	s.ledger.expire(now)
+	s.ejectionVotes.expire(now)
 	busy := 0
 	for grantID, g := range s.grants {
 		switch {
--- a/internal/placement/scheduler_test.go
+++ b/internal/placement/scheduler_test.go
@@ -327,3 +327,30 @@
 	s.receiveCounts("a", &nodeCounts{Replicas: []replicaCounts{{ID: "r0", Online: 1}}, Victims: []replicaVictim{{Index: -1}, {Index: 0}, {Index: 1 << 40}}}, time.Now())
 	gomega.NewWithT(t).Expect(s.holders).To(gomega.BeEmpty())
 }
+
+// Measures the placement of a request at the hub of a large fleet while a data
+// centre is cut off and most nodes have ejected its replicas.
+func BenchmarkPlaceDuringCut(b *testing.B) {
+	s := newTestScheduler(96, 7)
+	now := time.Now()
+	var cutOff []core.ReplicaID
+	for _, r := range s.replicas[:32] {
+		cutOff = append(cutOff, r.id)
+	}
+	request := func(id uint64) *placementRequest {
+		r := testRequest(id)
+		r.Excluded, r.NumEjected = cutOff, len(cutOff)
+		return r
+	}
+	nodes := make([]core.NodeID, 295)
+	for i := range nodes {
+		nodes[i] = core.NodeID(fmt.Sprintf("n%d", i))
+		s.place(nodes[i], request(uint64(i)), now)
+	}
+	b.ResetTimer()
+	for i := range b.N {
+		id := uint64(1000 + i)
+		s.place(nodes[i%len(nodes)], request(id), now)
+		s.withdraw(nodes[i%len(nodes)], id)
+	}
+}
