Gather the replicas with free slots once for all queued requests

Cause: right after a data centre is cut off, a hub sees free slots at its replicas, which the nodes of the queued requests have ejected already. For each message the hub looked at each replica for each queued request, and compared it with the list of those that the request must not go to.

Change: a dispatch gathers the replicas that can take requests once, and the requests choose among these; excluded replicas are a set. After messages, a group is dispatched every 2 ms at most.

--- a/internal/placement/hub.go
+++ b/internal/placement/hub.go
@@ -32,6 +32,10 @@
 	// large service, for which all its replicas are scanned to find those of
 	// the group.
 	minListInterval = 100 * time.Millisecond
+	// minDispatchInterval is the least time between two dispatches after messages.
+	// A dispatch looks at each queued request, and hundreds of nodes send thousands
+	// of messages a second.
+	minDispatchInterval = 2 * time.Millisecond
 	// groupIdleTimeout is how long a hub keeps the state of a group for which
 	// it gets no messages.
 	groupIdleTimeout = 3 * time.Second
@@ -57,9 +61,12 @@
 // groupState is the scheduler of one group with its timers.
 type groupState struct {
 	*scheduler
-	listedAt       time.Time // last refresh of the replicas
-	lastMessageAt  time.Time // last placement request or counts
-	totalsSentAt   time.Time
+	listedAt      time.Time // last refresh of the replicas
+	lastMessageAt time.Time // last placement request or counts
+	totalsSentAt  time.Time
+	dispatchedAt  time.Time
+	// dispatchDue is set while a dispatch is scheduled, see dispatchSoon.
+	dispatchDue    bool
 	queuedSinceLog int // requests queued since the last log line
 }
 
@@ -172,7 +179,7 @@
 	state := h.ensureGroup(c.Group, now)
 	state.lastMessageAt = now
 	state.receiveCounts(from, &c, now)
-	send := h.dispatch(state, now)
+	send := h.dispatchSoon(state, now)
 	h.mu.Unlock()
 	send()
 	return nil, nil
@@ -189,15 +196,36 @@
 	h.mu.Lock()
 	state := h.ensureGroup(w.Group, now)
 	state.withdraw(from, w.RequestID)
-	send := h.dispatch(state, now)
+	send := h.dispatchSoon(state, now)
 	h.mu.Unlock()
 	send()
 	return nil, nil
 }
 
+// dispatchSoon dispatches at once, or schedules a dispatch if the last one was less
+// than minDispatchInterval ago. The function returned is called without the lock.
+func (h *hub) dispatchSoon(state *groupState, now time.Time) func() {
+	wait := minDispatchInterval - now.Sub(state.dispatchedAt)
+	if wait <= 0 {
+		return h.dispatch(state, now)
+	}
+	if !state.dispatchDue && len(state.queue) > 0 {
+		state.dispatchDue = true
+		time.AfterFunc(wait, func() {
+			h.mu.Lock()
+			state.dispatchDue = false
+			send := h.dispatch(state, time.Now())
+			h.mu.Unlock()
+			send()
+		})
+	}
+	return func() {}
+}
+
 // dispatch assigns free slots to queued requests. The function returned
 // notifies their nodes and is called without the lock.
 func (h *hub) dispatch(state *groupState, now time.Time) func() {
+	state.dispatchedAt = now
 	assigned := state.dispatch(now)
 	if len(assigned) == 0 {
 		return func() {}
--- /dev/null
+++ b/internal/placement/openings.go
@@ -0,0 +1,115 @@
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"gentiantide.example/gentiantide/internal/replica"
+)
+
+// opening is a replica that can take a request: it has a free slot, or an item to
+// preempt for an online request.
+type opening struct {
+	replicaSlots
+	busy     int // all work, including pending grants and untracked load
+	batch    int // the part of it that can be preempted
+	slowdown float64
+	victim   Victim // the item that is preempted first, if batch is positive
+}
+
+func (o *opening) free() int { return o.slots - o.busy }
+
+func (o *opening) preemptible() bool { return o.batch > 0 && o.busy-o.batch < o.slots }
+
+func (o *opening) tooSlow() bool { return o.slowdown > maxFreeSlowdown }
+
+// score is the relative time that a request would take at the replica. Lower is
+// better.
+func (o *opening) score(q *queuedRequest) float64 {
+	load := float64(o.busy + 1)
+	if o.dc != q.dc {
+		load += replica.RemoteCost
+	}
+	return load * o.slowdown / float64(o.slots)
+}
+
+// openings are the replicas that can take requests at one time. They are gathered
+// once for all queued requests: with hundreds of these, looking at each replica for
+// each request kept a hub busy for longer than nodes wait for its answer.
+type openings struct {
+	list []*opening
+	free int // free slots of all replicas
+}
+
+// openings gathers the replicas that can take requests, without those that enough
+// nodes have ejected. If they have ejected all, the votes are ignored.
+func (s *scheduler) openings(now time.Time) *openings {
+	ignoreVotes := !slices.ContainsFunc(s.replicas, func(r replicaSlots) bool { return !s.ejectionVotes.ejected(r.id) })
+	out := &openings{}
+	for _, r := range s.replicas {
+		if !ignoreVotes && s.ejectionVotes.ejected(r.id) {
+			continue
+		}
+		o := &opening{
+			replicaSlots: r, batch: s.sum(r.id).batch, slowdown: s.slowdown(r.id, now),
+			busy: s.trackedLoad(r.id) + s.untracked[r.id].confirmed(now),
+		}
+		if o.batch > 0 {
+			_, o.victim, _ = s.victim(r.id)
+		}
+		if o.free() > 0 || o.preemptible() {
+			out.list = append(out.list, o)
+			out.free += max(0, o.free())
+		}
+	}
+	return out
+}
+
+// choose returns the best replica with a free slot, or for an online request that
+// with the item to preempt first, or nil. Items of jobs get no slot out of the
+// headroom.
+func (o *openings) choose(q *queuedRequest, headroom int) (chosen *opening, preempts bool) {
+	if q.batch && o.free <= headroom {
+		return nil, false
+	}
+	var free, occupied *opening
+	for _, r := range o.list {
+		switch {
+		case q.excludes(r.id):
+		case r.free() > 0:
+			if free == nil || r.score(q) < free.score(q) {
+				free = r
+			}
+		case !q.batch && (occupied == nil || r.preemptedBefore(occupied, q)):
+			occupied = r
+		}
+	}
+	if free == nil || occupied != nil && free.tooSlow() && !occupied.tooSlow() {
+		return occupied, occupied != nil
+	}
+	return free, false
+}
+
+// preemptedBefore reports whether to preempt the item at r rather than that at o:
+// not at a replica that is too slow, then by the item, then by the score.
+func (r *opening) preemptedBefore(o *opening, q *queuedRequest) bool {
+	switch {
+	case r.tooSlow() != o.tooSlow():
+		return o.tooSlow()
+	case r.victim != o.victim:
+		return r.victim.Before(o.victim)
+	default:
+		return r.score(q) < o.score(q)
+	}
+}
+
+// take adds a request to the work at a replica.
+func (o *openings) take(r *opening) {
+	if r.free() > 0 {
+		o.free--
+	}
+	r.busy++
+	if r.free() <= 0 && !r.preemptible() {
+		o.list = slices.DeleteFunc(o.list, func(other *opening) bool { return other == r })
+	}
+}
--- a/internal/placement/queue.go
+++ b/internal/placement/queue.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"slices"
 	"time"
 
 	"gentiantide.example/gentiantide/internal/core"
@@ -17,7 +16,7 @@
 	node     core.NodeID
 	id       uint64
 	dc       core.DataCentre
-	excluded []core.ReplicaID
+	excluded map[core.ReplicaID]bool
 	// arrivedAt is when the request arrived at its node.
 	arrivedAt time.Time
 	// startBy is the latest start that is on time. abandonedAt is when the
@@ -34,8 +33,12 @@
 
 func newQueuedRequest(node core.NodeID, req *placementRequest, now time.Time) *queuedRequest {
 	arrivedAt := now.Add(-req.Waited)
+	excluded := make(map[core.ReplicaID]bool, len(req.Excluded))
+	for _, id := range req.Excluded {
+		excluded[id] = true
+	}
 	return &queuedRequest{
-		node: node, id: req.ID, dc: req.DataCentre, excluded: req.Excluded, arrivedAt: arrivedAt, urgent: req.Urgent,
+		node: node, id: req.ID, dc: req.DataCentre, excluded: excluded, arrivedAt: arrivedAt, urgent: req.Urgent,
 		startBy:     arrivedAt.Add(time.Duration(float64(req.Objective) * onTimeShare)),
 		abandonedAt: arrivedAt.Add(req.MaxWait),
 		batch:       req.Batch, dueAt: now.Add(req.DueIn), willMissDue: req.Late,
@@ -69,4 +72,4 @@
 func (q *queuedRequest) late(now time.Time) bool { return now.After(q.startBy) }
 
 // excludes reports whether the request must not go to a replica.
-func (q *queuedRequest) excludes(id core.ReplicaID) bool { return slices.Contains(q.excluded, id) }
+func (q *queuedRequest) excludes(id core.ReplicaID) bool { return q.excluded[id] }
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"gentiantide.example/gentiantide/internal/core"
-	"gentiantide.example/gentiantide/internal/replica"
 )
 
 const (
@@ -94,7 +93,7 @@
 	}
 	q := newQueuedRequest(node, req, now)
 	if !slices.ContainsFunc(s.queue, func(o *queuedRequest) bool { return o.before(q, now) }) {
-		if r, preempts := s.choose(q, now); r != nil {
+		if r, preempts := s.openings(now).choose(q, s.headroom()); r != nil {
 			assigned := s.assign(q, r, preempts, now)
 			return placementResponse{Outcome: outcomeGranted, Replica: assigned.replica, GrantID: assigned.grantID}, assigned
 		}
@@ -123,82 +122,6 @@
 	return nil
 }
 
-// choose returns the best replica with a free slot, or for an online request that
-// with the item to preempt first, or nil. Items of jobs get no slot out of the
-// headroom.
-func (s *scheduler) choose(q *queuedRequest, now time.Time) (chosen *replicaSlots, preempts bool) {
-	if q.batch && s.freeSlots(now) <= s.headroom() {
-		return nil, false
-	}
-	ignoreVotes := s.allEjected()
-	var free, occupied candidate
-	for i := range s.replicas {
-		r := &s.replicas[i]
-		if q.excludes(r.id) || !ignoreVotes && s.ejectionVotes.ejected(r.id) {
-			continue
-		}
-		busy := s.trackedLoad(r.id) + s.untracked[r.id].confirmed(now)
-		c := candidate{replica: r, score: float64(busy + 1), slowdown: s.slowdown(r.id, now)}
-		if r.dc != q.dc {
-			c.score += replica.RemoteCost
-		}
-		c.score *= c.slowdown / float64(r.slots)
-		switch {
-		case busy < r.slots:
-			if free.replica == nil || c.score < free.score {
-				free = c
-			}
-		case !q.batch && busy-s.sum(r.id).batch < r.slots:
-			var ok bool
-			if _, c.victim, ok = s.victim(r.id); ok && c.preemptedBefore(&occupied) {
-				occupied = c
-			}
-		}
-	}
-	if free.replica == nil || occupied.replica != nil && free.tooSlow() && !occupied.tooSlow() {
-		return occupied.replica, occupied.replica != nil
-	}
-	return free.replica, false
-}
-
-// allEjected reports whether the nodes have ejected all replicas. The votes are
-// then ignored, as some replica must be used.
-func (s *scheduler) allEjected() bool {
-	return !slices.ContainsFunc(s.replicas, func(r replicaSlots) bool { return !s.ejectionVotes.ejected(r.id) })
-}
-
-// candidate is a replica that may get a request.
-type candidate struct {
-	replica         *replicaSlots
-	score, slowdown float64
-	victim          Victim // if an item must be preempted
-}
-
-func (c *candidate) tooSlow() bool { return c.slowdown > maxFreeSlowdown }
-
-// preemptedBefore reports whether to preempt the item at c rather than that at o:
-// not at a replica that is too slow, then by the item, then by the score.
-func (c *candidate) preemptedBefore(o *candidate) bool {
-	switch {
-	case o.replica == nil:
-		return true
-	case c.tooSlow() != o.tooSlow():
-		return o.tooSlow()
-	case c.victim != o.victim:
-		return c.victim.Before(o.victim)
-	default:
-		return c.score < o.score
-	}
-}
-
-func (s *scheduler) freeSlots(now time.Time) int {
-	n := 0
-	for _, r := range s.replicas {
-		n += max(0, r.slots-s.trackedLoad(r.id)-s.untracked[r.id].confirmed(now))
-	}
-	return n
-}
-
 // headroom returns the number of slots that batch work leaves free.
 func (s *scheduler) headroom() int {
 	return int(math.Ceil(headroomShare * float64(s.totalSlots())))
@@ -227,7 +150,7 @@
 }
 
 // assign grants a request a slot at a replica.
-func (s *scheduler) assign(q *queuedRequest, r *replicaSlots, preempts bool, now time.Time) *assignment {
+func (s *scheduler) assign(q *queuedRequest, r *opening, preempts bool, now time.Time) *assignment {
 	s.lastGrantID++
 	s.grants[s.lastGrantID] = pendingGrant{node: q.node, requestID: q.id, replica: r.id, batch: q.batch, grantedAt: now}
 	s.pendingByReplica[r.id]++
@@ -281,31 +204,31 @@
 }
 
 // dispatch assigns free slots to queued requests in order of priority. If there
-// is no free slot, as usual with a long queue, it scans only the replicas and
-// does not sort the queue.
+// is no free slot, as usual with a long queue, it does not sort the queue.
 func (s *scheduler) dispatch(now time.Time) []*assignment {
 	s.queue = slices.DeleteFunc(s.queue, func(q *queuedRequest) bool { return now.After(q.abandonedAt) })
-	if len(s.queue) == 0 || !s.hasCapacity(now) {
+	if len(s.queue) == 0 {
+		return nil
+	}
+	open, headroom := s.openings(now), s.headroom()
+	if len(open.list) == 0 {
 		return nil
 	}
 	s.sortQueue(now)
 	var out []*assignment
 	remaining := s.queue[:0:0]
 	for i, q := range s.queue {
-		if q.batch && s.freeSlots(now) <= s.headroom() {
-			remaining = append(remaining, s.queue[i:]...) // only items follow, as before orders them last
+		if len(open.list) == 0 || q.batch && open.free <= headroom {
+			remaining = append(remaining, s.queue[i:]...) // only items follow an item, as before orders them last
 			break
 		}
-		r, preempts := s.choose(q, now)
+		r, preempts := open.choose(q, headroom)
 		if r == nil {
 			remaining = append(remaining, q)
 			continue
 		}
 		out = append(out, s.assign(q, r, preempts, now))
-		if !s.hasCapacity(now) {
-			remaining = append(remaining, s.queue[i+1:]...)
-			break
-		}
+		open.take(r)
 	}
 	s.queue = remaining
 	return out
@@ -323,16 +246,6 @@
 	})
 }
 
-// hasCapacity reports whether any replica that is not ejected has a free slot
-// or one used by batch work.
-func (s *scheduler) hasCapacity(now time.Time) bool {
-	ignoreVotes := s.allEjected()
-	return slices.ContainsFunc(s.replicas, func(r replicaSlots) bool {
-		busy := s.trackedLoad(r.id) + s.untracked[r.id].confirmed(now)
-		return (ignoreVotes || !s.ejectionVotes.ejected(r.id)) && (busy < r.slots || busy-s.sum(r.id).batch < r.slots)
-	})
-}
-
 // expire drops the counts of silent nodes and unconfirmed grants after their
 // TTL, and updates the estimate of the service time.
 func (s *scheduler) expire(now time.Time) {
--- a/internal/placement/scheduler_test.go
+++ b/internal/placement/scheduler_test.go
@@ -194,7 +194,7 @@
 		s.receiveCounts("a", &nodeCounts{Replicas: []replicaCounts{{ID: id, Online: 1, Reported: reported}}}, now)
 	}
 	report("r0", 2)
-	r, _ := s.choose(newQueuedRequest("b", testRequest(1), now), now)
+	r, _ := s.openings(now).choose(newQueuedRequest("b", testRequest(1), now), s.headroom())
 	g.Expect(r.id).To(gomega.Equal(core.ReplicaID("r1")))
 	g.Expect(s.untracked["r0"].confirmed(now)).To(gomega.Equal(0), "after a single report")
 	report("r0", 2)
@@ -354,3 +354,30 @@
 		s.withdraw(nodes[i%len(nodes)], id)
 	}
 }
+
+// Measures a dispatch at the hub of a large fleet right after a data centre was cut
+// off: free slots only at its replicas, which the nodes of the queued requests have
+// ejected and the hub has not.
+func BenchmarkDispatchDuringCut(b *testing.B) {
+	s := newTestScheduler(96, 7)
+	now := time.Now()
+	busy := &nodeCounts{RunID: 1, Sequence: 1}
+	var cutOff []core.ReplicaID
+	for i, r := range s.replicas {
+		if i < 32 {
+			cutOff = append(cutOff, r.id)
+		} else {
+			busy.Replicas = append(busy.Replicas, replicaCounts{ID: r.id, Online: 7})
+		}
+	}
+	s.receiveCounts("a", busy, now)
+	for id := range uint64(300) {
+		r := testRequest(id)
+		r.Excluded, r.MaxWait = cutOff, time.Hour
+		s.place("a", r, now)
+	}
+	b.ResetTimer()
+	for range b.N {
+		s.dispatch(now)
+	}
+}
