Skip windows in which nodes change hubs in the estimate of the service time

Cause: the estimate divides the slots in use by the requests that ended, which follow from those granted.

Change: a window in which a node came or went gives no sample.

--- a/internal/placement/ledger.go
+++ b/internal/placement/ledger.go
@@ -17,7 +17,9 @@
 // not safe for concurrent use.
 type ledger struct {
 	nodes map[core.NodeID]*ledgerEntry
-	sums  map[core.ReplicaID]inFlight
+	// nodeChanges counts the nodes that were added and removed.
+	nodeChanges int
+	sums        map[core.ReplicaID]inFlight
 	// holders are the nodes that have batch items at a replica, each with the item
 	// that it would preempt.
 	holders map[core.ReplicaID]map[core.NodeID]Victim
@@ -52,6 +54,9 @@
 		entry.counts[rc.ID] = rc
 	}
 	changed := make(map[core.ReplicaID]inFlight)
+	if l.nodes[from] == nil {
+		l.nodeChanges++
+	}
 	l.removeNode(from, changed)
 	l.nodes[from] = entry
 	for id, rc := range entry.counts {
@@ -114,6 +119,7 @@
 	changed := make(map[core.ReplicaID]inFlight)
 	for node, entry := range l.nodes {
 		if now.Sub(entry.receivedAt) > countsTTL {
+			l.nodeChanges++
 			l.removeNode(node, changed)
 		}
 	}
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -263,7 +263,7 @@
 	for _, sum := range s.sums {
 		busy += sum.online
 	}
-	s.serviceTime.sample(busy, now)
+	s.serviceTime.sample(busy, s.nodeChanges, now)
 }
 
 // expectedWait estimates how long a new online request would wait behind all
--- a/internal/placement/scheduler_test.go
+++ b/internal/placement/scheduler_test.go
@@ -381,3 +381,32 @@
 		s.dispatch(now)
 	}
 }
+
+// Guards against an estimate of the service time that takes the work of nodes that
+// come from another hub, or go to one, for requests that do not end: after a cut
+// of a data centre it was 23 s instead of 0.8 s, and callers were refused.
+func TestServiceTimeIgnoresNodesThatChangeHubs(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := newTestScheduler(50, 8)
+	now := time.Now()
+	var sequence uint64
+	report := func(node core.NodeID, online int) {
+		sequence++
+		s.receiveCounts(node, &nodeCounts{RunID: 1, Sequence: sequence, Replicas: []replicaCounts{{ID: "r0", Online: online}}}, now)
+	}
+	next := uint64(0)
+	for step := range 40 {
+		for i := range step/4 + 1 { // every 400 ms another node with work arrives
+			report(core.NodeID(fmt.Sprintf("n%d", i)), 40)
+		}
+		report("a", 20)
+		for range 12 { // node a has 12 requests a step, and as many end
+			next++
+			_, assigned := s.place("a", testRequest(next), now)
+			s.removeGrant(assigned.grantID, "a")
+		}
+		now = now.Add(100 * time.Millisecond)
+		s.expire(now)
+	}
+	g.Expect(s.serviceTime.expectedWait(400, 400)).To(gomega.BeNumerically("<=", 2*time.Second))
+}
--- a/internal/placement/servicetime.go
+++ b/internal/placement/servicetime.go
@@ -19,26 +19,29 @@
 type serviceTimeEstimator struct {
 	grantedSinceSample int // since the last sample
 	busyAtSample       int // at the last sample
+	nodesAtSample      int // ledger.nodeChanges at the last sample
 	sampledAt          time.Time
 	mean               float64 // seconds; 0 until the first estimate
 }
 
 // sample updates the estimate if a sample window has passed. busy is the number
-// of requests that occupy or have been granted a slot.
-func (e *serviceTimeEstimator) sample(busy int, now time.Time) {
+// of requests that occupy or have been granted a slot. A window in which nodes
+// came or went, as nodeChanges tells, is skipped: their requests were granted or
+// end elsewhere.
+func (e *serviceTimeEstimator) sample(busy, nodeChanges int, now time.Time) {
 	elapsed := now.Sub(e.sampledAt)
 	if elapsed < sampleWindow {
 		return
 	}
 	ended := e.grantedSinceSample - (busy - e.busyAtSample)
-	if !e.sampledAt.IsZero() && ended > 0 && elapsed < 2*sampleWindow {
+	if !e.sampledAt.IsZero() && ended > 0 && elapsed < 2*sampleWindow && nodeChanges == e.nodesAtSample {
 		measured := float64(busy+e.busyAtSample) / 2 * elapsed.Seconds() / float64(ended)
 		if e.mean == 0 {
 			e.mean = measured
 		}
 		e.mean = sampleDecay*e.mean + (1-sampleDecay)*measured
 	}
-	e.grantedSinceSample, e.busyAtSample, e.sampledAt = 0, busy, now
+	e.grantedSinceSample, e.busyAtSample, e.nodesAtSample, e.sampledAt = 0, busy, nodeChanges, now
 }
 
 // expectedWait estimates the time until each of the given number of requests has
