Return to a hub within half a second after a partition

Cause: a node probed a hub that did not answer after 0.3, 0.6, then each 1 s, and a connection attempt that was lost in the partition lasted 1 s.

Change: probes every 300 ms, and 300 ms for a connection set-up between nodes.

--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -15,7 +15,10 @@
 )
 
 const (
-	dialTimeout = 1 * time.Second
+	// dialTimeout bounds connection set-up, which takes about two one-way delays of
+	// 1 ms within a region. A longer one would keep a node from another for that
+	// long after a partition has healed.
+	dialTimeout = 300 * time.Millisecond
 	// redialDelay is the delay between a failed dial or a lost connection and the
 	// next dial, so that a node does not dial an unreachable peer for every
 	// message. It is also the delay after a failed accept.
--- a/internal/placement/downhub.go
+++ b/internal/placement/downhub.go
@@ -9,17 +9,16 @@
 )
 
 const (
-	// minProbeBackoff is the delay between a failed call to a hub and the first
-	// probe. Each failed probe doubles the delay, up to maxProbeBackoff.
-	minProbeBackoff = 300 * time.Millisecond
-	maxProbeBackoff = time.Second
+	// hubProbeInterval is the time between probes of a hub that did not answer.
+	// While some nodes use it again and others do not yet, two hubs grant the same
+	// slots.
+	hubProbeInterval = 300 * time.Millisecond
 )
 
 // downHub is a hub that did not answer. It gets no requests until it has
 // answered a probe, so that no request waits for its timeout.
 type downHub struct {
 	probeAt time.Time
-	backoff time.Duration
 	probing bool
 }
 
@@ -38,7 +37,7 @@
 	s.mu.Lock()
 	_, alreadyDown := s.downHubs[hub]
 	if !alreadyDown {
-		s.downHubs[hub] = &downHub{probeAt: time.Now().Add(minProbeBackoff), backoff: minProbeBackoff}
+		s.downHubs[hub] = &downHub{probeAt: time.Now().Add(hubProbeInterval)}
 	}
 	s.mu.Unlock()
 	if !alreadyDown { // otherwise another request has logged it
@@ -75,6 +74,5 @@
 		s.Log.Info("hub answers again", "node", hub)
 		return
 	}
-	d.backoff = min(2*d.backoff, maxProbeBackoff)
-	d.probeAt = time.Now().Add(d.backoff)
+	d.probeAt = time.Now().Add(hubProbeInterval)
 }
