Give no items to replicas that have just become usable

Cause: a hub that reaches replicas again after a partition, or becomes hub, knows nothing of the work that nodes put there through another hub, and took the slots for free.

Change: a replica gets no items for the first second after it became usable at a hub; online requests still use it at once. The list of a group is refreshed every 5 ms at most instead of with each message.

Before: TestItemsAvoidReplicasThatBecameUsable could not pass. After: it passes with the other tests of placement and nodetest.

--- a/internal/placement/group_test.go
+++ b/internal/placement/group_test.go
@@ -52,3 +52,26 @@
 		used[r.Info().ID] = true
 	}
 }
+
+// Guards against replicas that count as usable since the last refresh of the list,
+// and would get no items for ever, and against one that was ejected in the meantime
+// and counts as usable all the time.
+func TestUsableSinceIsKept(t *testing.T) {
+	g := gomega.NewWithT(t)
+	registry := replica.NewRegistry()
+	for _, id := range []core.ReplicaID{"r0", "r1"} {
+		registry.Put(replica.Info{ID: id, Service: "m", Slots: 8})
+	}
+	start := time.Now()
+	list := groupReplicas(nil, testGroup, registry.Ready("m"), start)
+	registry.Get("r1").RecordFailure(start)
+	ejected := start.Add(10 * time.Millisecond)
+	list = groupReplicas(list, testGroup, registry.Ready("m"), ejected)
+	g.Expect(list).To(gomega.HaveLen(1))
+	again := start.Add(time.Minute)
+	since := make(map[core.ReplicaID]time.Time)
+	for _, r := range groupReplicas(list, testGroup, registry.Ready("m"), again) {
+		since[r.id] = r.usableSince
+	}
+	g.Expect(since).To(gomega.Equal(map[core.ReplicaID]time.Time{"r0": start, "r1": again}))
+}
--- a/internal/placement/hub.go
+++ b/internal/placement/hub.go
@@ -29,9 +29,10 @@
 	// sends at most 200 of these messages a second for each group.
 	totalsIntervalPerNode = 5 * time.Millisecond
 	// minListInterval is the least time between refreshes of the replicas of a
-	// large service, for which all its replicas are scanned to find those of
-	// the group.
-	minListInterval = 100 * time.Millisecond
+	// group. For a large service it is longer, as all its replicas are scanned to
+	// find those of the group.
+	minListInterval      = 5 * time.Millisecond
+	minLargeListInterval = 100 * time.Millisecond
 	// minDispatchInterval is the least time between two dispatches after messages.
 	// A dispatch looks at each queued request, and hundreds of nodes send thousands
 	// of messages a second.
@@ -92,22 +93,35 @@
 		default: // run is ticking already or about to
 		}
 	}
-	if ready := h.registry.Ready(g.Service); now.Sub(state.listedAt) >= minListInterval || len(ready) <= groupSize {
+	ready, interval := h.registry.Ready(g.Service), minListInterval
+	if len(ready) > groupSize {
+		interval = minLargeListInterval
+	}
+	if now.Sub(state.listedAt) >= interval {
 		state.listedAt = now
-		state.replicas = groupReplicas(state.replicas[:0], g, ready, now)
+		state.replicas = groupReplicas(state.replicas, g, ready, now)
 	}
 	return state
 }
 
-// groupReplicas appends to out the replicas of a group that this node has not
-// ejected, or all of them if it has ejected all.
-func groupReplicas(out []replicaSlots, g group, ready []*replica.Replica, now time.Time) []replicaSlots {
+// groupReplicas returns the replicas of a group that this node has not ejected, or
+// all of them if it has ejected all. previous is the last such list.
+func groupReplicas(previous []replicaSlots, g group, ready []*replica.Replica, now time.Time) []replicaSlots {
+	usableSince := make(map[core.ReplicaID]time.Time, len(previous))
+	for _, r := range previous {
+		usableSince[r.id] = r.usableSince
+	}
+	out := make([]replicaSlots, 0, len(previous))
 	add := func(r *replica.Replica) {
 		info := r.Info()
 		if groupOf(g.Service, info.ID, g.Count) != g {
 			return
 		}
-		out = append(out, replicaSlots{id: info.ID, dc: info.DataCentre, slots: max(1, info.Slots)})
+		since, ok := usableSince[info.ID]
+		if !ok {
+			since = now
+		}
+		out = append(out, replicaSlots{id: info.ID, dc: info.DataCentre, slots: max(1, info.Slots), usableSince: since})
 	}
 	for _, r := range ready {
 		if !r.Ejected(now) {
--- a/internal/placement/openings.go
+++ b/internal/placement/openings.go
@@ -15,10 +15,18 @@
 	batch    int // the part of it that can be preempted
 	slowdown float64
 	victim   Victim // the item that is preempted first, if batch is positive
+	settled  bool   // replicaSettleTime has passed, so that it may get items
 }
 
 func (o *opening) free() int { return o.slots - o.busy }
 
+func (o *opening) freeForItems() int {
+	if !o.settled {
+		return 0
+	}
+	return max(0, o.free())
+}
+
 func (o *opening) preemptible() bool { return o.batch > 0 && o.busy-o.batch < o.slots }
 
 func (o *opening) tooSlow() bool { return o.slowdown > maxFreeSlowdown }
@@ -38,7 +46,7 @@
 // each request kept a hub busy for longer than nodes wait for its answer.
 type openings struct {
 	list []*opening
-	free int // free slots of all replicas
+	free int // free slots of the replicas that may get items
 }
 
 // openings gathers the replicas that can take requests, without those that enough
@@ -51,6 +59,7 @@
 			continue
 		}
 		o := &opening{
+			settled:      now.Sub(r.usableSince) >= replicaSettleTime,
 			replicaSlots: r, batch: s.sum(r.id).batch, slowdown: s.slowdown(r.id, now),
 			busy: s.trackedLoad(r.id) + s.untracked[r.id].confirmed(now),
 		}
@@ -59,7 +68,7 @@
 		}
 		if o.free() > 0 || o.preemptible() {
 			out.list = append(out.list, o)
-			out.free += max(0, o.free())
+			out.free += o.freeForItems()
 		}
 	}
 	return out
@@ -75,7 +84,7 @@
 	var free, occupied *opening
 	for _, r := range o.list {
 		switch {
-		case q.excludes(r.id):
+		case q.excludes(r.id), q.batch && !r.settled:
 		case r.free() > 0:
 			if free == nil || r.score(q) < free.score(q) {
 				free = r
@@ -105,10 +114,9 @@
 
 // take adds a request to the work at a replica.
 func (o *openings) take(r *opening) {
-	if r.free() > 0 {
-		o.free--
-	}
+	o.free -= r.freeForItems()
 	r.busy++
+	o.free += r.freeForItems()
 	if r.free() <= 0 && !r.preemptible() {
 		o.list = slices.DeleteFunc(o.list, func(other *opening) bool { return other == r })
 	}
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -20,6 +20,10 @@
 	// preferred to preempting a batch item elsewhere. At twice its usual duration a
 	// stream is still on time.
 	maxFreeSlowdown = 2.0
+	// replicaSettleTime is how long a replica that has become usable gets no batch
+	// items. Nodes that used it through another hub have reported their work to this
+	// one by then.
+	replicaSettleTime = time.Second
 	// headroomShare is the fraction of the slots that batch work leaves free,
 	// so that not every online request has to wait for a preemption.
 	headroomShare = 0.03
@@ -33,6 +37,9 @@
 	id    core.ReplicaID
 	dc    core.DataCentre
 	slots int
+	// usableSince is when the hub began to use the replica, or used it again after
+	// it was ejected.
+	usableSince time.Time
 }
 
 // pendingGrant is a slot that was granted to a node and is not yet part of its
--- a/internal/placement/scheduler_test.go
+++ b/internal/placement/scheduler_test.go
@@ -410,3 +410,22 @@
 	}
 	g.Expect(s.serviceTime.expectedWait(400, 400)).To(gomega.BeNumerically("<=", 2*time.Second))
 }
+
+// Guards against a hub that takes replicas for empty because it has not heard yet of
+// the work of the nodes that use them: after a cut of a data centre healed, the hub
+// there granted 250 slots that items on the other side were using.
+func TestItemsAvoidReplicasThatBecameUsable(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Now()
+	s := newTestScheduler(2, 50)
+	s.replicas[1].usableSince = now
+	s.receiveCounts("a", &nodeCounts{RunID: 1, Sequence: 1, Replicas: []replicaCounts{{ID: "r0", Online: 50}}}, now)
+	item := testRequest(1)
+	item.Batch, item.MaxWait = true, time.Minute
+	answer, _ := s.place("a", item, now)
+	g.Expect(answer.Outcome).To(gomega.Equal(outcomeQueued))
+	answer, _ = s.place("a", testRequest(2), now)
+	g.Expect(answer.Replica).To(gomega.Equal(core.ReplicaID("r1")), "an online request does not wait")
+	g.Expect(s.dispatch(now.Add(replicaSettleTime - time.Millisecond))).To(gomega.BeEmpty())
+	g.Expect(s.dispatch(now.Add(replicaSettleTime))).To(gomega.HaveLen(1))
+}
