Bound what replicas send, and take events as progress of a stream

Any byte reset the stall detection of a stream and of its replica, so comments or single bytes kept a stalled stream open to the timeout, while a fixed 1.2 s cut sound streams of slow routes. A stream that ended within an event, without a length, reached the caller as complete. Comment events of an item became empty lines of its text.

Only a complete event that is more than a comment is progress; the time allowed is 0.6 of the pause after which callers of the route disconnect. A stream of events that ends within one is aborted.

Before: of TestStalledStreamsEndAndSlowOnesDoNot three cases failed (a long pause before the first event, comments only, single bytes), and TestStreamCutWithinAnEventIsNotComplete. After: they pass three times.

--- a/internal/forward/buffered.go
+++ b/internal/forward/buffered.go
@@ -13,8 +13,8 @@
 const (
 	// maxBufferedBody is the largest response body that is read completely before
 	// it is sent to the caller. If such a response is truncated, the request can
-	// still be retried.
-	maxBufferedBody = 1 << 20
+	// still be retried. The usual body has less than 1 KiB.
+	maxBufferedBody = 256 << 10
 	// attemptTimeout limits one attempt as long as another replica may be tried. It
 	// is over five times the usual response time of a service that does not stream.
 	attemptTimeout = 900 * time.Millisecond
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -71,8 +71,8 @@
 // maxWait is how long after its arrival the request may wait for a slot.
 func (r *request) maxWait() time.Duration {
 	maxWait := r.deadline.Sub(r.arrived) - minRemaining
-	if r.route.FirstEventTimeout > 0 {
-		maxWait = min(maxWait, r.route.FirstEventTimeout)
+	if r.route.CallerIdleTimeout > 0 {
+		maxWait = min(maxWait, r.route.CallerIdleTimeout)
 	}
 	return maxWait
 }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -13,10 +13,10 @@
 const (
 	// streamBuffer is the size of the read buffer: room for a few events.
 	streamBuffer = 4 << 10
-	// streamStallTimeout is the time without data after which a resumable stream is
-	// resumed at another replica. It is several times the longest pause of a stream
-	// that is on time, and less than the 2 s after which callers disconnect.
-	streamStallTimeout = 1200 * time.Millisecond
+	// streamStallShare is the part of the pause after which callers disconnect in
+	// which a complete event must arrive. After that, a resumable stream is resumed
+	// at another replica, which has the rest of the time for its first event.
+	streamStallShare = 0.6
 )
 
 var (
@@ -95,8 +95,13 @@
 	return "", false
 }
 
-// watchdog returns a timer that cancels the attempt when it receives no data for
-// streamStallTimeout. The timer is stopped if no other replica may resume the
+// stallTimeout is the longest time without a complete event.
+func (s *streamRelay) stallTimeout() time.Duration {
+	return time.Duration(streamStallShare * float64(s.r.route.CallerIdleTimeout))
+}
+
+// watchdog returns a timer that cancels the attempt when it receives no event for
+// the stall timeout. The timer is stopped if no other replica may resume the
 // stream.
 func (s *streamRelay) watchdog(cancel context.CancelCauseFunc) *time.Timer {
 	r := s.r
@@ -105,7 +110,7 @@
 		timer.Stop()
 		return timer
 	}
-	return time.AfterFunc(streamStallTimeout, func() { cancel(errReplicaTimeout) })
+	return time.AfterFunc(s.stallTimeout(), func() { cancel(errReplicaTimeout) })
 }
 
 // handleNonStream handles a response without the status of a stream, 200. It
@@ -132,10 +137,14 @@
 	for {
 		n, err := a.response.Read(buf)
 		if n > 0 {
-			if watchdog.Stop() {
-				watchdog.Reset(streamStallTimeout)
+			progress, addErr := s.relayEvents(a, &splitter, buf[:n])
+			if progress {
+				a.response.RecordProgress()
+				if watchdog.Stop() {
+					watchdog.Reset(s.stallTimeout())
+				}
 			}
-			if addErr := s.relayEvents(a, &splitter, buf[:n]); addErr != nil {
+			if addErr != nil {
 				return addErr
 			}
 		}
@@ -148,11 +157,12 @@
 	}
 }
 
-// relayEvents forwards the events that p completes. Event IDs must increase by 1,
-// also across attempts.
-func (s *streamRelay) relayEvents(a *attempt, splitter *sse.Splitter, p []byte) error {
+// relayEvents forwards the events that p completes, and reports whether any of them
+// is more than a comment. Event IDs must increase by 1, also across attempts.
+func (s *streamRelay) relayEvents(a *attempt, splitter *sse.Splitter, p []byte) (progress bool, err error) {
 	wrote := false
-	err := splitter.Add(p, func(e sse.Event) error {
+	err = splitter.Add(p, func(e sse.Event) error {
+		progress = progress || !e.IsComment()
 		if e.HasID {
 			if s.hasLastEvent && e.ID != s.lastEvent+1 {
 				return errEventOrder
@@ -171,7 +181,7 @@
 			err = errCallerWrite
 		}
 	}
-	return err
+	return progress, err
 }
 
 // sendHeader sends the response header of the first replica that sent an event.
@@ -186,11 +196,11 @@
 	s.r.w.WriteHeader(a.response.Status)
 }
 
-// finish ends the response after the replica ended its stream. Trailing bytes that
-// are no complete event are forwarded, unless the stream was or may be resumed:
-// then they are an error.
+// finish ends the response after the replica ended its body. Trailing bytes that
+// are no complete event are an error in a stream of events: the replica stopped in
+// the middle of one. A body of another type is forwarded as it is.
 func (s *streamRelay) finish(a *attempt, remainder []byte, resumed bool) error {
-	if len(remainder) > 0 && (resumed || s.r.route.CanResume) {
+	if len(remainder) > 0 && (resumed || s.r.route.CanResume || a.response.EventStream()) {
 		return errTruncatedEvent
 	}
 	s.sendHeader(a)
--- a/internal/jobs/executor.go
+++ b/internal/jobs/executor.go
@@ -18,11 +18,14 @@
 )
 
 const (
-	// itemStallTimeout is the time without data after which an item's stream is
+	// itemStallTimeout is the time without a complete event after which an item's stream is
 	// cancelled, so that the item resumes at another replica. Events normally
 	// arrive every 30 ms, but an engine under memory pressure may preempt a
 	// request and process its prompt again.
 	itemStallTimeout = 1500 * time.Millisecond
+	// maxTextBytes limits the text of an item. The longest is a few KiB; the store
+	// takes objects of 8 MiB.
+	maxTextBytes = 4 << 20
 	// readBufferSize holds several events.
 	readBufferSize = 4 << 10
 )
@@ -30,6 +33,7 @@
 var (
 	errItemStalled = errors.New("no data within the stall timeout")
 	errEventOrder  = errors.New("event ID out of sequence")
+	errTextTooLong = errors.New("text of the item exceeds 4 MiB")
 )
 
 // Executor sends items to replicas and collects their output.
@@ -158,10 +162,18 @@
 	for {
 		n, err := response.Read(buf)
 		if n > 0 {
-			if watchdog.Stop() {
-				watchdog.Reset(itemStallTimeout)
+			progress := false
+			addErr := splitter.Add(buf[:n], func(e sse.Event) error {
+				progress = progress || !e.IsComment()
+				return task.addEvent(e)
+			})
+			if progress {
+				response.RecordProgress()
+				if watchdog.Stop() {
+					watchdog.Reset(itemStallTimeout)
+				}
 			}
-			if addErr := splitter.Add(buf[:n], task.addEvent); addErr != nil {
+			if addErr != nil {
 				return addErr
 			}
 		}
@@ -179,12 +191,18 @@
 
 // addEvent appends one event to the output. Event IDs must be consecutive.
 func (task *itemTask) addEvent(e sse.Event) error {
+	if e.IsComment() {
+		return nil
+	}
 	if e.HasID {
 		if task.lastEvent != forward.NoResume && e.ID != task.lastEvent+1 {
 			return errEventOrder
 		}
 		task.lastEvent = e.ID
 	}
+	if task.textBytes += len(e.Data); task.textBytes > maxTextBytes {
+		return errTextTooLong
+	}
 	task.eventData = append(task.eventData, append([]byte(nil), e.Data...))
 	return nil
 }
--- a/internal/jobs/itemtask.go
+++ b/internal/jobs/itemtask.go
@@ -14,6 +14,8 @@
 	item *Item
 	// eventData is the data of the events received so far, in order.
 	eventData [][]byte
+	// textBytes is the total length of eventData.
+	textBytes int
 	// lastEvent is the ID of the last event received, or forward.NoResume.
 	lastEvent int64
 	// runTime is the total time of the ended runs that delivered events. started is
--- a/internal/replica/conn.go
+++ b/internal/replica/conn.go
@@ -20,6 +20,7 @@
 // conn is one connection to a replica. It carries one request at a time.
 type conn struct {
 	net.Conn
+	head   *headReader // limits what reader reads
 	reader *bufio.Reader
 	writer *bufio.Writer
 	// idleSince is when the connection was returned to the pool.
@@ -30,9 +31,11 @@
 }
 
 func newConn(raw net.Conn) *conn {
+	head := &headReader{r: raw}
 	return &conn{
 		Conn:        raw,
-		reader:      bufio.NewReaderSize(raw, connBuffer),
+		head:        head,
+		reader:      bufio.NewReaderSize(head, connBuffer),
 		writer:      bufio.NewWriterSize(raw, connBuffer),
 		idleTimeout: defaultIdleTimeout,
 	}
@@ -77,10 +80,13 @@
 	return err == nil && reusable
 }
 
-// drain discards the rest of a response body, at most maxStaleResponseBytes, and
-// closes it.
+// drain discards the rest of a response body and closes it. It fails if the body is
+// longer than maxStaleResponseBytes.
 func drain(body io.ReadCloser) error {
-	_, err := io.Copy(io.Discard, io.LimitReader(body, maxStaleResponseBytes))
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxStaleResponseBytes+1))
+	if err == nil && n > maxStaleResponseBytes {
+		err = errStaleResponseLength
+	}
 	if closeErr := body.Close(); err == nil {
 		err = closeErr
 	}
--- a/internal/replica/exchange.go
+++ b/internal/replica/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"mime"
 	"net/http"
 	"strconv"
 	"strings"
@@ -37,7 +38,9 @@
 	body      io.ReadCloser
 	stop      func() bool  // ends the watch of the context, see conn.watch
 	sendDone  <-chan error // result of sending the request body, see conn.send
+	bodyRead  int          // bytes of the body that were read
 	complete  bool         // the whole body was read
+	events    bool         // the body is a stream of events, see RecordProgress
 	keepAlive bool         // the replica keeps the connection open
 }
 
@@ -75,6 +78,7 @@
 	return &Response{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
 		replica: r, conn: c, body: resp.Body, stop: stop, sendDone: sendDone, keepAlive: !resp.Close,
+		events: isEventStream(resp.Header),
 	}, nil
 }
 
@@ -118,7 +122,9 @@
 // readHead reads the head of the next final response and skips interim (1xx)
 // ones.
 func (c *conn) readHead(method string) (*http.Response, error) {
-	for {
+	c.head.limit()
+	defer c.head.unlimit()
+	for range maxInterimResponses + 1 {
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
 			return nil, err
@@ -127,6 +133,7 @@
 			return resp, nil
 		}
 	}
+	return nil, errInterimResponses
 }
 
 // updateIdleTimeout sets the idle timeout that the replica sends in a Keep-Alive
@@ -153,12 +160,29 @@
 	return r.RecordFailure(now)
 }
 
+// isEventStream reports whether a body is a stream of events.
+func isEventStream(h http.Header) bool {
+	mediaType, _, err := mime.ParseMediaType(h.Get("Content-Type"))
+	return err == nil && mediaType == "text/event-stream"
+}
+
+// EventStream reports whether the body is a stream of events.
+func (resp *Response) EventStream() bool { return resp.events }
+
+// RecordProgress records that a complete event of a stream has arrived. Bytes alone
+// do not show that a replica makes progress with a stream: it may send comments or
+// parts of an event for ever.
+func (resp *Response) RecordProgress() { resp.replica.lastRead.Set(time.Now()) }
+
 // Read implements io.Reader for the body. It returns io.EOF only at the end of a
 // complete body.
 func (resp *Response) Read(p []byte) (int, error) {
 	n, err := resp.body.Read(p)
-	if n > 0 {
-		resp.replica.lastRead.Set(time.Now())
+	if n > 0 && !resp.events {
+		resp.RecordProgress()
+	}
+	if resp.bodyRead += n; resp.bodyRead > maxBodyBytes {
+		return n, errBodyTooLong
 	}
 	if errors.Is(err, io.EOF) {
 		resp.complete = true
--- a/internal/routetable/route.go
+++ b/internal/routetable/route.go
@@ -21,9 +21,9 @@
 	// Objective is the target time from the arrival of a request to the start of
 	// its response.
 	Objective time.Duration
-	// FirstEventTimeout is how long callers wait for the first event of a stream.
-	// 0 means that only Timeout limits the wait.
-	FirstEventTimeout time.Duration
+	// CallerIdleTimeout is how long callers of a stream wait for its first event and
+	// between two events. 0 means that only Timeout limits the wait.
+	CallerIdleTimeout time.Duration
 	// MaxAttempts limits how many replicas may run one request.
 	MaxAttempts int
 	// CanResume is set if an interrupted stream may be resumed at another replica.
--- a/internal/sse/event.go
+++ b/internal/sse/event.go
@@ -13,14 +13,19 @@
 	// id field is missing or not an integer.
 	ID    int64
 	HasID bool
-	// Data holds the values of the data fields, joined by line feeds.
-	Data []byte
+	// Data holds the values of the data fields, joined by line feeds. HasData is
+	// false for an event without a data field.
+	Data    []byte
+	HasData bool
 }
 
+// IsComment reports whether the event carries neither an ID nor data. Servers send
+// such events to keep a connection open; they are no progress of a stream.
+func (e *Event) IsComment() bool { return !e.HasID && !e.HasData }
+
 // parseEvent reads the id and data fields of an event. Other fields are ignored.
 func parseEvent(raw []byte) Event {
 	e := Event{Raw: raw}
-	hasData := false
 	for line := range bytes.Lines(raw) {
 		line = bytes.TrimRight(line, "\r\n")
 		name, value, _ := bytes.Cut(line, []byte(":"))
@@ -31,11 +36,11 @@
 				e.ID, e.HasID = id, true
 			}
 		case "data":
-			if hasData {
+			if e.HasData {
 				e.Data = append(e.Data, '\n')
 			}
 			e.Data = append(e.Data, value...)
-			hasData = true
+			e.HasData = true
 		}
 	}
 	return e
