Take an unnamed response only on a connection that nobody used before

Cause: a response without a request ID was taken for that of the request that waited. A server that sends a second copy of a response late, between the check of the idle connection and the write of the next request, gave it to the next caller. An item that is sent again has the ID of its earlier runs, so a copy of a refusal or failure could also count twice.

Change: a connection goes back to the pool only after a response that names its request; on a reused one, a response that names none ends the exchange. An item that a replica has answered without finishing it goes out on a new connection.

--- a/internal/forward/codec.go
+++ b/internal/forward/codec.go
@@ -17,9 +17,9 @@
 	ReplicaHeader(h http.Header, send SendOptions) http.Header
 	// ParseResponse parses the status and headers of a replica's response.
 	ParseResponse(status int, h http.Header) ResponseInfo
-	// ResponseMatcher returns a function that reports whether a response with the
-	// given headers belongs to the request with the ID.
-	ResponseMatcher(id string) func(http.Header) bool
+	// ResponseMatcher returns a function that says whether a response with the given
+	// headers belongs to the request with the ID.
+	ResponseMatcher(id string) func(http.Header) replica.Match
 	// CallerHeader copies to the caller's response those headers of the replica's
 	// response that the caller gets.
 	CallerHeader(to, from http.Header)
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -91,7 +91,7 @@
 			Remaining: r.deadline.Sub(now), Replica: info.ID, ResumeAfter: resumeAfter,
 		}),
 		Body: r.body, HasBody: r.in.ContentLength != 0 || len(r.body) > 0,
-		MatchesResponse: r.h.Codec.ResponseMatcher(r.reqInfo.ID),
+		MatchResponse: r.h.Codec.ResponseMatcher(r.reqInfo.ID),
 	})
 	r.recordResult(a, now)
 	return a
--- a/internal/jobs/executor.go
+++ b/internal/jobs/executor.go
@@ -113,7 +113,7 @@
 	response, err := target.Send(ctx, &replica.Request{
 		Method: http.MethodPost, Target: task.item.Path, Host: task.job.entry.Host,
 		Header: e.Codec.ReplicaHeader(header, forward.SendOptions{Replica: target.Info().ID, ResumeAfter: task.lastEvent}),
-		Body:   task.item.Body, HasBody: true, MatchesResponse: e.Codec.ResponseMatcher(task.item.ID),
+		Body:   task.item.Body, HasBody: true, MatchResponse: e.Codec.ResponseMatcher(task.item.ID), NewConnection: task.answered,
 	})
 	if err != nil {
 		return outcomeBroken, err
@@ -124,6 +124,7 @@
 		target.RecordLoad(*info.Load, time.Now())
 	}
 	if info.NotRun || response.Status != http.StatusOK || !info.Signed {
+		task.answered = true
 		return e.classifyResponse(response, info)
 	}
 	if err := readEvents(task, response, watchdog); err != nil {
--- a/internal/jobs/placement_test.go
+++ b/internal/jobs/placement_test.go
@@ -22,7 +22,7 @@
 type plainCodec struct{ forward.Codec }
 
 func (plainCodec) ReplicaHeader(h http.Header, _ forward.SendOptions) http.Header { return h }
-func (plainCodec) ResponseMatcher(string) func(http.Header) bool                  { return nil }
+func (plainCodec) ResponseMatcher(string) func(http.Header) replica.Match         { return nil }
 
 // localFreeSlots is the number of free slots that a replica needs to get an item.
 const localFreeSlots = 3
--- a/internal/replica/conn.go
+++ b/internal/replica/conn.go
@@ -27,7 +27,10 @@
 	idleSince time.Time
 	// idleTimeout is the idle timeout of the replica.
 	idleTimeout time.Duration
-	aborted     atomic.Bool
+	// used is set if the connection has carried another request before. A late
+	// second copy of its response may then still arrive.
+	used    bool
+	aborted atomic.Bool
 }
 
 func newConn(raw net.Conn) *conn {
--- a/internal/replica/exchange.go
+++ b/internal/replica/exchange.go
@@ -23,7 +23,10 @@
 	maxStaleResponseBytes = 1 << 20
 )
 
-var errStaleResponses = errors.New("connection carries responses to other requests")
+var (
+	errStaleResponses  = errors.New("connection carries responses to other requests")
+	errUnnamedResponse = errors.New("response on a reused connection does not name its request")
+)
 
 // Response is the response of a replica. Read reads its body. Close must be called
 // exactly once.
@@ -41,7 +44,7 @@
 	bodyRead  int          // bytes of the body that were read
 	complete  bool         // the whole body was read
 	events    bool         // the body is a stream of events, see RecordProgress
-	keepAlive bool         // the replica keeps the connection open
+	keepAlive bool         // the connection may be used again
 }
 
 // Send sends a request and returns the response once its headers were read. When
@@ -49,7 +52,10 @@
 // a *Failure.
 func (r *Replica) Send(ctx context.Context, req *Request) (*Response, error) {
 	now := time.Now()
-	c := r.pool.get(now)
+	var c *conn
+	if !req.NewConnection {
+		c = r.pool.get(now)
+	}
 	if c == nil {
 		var err error
 		if c, err = dial(ctx, r.Info().Address); err != nil {
@@ -63,7 +69,7 @@
 		c.abort()
 		return nil, &Failure{Sent: true, Err: err}
 	}
-	resp, err := c.receive(req)
+	resp, named, err := c.receive(req)
 	if err != nil {
 		stop()
 		c.abort()
@@ -77,7 +83,7 @@
 	r.openResponses.Add(1)
 	return &Response{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
-		replica: r, conn: c, body: resp.Body, stop: stop, sendDone: sendDone, keepAlive: !resp.Close,
+		replica: r, conn: c, body: resp.Body, stop: stop, sendDone: sendDone, keepAlive: named && !resp.Close,
 		events: isEventStream(resp.Header),
 	}, nil
 }
@@ -101,22 +107,28 @@
 	return sendDone, nil
 }
 
-// receive reads the head of the response to the request. It discards late
-// responses to earlier requests.
-func (c *conn) receive(req *Request) (*http.Response, error) {
+// receive reads the head of the response to the request, and reports whether the
+// response names it. It discards late responses to earlier requests. On a reused
+// connection, a response that does not name its request may be a second copy of an
+// earlier one.
+func (c *conn) receive(req *Request) (resp *http.Response, named bool, err error) {
 	for range maxStaleResponses + 1 {
-		resp, err := c.readHead(req.Method)
-		if err != nil {
-			return nil, err
+		if resp, err = c.readHead(req.Method); err != nil {
+			return nil, false, err
 		}
-		if req.MatchesResponse == nil || req.MatchesResponse(resp.Header) {
-			return resp, nil
+		switch match := req.match(resp.Header); {
+		case match == MatchOwn:
+			return resp, true, nil
+		case match == MatchUnknown && c.used:
+			return nil, false, errUnnamedResponse
+		case match == MatchUnknown:
+			return resp, false, nil
 		}
 		if err := drain(resp.Body); err != nil {
-			return nil, err
+			return nil, false, err
 		}
 	}
-	return nil, errStaleResponses
+	return nil, false, errStaleResponses
 }
 
 // readHead reads the head of the next final response and skips interim (1xx)
@@ -209,5 +221,6 @@
 		resp.conn.abort()
 		return
 	}
+	resp.conn.used = true
 	resp.replica.pool.put(resp.conn, time.Now())
 }
--- a/internal/replica/request.go
+++ b/internal/replica/request.go
@@ -18,9 +18,19 @@
 	Body   []byte
 	// HasBody is set if the caller sent a body, even an empty one.
 	HasBody bool
-	// MatchesResponse reports whether a response with these headers belongs to this
-	// request. If nil, every response does.
-	MatchesResponse func(http.Header) bool
+	// MatchResponse says whether a response with these headers belongs to this
+	// request. If nil, no response names its request.
+	MatchResponse func(http.Header) Match
+	// NewConnection is set if the replica has answered a request with the same ID,
+	// so that a second copy of that response could not be told from this one's.
+	NewConnection bool
+}
+
+func (r *Request) match(h http.Header) Match {
+	if r.MatchResponse == nil {
+		return MatchUnknown
+	}
+	return r.MatchResponse(h)
 }
 
 // writeHead writes the request line and the headers.
--- a/internal/replica/trouble_test.go
+++ b/internal/replica/trouble_test.go
@@ -65,12 +65,20 @@
 	return newReplica(Info{ID: "r", Address: rawServer(t, respond)}, make(chan struct{}, 1))
 }
 
-// testRequest is a request that accepts only a response with its own ID, or with
-// none.
+// testRequest is a request with an ID that its response may name.
 func testRequest(id string) *Request {
 	return &Request{
 		Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{"X-Id": {id}}, Body: []byte("b"),
-		MatchesResponse: func(h http.Header) bool { return h.Get("X-Id") == "" || h.Get("X-Id") == id },
+		MatchResponse: func(h http.Header) Match {
+			switch h.Get("X-Id") {
+			case id:
+				return MatchOwn
+			case "":
+				return MatchUnknown
+			default:
+				return MatchNone
+			}
+		},
 	}
 }
 
