Contain a panic in the unit of work that caused it

Cause: only HTTP handlers recovered. A panic at one message of a peer, one item, one commit or claim of a job, one row of a table or one load report ended the process with all its streams; some locks and counts would have stayed taken had it gone on.

Change: package contain ends the panic at one place for each kind of unit, logs it with stack and id and counts it ("panics" in the state dump). The message gets an error, the item is sent again later, the job is resumed from its rows, the other rows reach their handler, and a hub drops the state of the group, which the next counts of the nodes rebuild. Locks, slots, searches and claims are given back by deferred calls. Periodic tasks still end the process.

Before: TestPanicInHandlerFailsOnlyItsMessage ended the test process.

--- a/internal/directory/poll.go
+++ b/internal/directory/poll.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"gentiantide.example/gentiantide/internal/backend"
+	"gentiantide.example/gentiantide/internal/contain"
 	"gentiantide.example/gentiantide/internal/core"
 	"gentiantide.example/gentiantide/internal/membership"
 	"gentiantide.example/gentiantide/internal/settings"
@@ -35,7 +37,7 @@
 func (s *Service) poll(ctx context.Context, id core.ReplicaID, kind settings.DeploymentKind, address string) {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
-	load, err := s.prober.Probe(ctx, kind, address)
+	load, err := s.probe(ctx, id, kind, address)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e, ok := s.replicas[id]
@@ -55,3 +57,10 @@
 	}
 	e.failures, e.lastLoad, e.polledAt = 0, load, time.Now()
 }
+
+// probe requests the load report of a backend server. A panic counts as a failed
+// poll.
+func (s *Service) probe(ctx context.Context, id core.ReplicaID, kind settings.DeploymentKind, address string) (load backend.Load, err error) {
+	defer contain.Error(s.log, "poll of backend server", string(id), &err)
+	return s.prober.Probe(ctx, kind, address)
+}
--- a/internal/httpapi/httpserver/middleware.go
+++ b/internal/httpapi/httpserver/middleware.go
@@ -28,10 +28,10 @@
 // recoverPanic handles a panic of the handler. If the response has not started,
 // it responds with status 500. Otherwise it aborts the connection, so that the
 // caller does not take a partial response for a complete one. The process keeps
-// running because one request must not end the others in progress. A panic in any
-// other goroutine (of a peer message, a batch worker or a periodic task) means a
-// broken invariant of shared state; it ends the process with a stack trace on the
-// standard error.
+// running because one request must not end the others in progress. Package contain
+// does the same for other units of work. A panic in a periodic task means a broken
+// invariant of shared state; it ends the process with a stack trace on the standard
+// error.
 func (m *middleware) recoverPanic(rw *response, r *http.Request, id string) {
 	v := recover()
 	if v == nil {
--- a/internal/jobs/commit.go
+++ b/internal/jobs/commit.go
@@ -6,6 +6,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"gentiantide.example/gentiantide/internal/contain"
 	"gentiantide.example/gentiantide/internal/infra"
 )
 
@@ -29,10 +30,22 @@
 	r.wg.Add(1)
 	go func() {
 		defer r.wg.Done()
-		r.commitLoop(job)
+		if err := r.commitContained(job); err != nil {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			if r.jobs[job.entry.ID] == job {
+				r.drop(job, "commit failed: "+err.Error()) // the job is resumed from its rows
+			}
+		}
 	}()
 }
 
+func (r *Runner) commitContained(job *ownedJob) (err error) {
+	defer contain.Error(r.log, "commit of job", job.entry.ID, &err)
+	r.commitLoop(job)
+	return nil
+}
+
 // commitLoop commits batches until no finished results are left or the job is
 // no longer executed here. If all results of an open job are committed, an empty
 // batch closes it.
--- a/internal/jobs/jobcache.go
+++ b/internal/jobs/jobcache.go
@@ -40,29 +40,37 @@
 	for i := range rows {
 		present[rows[i].Key] = true
 	}
+	c.removeAbsent(present)
+	c.Changed(rows)
+}
+
+func (c *JobCache) removeAbsent(present map[string]bool) {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	for id := range c.entries {
 		if !present[id] {
 			delete(c.entries, id)
 		}
 	}
-	c.mu.Unlock()
-	c.Changed(rows)
 }
 
 // Changed implements watch.Handler.
 func (c *JobCache) Changed(rows []infra.VersionedRow) {
-	var changed []Entry
+	if changed := c.applyAll(rows); c.Notify != nil && len(changed) > 0 {
+		c.Notify(changed)
+	}
+}
+
+// applyAll updates the cache and returns the jobs that were added or changed.
+func (c *JobCache) applyAll(rows []infra.VersionedRow) (changed []Entry) {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	for i := range rows {
 		if entry, ok := c.apply(&rows[i]); ok {
 			changed = append(changed, entry)
 		}
 	}
-	c.mu.Unlock()
-	if c.Notify != nil && len(changed) > 0 {
-		c.Notify(changed)
-	}
+	return changed
 }
 
 // apply updates the cache from one row and reports whether a job was added or
--- a/internal/jobs/orphanclaimer.go
+++ b/internal/jobs/orphanclaimer.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"gentiantide.example/gentiantide/internal/contain"
 	"gentiantide.example/gentiantide/internal/infra"
 	"gentiantide.example/gentiantide/internal/nodes"
 )
@@ -61,6 +62,7 @@
 	for i := range unstarted {
 		if c.beginClaim(unstarted[i].ID) {
 			go func() {
+				defer contain.Recover(r.log, "resumption of job", unstarted[i].ID)
 				defer c.endClaim(unstarted[i].ID)
 				c.resumeJob(ctx, unstarted[i], r.owner)
 			}()
@@ -102,8 +104,9 @@
 // job row, which fences commits of the former owner. The results are read
 // only after that.
 func (c *orphanClaimer) claim(ctx context.Context, entry Entry) {
-	defer c.endClaim(entry.ID)
 	r := c.runner
+	defer contain.Recover(r.log, "claim of job", entry.ID)
+	defer c.endClaim(entry.ID)
 	former := entry.Owner
 	record := entry.Record
 	record.Owner = r.owner
--- a/internal/jobs/placement_test.go
+++ b/internal/jobs/placement_test.go
@@ -91,3 +91,36 @@
 	f.runner.drop(job, "test ends")
 	f.runner.mu.Unlock()
 }
+
+// panickingCodec panics for each item that is sent.
+type panickingCodec struct {
+	plainCodec
+	calls *atomic.Int64
+}
+
+func (c panickingCodec) ReplicaHeader(http.Header, forward.SendOptions) http.Header {
+	c.calls.Add(1)
+	panic("item that cannot be encoded")
+}
+
+// Guards against an item that ends the process, or that keeps its slot: a panic
+// while it is sent must give back the slot and leave the item pending.
+func TestPanicOfAnItemGivesItsSlotBack(t *testing.T) {
+	f := newFixture(t, "a/1")
+	f.registry.Put(replica.Info{ID: "i-1", Service: "m", Address: silentReplica(t), Slots: 8})
+	table := routetable.NewTable(1, routetable.Limits{}, []*routetable.Route{
+		{Host: "h", Prefix: "/b/", Kind: routetable.KindBatch, Backends: []routetable.Backend{{Service: "m", Weight: 1}}},
+	})
+	f.runner.exec.Routes.Store(table)
+	codec := panickingCodec{calls: &atomic.Int64{}}
+	f.runner.exec.Codec = codec
+	job := f.job("job", "1")
+	job.entry.Host = "h"
+	job.pending[0].item.Path = "/b/x"
+	f.Eventually(func() int64 { f.runner.dispatch(time.Now()); return codec.calls.Load() }, eventuallyTimeout, "2ms").Should(gomega.BeNumerically(">=", 2))
+	f.Eventually(func() int { _, pending, _ := f.runner.JobCounts(); return pending }, eventuallyTimeout, "1ms").Should(gomega.Equal(1))
+	f.Eventually(func() int { _, batch := f.registry.Get("i-1").LocalLoad(); return batch }, eventuallyTimeout, "1ms").Should(gomega.Equal(0))
+	f.runner.mu.Lock()
+	f.runner.drop(job, "test ends")
+	f.runner.mu.Unlock()
+}
--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"gentiantide.example/gentiantide/internal/contain"
 	"gentiantide.example/gentiantide/internal/core"
 	"gentiantide.example/gentiantide/internal/forward"
 	"gentiantide.example/gentiantide/internal/placement"
@@ -196,9 +197,7 @@
 // placeNext waits for a replica and starts an item there: the first in placement
 // order at that time, which may not be the item that the search began for.
 func (r *Runner) placeNext(q *placement.Query) {
-	ctx, cancel := context.WithTimeout(r.searchCtx, searchTimeout)
-	target, _ := r.placer.Place(ctx, q)
-	cancel()
+	target := r.search(q)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.searches[q.Service]--
@@ -216,6 +215,15 @@
 	target.End(core.ClassBatch) // no item is pending any more
 }
 
+// search waits for a replica for an item. It returns nil if none was found.
+func (r *Runner) search(q *placement.Query) (target *replica.Replica) {
+	defer contain.Recover(r.log, "search for a replica", string(q.Service))
+	ctx, cancel := context.WithTimeout(r.searchCtx, searchTimeout)
+	defer cancel()
+	target, _ = r.placer.Place(ctx, q)
+	return target
+}
+
 // readyItems returns the pending items that may be sent now, in placement order.
 // The caller holds the lock.
 func (r *Runner) readyItems(now time.Time, clock time.Duration) []*itemTask {
@@ -251,12 +259,20 @@
 		defer r.wg.Done()
 		defer cancel(nil)
 		events := len(task.eventData)
-		outcome := r.exec.run(ctx, task, target)
+		outcome := r.runContained(ctx, task, target)
 		target.End(core.ClassBatch)
 		r.handleOutcome(task, route, outcome, len(task.eventData) > events)
 	}()
 }
 
+// runContained runs an item. After a panic the item is sent again later. It is not
+// abandoned before its time, as no replica has failed it.
+func (r *Runner) runContained(ctx context.Context, task *itemTask, target *replica.Replica) (outcome runOutcome) {
+	outcome = outcomeDeclined
+	defer contain.Recover(r.log, "item", task.item.ID)
+	return r.exec.run(ctx, task, target)
+}
+
 // handleOutcome records the result of an item after a run, or makes the item
 // pending again. progressed is set if the run received events.
 func (r *Runner) handleOutcome(task *itemTask, route *routetable.Route, outcome runOutcome, progressed bool) {
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -125,10 +125,7 @@
 // a request.
 func (s *session) handle(f *frame) {
 	response := &frame{Type: frameResponse, ID: f.ID}
-	handler, ok := s.transport.handlers[f.Kind]
-	if !ok {
-		response.Type, response.Body = frameError, []byte("unknown message kind "+f.Kind)
-	} else if body, err := handler(s.transport.baseCtx, s.from, f.Body); err != nil {
+	if body, err := s.transport.invoke(s.transport.baseCtx, s.from, f.Kind, f.Body); err != nil {
 		response.Type, response.Body = frameError, []byte(err.Error())
 	} else {
 		response.Body = body
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"gentiantide.example/gentiantide/internal/contain"
 	"gentiantide.example/gentiantide/internal/core"
 )
 
@@ -146,17 +147,23 @@
 }
 
 func (t *Transport) callLocal(ctx context.Context, kind string, body []byte) ([]byte, error) {
-	handler, ok := t.handlers[kind]
-	if !ok {
-		return nil, &RemoteError{Message: "unknown message kind " + kind}
-	}
-	response, err := handler(ctx, t.self, body)
+	response, err := t.invoke(ctx, t.self, kind, body)
 	if err != nil {
 		return nil, &RemoteError{Message: err.Error()}
 	}
 	return response, nil
 }
 
+// invoke passes a message to its handler. A panic of the handler fails the message.
+func (t *Transport) invoke(ctx context.Context, from core.NodeID, kind string, body []byte) (response []byte, err error) {
+	handler, ok := t.handlers[kind]
+	if !ok {
+		return nil, errors.New("unknown message kind " + kind)
+	}
+	defer contain.Error(t.log, "message", kind+" from "+string(from), &err)
+	return handler(ctx, from, body)
+}
+
 func (t *Transport) callRemote(ctx context.Context, to core.NodeID, kind string, body []byte) ([]byte, error) {
 	l := t.link(to)
 	if l == nil {
--- a/internal/peer/transport_test.go
+++ b/internal/peer/transport_test.go
@@ -131,3 +131,29 @@
 	_, err = conn.Read(make([]byte, 1))
 	g.Expect(err).To(gomega.HaveOccurred())
 }
+
+// Guards against one message that ends the whole process: a handler that panics
+// must fail that message only, for calls from other nodes and from the node itself.
+func TestPanicInHandlerFailsOnlyItsMessage(t *testing.T) {
+	g := gomega.NewWithT(t)
+	client, server := newPair(t, func(_ context.Context, _ core.NodeID, body []byte) ([]byte, error) {
+		var m echoMessage
+		if err := msgpack.Unmarshal(body, &m); err != nil {
+			return nil, err
+		}
+		if m.Text == "bad" {
+			panic("bad message")
+		}
+		return body, nil
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	for _, from := range []*Transport{client, server} {
+		var remote *RemoteError
+		g.Expect(errors.As(from.Call(ctx, "b", "echo", &echoMessage{"bad"}, nil), &remote)).To(gomega.BeTrue())
+		g.Expect(from.Send("b", "echo", &echoMessage{"bad"})).To(gomega.Succeed())
+		var got echoMessage
+		g.Expect(from.Call(ctx, "b", "echo", &echoMessage{"good"}, &got)).To(gomega.Succeed())
+		g.Expect(got.Text).To(gomega.Equal("good"))
+	}
+}
--- a/internal/placement/hub.go
+++ b/internal/placement/hub.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"gentiantide.example/gentiantide/internal/contain"
 	"gentiantide.example/gentiantide/internal/core"
 	"gentiantide.example/gentiantide/internal/peer"
 	"gentiantide.example/gentiantide/internal/replica"
@@ -145,6 +146,24 @@
 	return nil, nil
 }
 
+// update calls fn with the state of a group, with the lock held. The caller calls
+// the function that fn returns, without the lock. If fn panics, the state is dropped;
+// the next messages of the nodes rebuild it.
+func (h *hub) update(g group, now time.Time, fn func(*groupState) (send func())) (send func(), err error) {
+	defer contain.Error(h.log, "group", g.key(), &err)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	intact := false
+	defer func() {
+		if !intact {
+			delete(h.groups, g)
+		}
+	}()
+	send = fn(h.ensureGroup(g, now))
+	intact = true
+	return send, nil
+}
+
 // handleRequest answers a placementRequest.
 func (h *hub) handleRequest(_ context.Context, from core.NodeID, body []byte) ([]byte, error) {
 	if h.stopping.Load() {
@@ -155,15 +174,19 @@
 		return nil, err
 	}
 	now := time.Now()
-	h.mu.Lock()
-	state := h.ensureGroup(req.Group, now)
-	state.lastMessageAt = now
-	answer, assigned := state.place(from, &req, now)
-	if answer.Outcome == outcomeQueued {
-		state.queuedSinceLog++
+	var answer placementResponse
+	send, err := h.update(req.Group, now, func(state *groupState) func() {
+		state.lastMessageAt = now
+		var assigned *assignment
+		answer, assigned = state.place(from, &req, now)
+		if answer.Outcome == outcomeQueued {
+			state.queuedSinceLog++
+		}
+		return h.preparePreemption(state, assigned)
+	})
+	if err != nil {
+		return nil, err
 	}
-	send := h.preparePreemption(state, assigned)
-	h.mu.Unlock()
 	send()
 	return msgpack.Marshal(&answer)
 }
@@ -189,12 +212,14 @@
 		return nil, err
 	}
 	now := time.Now()
-	h.mu.Lock()
-	state := h.ensureGroup(c.Group, now)
-	state.lastMessageAt = now
-	state.receiveCounts(from, &c, now)
-	send := h.dispatchSoon(state, now)
-	h.mu.Unlock()
+	send, err := h.update(c.Group, now, func(state *groupState) func() {
+		state.lastMessageAt = now
+		state.receiveCounts(from, &c, now)
+		return h.dispatchSoon(c.Group, state, now)
+	})
+	if err != nil {
+		return nil, err
+	}
 	send()
 	return nil, nil
 }
@@ -207,35 +232,45 @@
 		return nil, err
 	}
 	now := time.Now()
-	h.mu.Lock()
-	state := h.ensureGroup(w.Group, now)
-	state.withdraw(from, w.RequestID)
-	send := h.dispatchSoon(state, now)
-	h.mu.Unlock()
+	send, err := h.update(w.Group, now, func(state *groupState) func() {
+		state.withdraw(from, w.RequestID)
+		return h.dispatchSoon(w.Group, state, now)
+	})
+	if err != nil {
+		return nil, err
+	}
 	send()
 	return nil, nil
 }
 
 // dispatchSoon dispatches at once, or schedules a dispatch if the last one was less
 // than minDispatchInterval ago. The function returned is called without the lock.
-func (h *hub) dispatchSoon(state *groupState, now time.Time) func() {
+func (h *hub) dispatchSoon(g group, state *groupState, now time.Time) func() {
 	wait := minDispatchInterval - now.Sub(state.dispatchedAt)
 	if wait <= 0 {
 		return h.dispatch(state, now)
 	}
 	if !state.dispatchDue && len(state.queue) > 0 {
 		state.dispatchDue = true
-		time.AfterFunc(wait, func() {
-			h.mu.Lock()
-			state.dispatchDue = false
-			send := h.dispatch(state, time.Now())
-			h.mu.Unlock()
-			send()
-		})
+		time.AfterFunc(wait, func() { h.dispatchDue(g, state, time.Now()) })
 	}
 	return func() {}
 }
 
+// dispatchDue makes a scheduled dispatch, unless the group was dropped since.
+func (h *hub) dispatchDue(g group, state *groupState, now time.Time) {
+	send, err := h.update(g, now, func(current *groupState) func() {
+		state.dispatchDue = false
+		if current != state {
+			return func() {}
+		}
+		return h.dispatch(state, now)
+	})
+	if err == nil {
+		send()
+	}
+}
+
 // dispatch assigns free slots to queued requests. The function returned
 // notifies their nodes and is called without the lock.
 func (h *hub) dispatch(state *groupState, now time.Time) func() {
@@ -261,27 +296,37 @@
 // tick expires old state, drops idle groups, dispatches queued requests and
 // sends the totals that are due. It reports whether any groups are left.
 func (h *hub) tick(now time.Time) bool {
-	var sends []func()
 	h.mu.Lock()
-	for g, state := range h.groups {
-		h.ensureGroup(g, now).expire(now)
-		if now.Sub(state.lastMessageAt) > groupIdleTimeout {
-			delete(h.groups, g)
-			h.log.Info("stopped being hub of an idle group", "group", g.key())
-			continue
-		}
-		sends = append(sends, h.dispatch(state, now))
-		if now.Sub(state.totalsSentAt) >= max(minTotalsInterval, time.Duration(len(state.nodes))*totalsIntervalPerNode) {
-			state.totalsSentAt = now
-			sends = append(sends, h.prepareTotals(g, state))
+	groups := slices.Collect(maps.Keys(h.groups))
+	h.mu.Unlock()
+	for _, g := range groups {
+		if send, err := h.update(g, now, func(state *groupState) func() { return h.tickGroup(g, state, now) }); err == nil {
+			send()
 		}
 	}
-	active := len(h.groups) > 0
-	h.mu.Unlock()
-	for _, send := range sends {
-		send()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.groups) > 0
+}
+
+// tickGroup is tick for one group. The caller holds the lock, and calls the function
+// returned without it.
+func (h *hub) tickGroup(g group, state *groupState, now time.Time) func() {
+	state.expire(now)
+	if now.Sub(state.lastMessageAt) > groupIdleTimeout {
+		delete(h.groups, g)
+		h.log.Info("stopped being hub of an idle group", "group", g.key())
+		return func() {}
+	}
+	sendGrants, sendTotals := h.dispatch(state, now), func() {}
+	if now.Sub(state.totalsSentAt) >= max(minTotalsInterval, time.Duration(len(state.nodes))*totalsIntervalPerNode) {
+		state.totalsSentAt = now
+		sendTotals = h.prepareTotals(g, state)
+	}
+	return func() {
+		sendGrants()
+		sendTotals()
 	}
-	return active
 }
 
 // prepareTotals encodes the totals of a group. The function returned sends them
--- a/internal/placement/service.go
+++ b/internal/placement/service.go
@@ -191,26 +191,35 @@
 // confirm grants, and otherwise every maxCountsInterval. Empty counts are not
 // repeated.
 func (s *Service) sendCounts(g group, to core.NodeID, victims map[core.ReplicaID]Victim, now time.Time) {
+	c := s.dueCounts(g, to, victims, now)
+	if c == nil {
+		return
+	}
+	if err := s.Transport.Send(to, kindCounts, c); err != nil {
+		s.Log.Debug("cannot send counts to the hub", "node", to, "error", err)
+	}
+}
+
+// dueCounts returns the counts to send to a hub now, or nil.
+func (s *Service) dueCounts(g group, to core.NodeID, victims map[core.ReplicaID]Victim, now time.Time) *nodeCounts {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	sent, ok := s.sentCounts[g]
 	if !ok || sent.hub != to {
 		sent = &sentCounts{hub: to}
 		s.sentCounts[g] = sent
 	}
 	c := s.ownCounts(g, victims, now)
-	upToDate := !sent.sentAt.IsZero() && len(sent.unconfirmed) == 0 && slices.Equal(c.Replicas, sent.lastCounts) && slices.Equal(c.Victims, sent.lastVictims)
+	unchanged := slices.Equal(c.Replicas, sent.lastCounts) && slices.Equal(c.Victims, sent.lastVictims)
+	upToDate := !sent.sentAt.IsZero() && len(sent.unconfirmed) == 0 && unchanged
 	if upToDate && (len(c.Replicas) == 0 || now.Sub(sent.sentAt) < maxCountsInterval/2) {
-		s.mu.Unlock()
-		return
+		return nil
 	}
 	c.ConfirmedGrants, sent.unconfirmed = sent.unconfirmed, nil
 	sent.lastCounts, sent.lastVictims, sent.sentAt = c.Replicas, c.Victims, now
 	s.lastSequence++
 	c.Sequence = s.lastSequence
-	s.mu.Unlock()
-	if err := s.Transport.Send(to, kindCounts, c); err != nil {
-		s.Log.Debug("cannot send counts to the hub", "node", to, "error", err)
-	}
+	return c
 }
 
 // ownCounts returns this node's work at the replicas of a group, including
--- a/internal/platformnode/statedump.go
+++ b/internal/platformnode/statedump.go
@@ -3,22 +3,25 @@
 import (
 	"time"
 
+	"gentiantide.example/gentiantide/internal/contain"
 	"gentiantide.example/gentiantide/internal/replica"
 )
 
 // dumpState is the state of the process as shown by the state dump.
 type dumpState struct {
-	Node          string        `json:"node"`
-	Lifetime      string        `json:"lifetime"`
-	ConfigVersion int64         `json:"config_version"`
-	Stopping      bool          `json:"stopping"`
-	InFlight      int64         `json:"in_flight"`
-	StoreClockMS  int64         `json:"store_clock_ms"`
-	Jobs          int           `json:"jobs"`
-	ItemsPending  int           `json:"items_pending"`
-	ItemsRunning  int           `json:"items_running"`
-	Replicas      []dumpReplica `json:"replicas"`
-	Nodes         []string      `json:"nodes"`
+	Node          string `json:"node"`
+	Lifetime      string `json:"lifetime"`
+	ConfigVersion int64  `json:"config_version"`
+	Stopping      bool   `json:"stopping"`
+	InFlight      int64  `json:"in_flight"`
+	// Panics is the number of panics that were contained since the start.
+	Panics       int64         `json:"panics"`
+	StoreClockMS int64         `json:"store_clock_ms"`
+	Jobs         int           `json:"jobs"`
+	ItemsPending int           `json:"items_pending"`
+	ItemsRunning int           `json:"items_running"`
+	Replicas     []dumpReplica `json:"replicas"`
+	Nodes        []string      `json:"nodes"`
 }
 
 // dumpReplica is one replica in the state dump.
@@ -34,7 +37,7 @@
 	clock, _ := n.store.Clock()
 	state := dumpState{
 		Node: string(n.settings.Node), Lifetime: n.nodes.Self().Lifetime, Stopping: n.stopping.Load(),
-		InFlight: n.counters.InFlight(), StoreClockMS: clock.Milliseconds(),
+		InFlight: n.counters.InFlight(), Panics: contain.Count(), StoreClockMS: clock.Milliseconds(),
 	}
 	if table := n.configs.Table.Load(); table != nil {
 		state.ConfigVersion = table.Version
--- a/internal/replica/registry.go
+++ b/internal/replica/registry.go
@@ -82,7 +82,11 @@
 	g.mu.Lock()
 	g.coalescing++
 	g.mu.Unlock()
+	defer g.endCoalescing() // also if do panics
 	do()
+}
+
+func (g *Registry) endCoalescing() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.coalescing--; g.coalescing == 0 && g.stale {
--- a/internal/watch/watcher.go
+++ b/internal/watch/watcher.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"gentiantide.example/gentiantide/internal/contain"
 	"gentiantide.example/gentiantide/internal/infra"
 	"gentiantide.example/gentiantide/internal/monotime"
 )
@@ -114,14 +115,44 @@
 	}
 	w.version = set.Version
 	if len(set.Rows) > 0 {
-		w.mu.Lock()
-		w.mergeRows(set.Rows)
-		w.Handler.Changed(set.Rows)
-		w.mu.Unlock()
+		w.apply(set.Rows)
 	}
 	return nil
 }
 
+// apply merges changed rows into the copy and passes them to the handler.
+func (w *Watcher) apply(rows []infra.VersionedRow) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.mergeRows(rows)
+	w.changed(rows)
+}
+
+// changed passes changed rows to the handler. If that panics, the rows are passed
+// one by one, so that only the one that causes it is lost.
+func (w *Watcher) changed(rows []infra.VersionedRow) {
+	if w.contained(rows, func() { w.Handler.Changed(rows) }) || len(rows) == 1 {
+		return
+	}
+	for i := range rows {
+		w.contained(rows[i:i+1], func() { w.Handler.Changed(rows[i : i+1]) })
+	}
+}
+
+// contained calls the handler for rows and reports whether it did not panic.
+func (w *Watcher) contained(rows []infra.VersionedRow, call func()) bool {
+	id := "none"
+	if len(rows) > 0 {
+		id = rows[0].Key
+	}
+	var err error
+	func() {
+		defer contain.Error(w.Log, "rows from", id, &err)
+		call()
+	}()
+	return err == nil
+}
+
 // mergeRows updates the copy with the given rows, except for those that are older
 // than the known ones. The caller holds the lock.
 func (w *Watcher) mergeRows(rows []infra.VersionedRow) {
@@ -163,7 +194,7 @@
 		return false
 	}
 	w.mergeRows(rows)
-	w.Handler.Changed(rows)
+	w.changed(rows)
 	return true
 }
 
@@ -192,7 +223,11 @@
 	defer w.mu.Unlock()
 	clear(w.rows)
 	w.mergeRows(rows)
-	w.Handler.Snapshot(rows)
+	if !w.contained(rows, func() { w.Handler.Snapshot(rows) }) {
+		// Without the whole set the handler cannot know which rows are gone. It
+		// learns at least of those that are there.
+		w.changed(rows)
+	}
 	select {
 	case <-w.loaded:
 	default:
--- a/internal/watch/watcher_test.go
+++ b/internal/watch/watcher_test.go
@@ -202,3 +202,49 @@
 		synctest.Wait()
 	})
 }
+
+// panickingHandler panics at one key.
+type panickingHandler struct{ recorder }
+
+func (h *panickingHandler) Snapshot(rows []infra.VersionedRow) {
+	h.check(rows)
+	h.recorder.Snapshot(rows)
+}
+
+func (h *panickingHandler) Changed(rows []infra.VersionedRow) {
+	h.check(rows)
+	h.recorder.Changed(rows)
+}
+
+func (h *panickingHandler) check(rows []infra.VersionedRow) {
+	for _, row := range rows {
+		if row.Key == "bad" {
+			panic("bad row")
+		}
+	}
+}
+
+// Guards against one row that ends the process, or that keeps the other rows from
+// their handler: in a snapshot, in a batch of changes and in a peer's copy.
+func TestPanicAtOneRowLosesOnlyThatRow(t *testing.T) {
+	g := gomega.NewWithT(t)
+	rows := infratest.NewRows()
+	writeRow(g, rows, "0", "a", "1")
+	writeRow(g, rows, "0", "bad", "1")
+	writeRow(g, rows, "0", "c", "1")
+	h := &panickingHandler{recorder{rows: make(map[string]string)}}
+	w := New(rows, "t", []string{"0"}, h, slog.New(slog.DiscardHandler))
+	g.Expect(w.Preload([]infra.VersionedRow{{RowKey: infra.RowKey{Key: "bad"}}, {RowKey: infra.RowKey{Key: "p"}, Value: []byte("1")}})).To(gomega.BeTrue())
+	g.Expect(h.get("p")).To(gomega.Equal("1"))
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() { w.Run(ctx); close(ended) }()
+	defer func() { cancel(); <-ended }()
+	<-w.Loaded()
+	g.Expect(h.get("a") + h.get("c")).To(gomega.Equal("11"))
+	g.Expect(rows.Apply(infra.RowTxn{Writes: []infra.RowWrite{
+		{RowKey: infra.RowKey{Table: "t", Partition: "0", Key: "bad"}, Value: []byte("2")},
+		{RowKey: infra.RowKey{Table: "t", Partition: "0", Key: "c"}, Value: []byte("2")},
+	}})).To(gomega.Succeed())
+	g.Eventually(func() string { return h.get("c") }, eventuallyTimeout, "1ms").Should(gomega.Equal("2"))
+}
