Bound the response heads of the HTTP client

Cause: httpsend left net/http's default, which keeps up to 10 MiB of headers for each response of an engine, a plain service or the platform's services.

Change: 32 KiB. TestEndlessHead covers headers, interim responses and trailers; net/http itself bounds the latter two.

--- a/internal/httpsend/client.go
+++ b/internal/httpsend/client.go
@@ -25,6 +25,9 @@
 	maxIdlePerHost = 64
 	// bufferSize is enough for one request or a few streamed tokens, in bytes.
 	bufferSize = 4 << 10
+	// maxHeadBytes limits the headers of a response; a usual head has less than
+	// 1 KiB. The default of net/http is 10 MiB.
+	maxHeadBytes = 32 << 10
 )
 
 // Client sends requests over pooled connections. It follows no redirects and
@@ -47,8 +50,10 @@
 		MaxIdleConnsPerHost: maxIdlePerHost,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
-		WriteBufferSize:     bufferSize,
-		ReadBufferSize:      bufferSize,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
+		WriteBufferSize:        bufferSize,
+		ReadBufferSize:         bufferSize,
 	}}
 }
 
--- a/internal/httpsend/client_test.go
+++ b/internal/httpsend/client_test.go
@@ -169,3 +169,37 @@
 		})
 	}
 }
+
+// Guards against a server that sends a head without end, of which net/http would
+// keep 10 MiB for each request: headers, interim responses and a trailer.
+func TestEndlessHead(t *testing.T) {
+	for name, part := range map[string]struct{ prefix, repeated string }{
+		"header lines":      {"HTTP/1.1 200 OK\r\n", "X-Filler: 1\r\n"},
+		"header line":       {"HTTP/1.1 200 OK\r\nX-Filler: ", "x"},
+		"interim responses": {"", "HTTP/1.1 102 Processing\r\n\r\n"},
+		"trailer":           {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-Filler: 1\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			defer listener.Close()
+			go func() {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				defer conn.Close()
+				_, _ = http.ReadRequest(bufio.NewReader(conn))
+				for _, err = io.WriteString(conn, part.prefix); err == nil; {
+					_, err = io.WriteString(conn, part.repeated)
+				}
+			}()
+			ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+			defer cancel()
+			_, err = New().Fetch(ctx, Request{Method: http.MethodGet, URL: "http://" + listener.Addr().String()}, 1<<20)
+			g.Expect(err).To(gomega.HaveOccurred())
+			g.Expect(ctx.Err()).NotTo(gomega.HaveOccurred())
+		})
+	}
+}
