Accept what is in the kernel's queue before a stop closes a listener

Cause: the daemon `run` closed the callers' listener in Shutdown like the platform node did before; connections in the kernel's queue were reset though their requests were sent.

Change: netopt.Drainable accepts these first; both kinds of node use it.

--- a/internal/node/listeners_test.go
+++ b/internal/node/listeners_test.go
@@ -34,7 +34,7 @@
 	}, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	operatorsL, peersL, err := n.listen()
 	g.Expect(err).NotTo(gomega.HaveOccurred())
-	callersL, err := n.open("callers", n.cfg.Listen.Callers, maxCallerConns)
+	callersL, err := n.openCallers()
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	n.transport.Start(peersL)
 	defer n.transport.Close()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -32,6 +32,7 @@
 	"gentiantide.example/gentiantide/internal/intent"
 	"gentiantide.example/gentiantide/internal/membership"
 	"gentiantide.example/gentiantide/internal/metrics"
+	"gentiantide.example/gentiantide/internal/netopt"
 	"gentiantide.example/gentiantide/internal/orders"
 	"gentiantide.example/gentiantide/internal/owner"
 	"gentiantide.example/gentiantide/internal/peer"
@@ -69,7 +70,9 @@
 	metricsHandler http.Handler
 	metricsCloser  io.Closer
 
-	callersServer   *http.Server
+	callersServer *http.Server
+	// callersListener is nil until the node accepts callers.
+	callersListener *netopt.Drainable
 	operatorsServer *http.Server
 	stopping        atomic.Bool
 	background      sync.WaitGroup
@@ -287,3 +290,13 @@
 	}
 	return connlimit.New(l, limit, n.log.With("role", name)), nil
 }
+
+// openCallers opens the listener for callers.
+func (n *Node) openCallers() (net.Listener, error) {
+	l, err := net.Listen("tcp", n.cfg.Listen.Callers)
+	if err != nil {
+		return nil, errors.Wrap(err, "open the listener for callers")
+	}
+	n.callersListener = netopt.NewDrainable(l.(*net.TCPListener))
+	return connlimit.New(n.callersListener, maxCallerConns, n.log.With("role", "callers")), nil
+}
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -78,7 +78,7 @@
 		"operators", operatorsL.Addr().String(), "peers", peersL.Addr().String())
 	if n.awaitReady(stop) {
 		var callersL net.Listener
-		if callersL, err = n.open("callers", n.cfg.Listen.Callers, maxCallerConns); err == nil {
+		if callersL, err = n.openCallers(); err == nil {
 			go serve(n.callersServer, callersL)
 			n.log.Info("node accepts callers", "callers", callersL.Addr().String(), "after_ms", time.Since(n.started).Milliseconds(), "not_ready", n.notReadyReason())
 		}
@@ -149,6 +149,9 @@
 		}
 	}()
 	time.Sleep(n.cfg.Timeouts.StopGrace)
+	if n.callersListener != nil {
+		n.callersListener.Drain()
+	}
 	// No time limit: a planned shutdown interrupts no request.
 	if err := n.callersServer.Shutdown(context.Background()); err != nil {
 		n.log.Warn("closing the callers' listener failed", "error", err)
--- a/internal/platformnode/callerservers.go
+++ b/internal/platformnode/callerservers.go
@@ -6,11 +6,11 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"os"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"gentiantide.example/gentiantide/internal/netopt"
 	"gentiantide.example/gentiantide/internal/routetable"
 )
 
@@ -20,9 +20,6 @@
 	defaultHeaderTimeout = 5 * time.Second
 	defaultHeaderBytes   = 64 << 10
 	defaultIdleTimeout   = 60 * time.Second
-	// lastAcceptTimeout is how long a stop goes on accepting the connections that
-	// are already in the kernel's queue. Closing the listener resets those.
-	lastAcceptTimeout = 100 * time.Millisecond
 	// acceptRetryDelay is the delay after a failed accept.
 	acceptRetryDelay = 20 * time.Millisecond
 )
@@ -35,7 +32,7 @@
 	handler  http.Handler
 	limits   func() routetable.Limits
 	log      *slog.Logger
-	listener net.Listener
+	listener *netopt.Drainable
 
 	current  atomic.Pointer[callerServer]
 	accepted chan struct{} // closed when no more connections are accepted
@@ -51,7 +48,7 @@
 	conns  *connQueue
 }
 
-func newCallerServers(listener net.Listener, handler http.Handler, limits func() routetable.Limits, log *slog.Logger) *callerServers {
+func newCallerServers(listener *netopt.Drainable, handler http.Handler, limits func() routetable.Limits, log *slog.Logger) *callerServers {
 	return &callerServers{listener: listener, handler: handler, limits: limits, log: log, accepted: make(chan struct{})}
 }
 
@@ -63,7 +60,7 @@
 		switch {
 		case err == nil:
 			s.server().conns.put(conn)
-		case errors.Is(err, net.ErrClosed), errors.Is(err, os.ErrDeadlineExceeded):
+		case errors.Is(err, net.ErrClosed):
 			return
 		default:
 			// Usually too many open files; other connections must end first.
@@ -125,9 +122,7 @@
 // Shutdown accepts the connections that wait in the kernel's queue, closes the
 // listener and waits until all requests have ended, or for ctx.
 func (s *callerServers) Shutdown(ctx context.Context) error {
-	if l, ok := s.listener.(*net.TCPListener); ok && l.SetDeadline(time.Now().Add(lastAcceptTimeout)) == nil {
-		<-s.accepted
-	}
+	s.listener.Drain()
 	_ = s.listener.Close()
 	<-s.accepted
 	s.mu.Lock()
--- a/internal/platformnode/callerservers_test.go
+++ b/internal/platformnode/callerservers_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/onsi/gomega"
 
+	"gentiantide.example/gentiantide/internal/netopt"
 	"gentiantide.example/gentiantide/internal/routetable"
 )
 
@@ -31,7 +32,7 @@
 		_, _ = io.Copy(io.Discard, in.Body)
 		w.WriteHeader(http.StatusNoContent)
 	})
-	s := newCallerServers(listener, handler, func() routetable.Limits { return *current.Load() }, slog.New(slog.DiscardHandler))
+	s := newCallerServers(netopt.NewDrainable(listener.(*net.TCPListener)), handler, func() routetable.Limits { return *current.Load() }, slog.New(slog.DiscardHandler))
 	go s.Run()
 	t.Cleanup(func() {
 		_ = listener.Close()
--- a/internal/platformnode/node.go
+++ b/internal/platformnode/node.go
@@ -143,7 +143,7 @@
 	n.log.Info("start", "node", n.settings.Node, "lifetime", n.nodes.Self().Lifetime, "data_centre", n.settings.DataCentre, "store", n.settings.Store)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	callers := newCallerServers(n.callers, http.HandlerFunc(n.serveCaller), n.callerLimits, n.log)
+	callers := newCallerServers(netopt.NewDrainable(n.callers.(*net.TCPListener)), http.HandlerFunc(n.serveCaller), n.callerLimits, n.log)
 	go callers.Run()
 	ready := n.serveReadiness()
 	n.peers.Start(n.peerListener)
