Contain panics of message handlers on platform nodes only

Cause: the handlers of the daemon run hold locks that they do not release by deferred calls. Containing a panic there would keep a lock for ever.

Change: a transport contains panics only after ContainPanics, which platform nodes call. A panic at a message of a peer still ends the daemon run; open.

--- a/internal/peer/messenger.go
+++ b/internal/peer/messenger.go
@@ -17,10 +17,10 @@
 // and returns the msgpack body of the response. The response to a one-way
 // message is dropped.
 //
-// A panic in a handler ends the process, unlike a panic in an HTTP handler:
+// A panic in a handler ends the process, unless Transport.ContainPanics was called:
 // message handlers change state that other nodes rely on, such as the slot ledger
 // of a replica, and a process that went on after an incomplete change would pass
-// inconsistent state to them.
+// inconsistent state to them, or keep a lock for ever.
 type Handler func(ctx context.Context, from core.NodeID, body []byte) ([]byte, error)
 
 // Messenger sends messages to other nodes and registers the handlers for
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -39,6 +39,8 @@
 
 	handlers map[string]Handler
 	secrets  []core.Secret
+	// containPanics is set by ContainPanics.
+	containPanics bool
 
 	mu        sync.Mutex
 	links     map[core.NodeID]*link
@@ -154,13 +156,20 @@
 	return response, nil
 }
 
-// invoke passes a message to its handler. A panic of the handler fails the message.
+// ContainPanics makes a panic of a handler fail its message only. All handlers must
+// release their locks and drop incomplete changes by deferred calls. It must be called
+// before Start.
+func (t *Transport) ContainPanics() { t.containPanics = true }
+
+// invoke passes a message to its handler.
 func (t *Transport) invoke(ctx context.Context, from core.NodeID, kind string, body []byte) (response []byte, err error) {
 	handler, ok := t.handlers[kind]
 	if !ok {
 		return nil, errors.New("unknown message kind " + kind)
 	}
-	defer contain.Error(t.log, "message", kind+" from "+string(from), &err)
+	if t.containPanics {
+		defer contain.Error(t.log, "message", kind+" from "+string(from), &err)
+	}
 	return handler(ctx, from, body)
 }
 
--- a/internal/peer/transport_test.go
+++ b/internal/peer/transport_test.go
@@ -146,6 +146,7 @@
 		}
 		return body, nil
 	})
+	server.ContainPanics()
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 	defer cancel()
 	for _, from := range []*Transport{client, server} {
--- a/internal/placement/service_test.go
+++ b/internal/placement/service_test.go
@@ -58,6 +58,7 @@
 		ID: id, Lifetime: "1", Address: listener.Addr().String(), DataCentre: "dc-a", CPUCores: 1,
 	}, log)
 	n := &fleetNode{registry: replica.NewRegistry(), transport: peer.New(id, log)}
+	n.transport.ContainPanics()
 	for _, info := range replicas {
 		n.registry.Put(info)
 	}
--- a/internal/platformnode/node.go
+++ b/internal/platformnode/node.go
@@ -104,6 +104,7 @@
 		CPUCores: settings.CPUCores,
 	}, log)
 	n.peers = peer.New(settings.Node, log)
+	n.peers.ContainPanics()
 	n.peers.Handle(kindTableCopy, n.serveTableCopy)
 	n.placer = placement.New(placement.Options{
 		Transport: n.peers, Registry: n.registry, Nodes: n.nodes, Log: log,
