Hand jobs over to another node at a planned stop

Cause: a stopping node kept its jobs until its lease had ended, 3 s after the signal, and another one claimed them up to 2.5 s later from their rows. The output so far of their items was lost each time.

Change: after the signal, the runs of a job end, and its row, its version and the output so far of its items go to the node that would claim it (then to the next one). That node writes itself into the row, which fences the former owner, and resumes each item after its last event. If the store does not answer, or no node takes the job, all is as before.

--- /dev/null
+++ b/internal/jobs/handover.go
@@ -0,0 +1,207 @@
+package jobs
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"gentiantide.example/gentiantide/internal/core"
+	"gentiantide.example/gentiantide/internal/infra"
+	"gentiantide.example/gentiantide/internal/nodes"
+	"gentiantide.example/gentiantide/internal/peer"
+)
+
+const (
+	// kindHandover is the kind of the call with which a stopping node passes a job
+	// on.
+	kindHandover = "jobs.handover"
+	// handoverTimeout bounds the call: three calls to the store of a few ms each.
+	handoverTimeout = time.Second
+	// handoverCandidates is the number of nodes that are asked to take a job. A
+	// node that was asked may be stopping, too.
+	handoverCandidates = 2
+	// quiesceTimeout bounds the wait for the runs and the commit of a job that is
+	// handed over.
+	quiesceTimeout = 500 * time.Millisecond
+	// maxHandoverText bounds the text in the message. A frame holds 1 MiB; the items
+	// whose text does not fit run from their start.
+	maxHandoverText = 512 << 10
+)
+
+var errStopping = errors.New("node is stopping and takes no jobs")
+
+// handover passes a job with the output so far of its items to another node.
+type handover struct {
+	Record  Record         `msgpack:"r"`
+	Version uint64         `msgpack:"v"`
+	Items   []itemProgress `msgpack:"i"`
+}
+
+// itemProgress is the output so far of an item that is not done.
+type itemProgress struct {
+	Item      string        `msgpack:"i"`
+	EventData [][]byte      `msgpack:"e"`
+	LastEvent int64         `msgpack:"l"`
+	RunTime   time.Duration `msgpack:"t"`
+	Failures  int           `msgpack:"f"`
+}
+
+// handovers passes the jobs of a stopping node to others and takes theirs. The new
+// owner writes itself into the job's row before it runs anything; from then on, the
+// former owner cannot commit.
+type handovers struct {
+	runner    *Runner
+	messenger peer.Messenger
+	view      func() *nodes.View
+}
+
+// passOn passes all jobs on, each to the node that would claim it. Jobs that no node
+// takes stay with the runner.
+func (h *handovers) passOn(ctx context.Context) {
+	r := h.runner
+	r.mu.Lock()
+	r.stopping = true
+	jobs := make([]*ownedJob, 0, len(r.jobs))
+	for _, job := range r.jobs {
+		jobs = append(jobs, job)
+	}
+	r.mu.Unlock()
+	r.cancelSearches()
+	done := make(chan struct{})
+	for _, job := range jobs {
+		go func() {
+			defer func() { done <- struct{}{} }()
+			h.pass(ctx, job)
+		}()
+	}
+	for range jobs {
+		<-done
+	}
+}
+
+// pass passes one job on.
+func (h *handovers) pass(ctx context.Context, job *ownedJob) {
+	r := h.runner
+	message, ok := r.quiesce(ctx, job)
+	if !ok {
+		r.log.Info("job not handed over", "job", job.entry.ID, "reason", "its commit is not done")
+		return
+	}
+	for _, candidate := range h.candidates(job.entry.ID) {
+		callCtx, cancel := context.WithTimeout(ctx, handoverTimeout)
+		err := h.messenger.Call(callCtx, candidate.ID, kindHandover, message, nil)
+		cancel()
+		if err == nil {
+			r.mu.Lock()
+			if r.jobs[job.entry.ID] == job {
+				r.drop(job, "handed over to "+candidate.Owner())
+			}
+			r.mu.Unlock()
+			return
+		}
+		r.log.Info("job not handed over", "job", job.entry.ID, "node", candidate.ID, "error", err)
+	}
+}
+
+// candidates returns the live nodes that are asked to take a job: those that
+// rendezvous hashing would choose after this one has left.
+func (h *handovers) candidates(job string) []nodes.Record {
+	var out []nodes.Record
+	for owner, record := range h.view().Alive {
+		if owner != h.runner.owner && record.Address != "" {
+			out = append(out, record)
+		}
+	}
+	score := func(record *nodes.Record) uint64 { return claimScore(job, record.Owner()) }
+	slices.SortFunc(out, func(a, b nodes.Record) int { return cmp.Compare(score(&b), score(&a)) })
+	return out[:min(handoverCandidates, len(out))]
+}
+
+// claimScore ranks the nodes that may claim a job; the highest one does.
+func claimScore(job, owner string) uint64 { return xxhash.Sum64String(job + "|" + owner) }
+
+// quiesce ends the runs of a job and waits for its commit. It returns the message
+// that passes the job on, or false if results could not be committed in time: the
+// new owner would run these items again.
+func (r *Runner) quiesce(ctx context.Context, job *ownedJob) (*handover, bool) {
+	ctx, cancel := context.WithTimeout(ctx, quiesceTimeout)
+	defer cancel()
+	r.mu.Lock()
+	for task := range job.running {
+		task.cancel(errPreempted) // its output is kept
+	}
+	r.mu.Unlock()
+	for {
+		if message := r.handoverMessage(job); message != nil {
+			return message, true
+		}
+		if !sleep(ctx, quiescePollInterval) {
+			return nil, false
+		}
+	}
+}
+
+// quiescePollInterval is how often a node checks whether a job is quiet.
+const quiescePollInterval = 5 * time.Millisecond
+
+// handoverMessage returns the message that passes a job on, or nil while it has runs
+// or results that are not committed, or if the runner no longer has it.
+func (r *Runner) handoverMessage(job *ownedJob) *handover {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.jobs[job.entry.ID] != job || len(job.running) > 0 || job.committing || len(job.finished) > 0 {
+		return nil
+	}
+	message := &handover{Record: job.entry.Record, Version: job.entry.Version}
+	text := 0
+	for _, task := range job.pending {
+		if text += task.textBytes; text > maxHandoverText {
+			break
+		}
+		message.Items = append(message.Items, itemProgress{
+			Item: task.item.ID, EventData: task.eventData, LastEvent: task.lastEvent, RunTime: task.runTime, Failures: task.failures,
+		})
+	}
+	return message
+}
+
+// handleHandover takes a job from a stopping node.
+func (h *handovers) handleHandover(ctx context.Context, from core.NodeID, body []byte) ([]byte, error) {
+	var message handover
+	if err := msgpack.Unmarshal(body, &message); err != nil {
+		return nil, err
+	}
+	r := h.runner
+	r.mu.Lock()
+	stopping := r.stopping
+	r.mu.Unlock()
+	if stopping {
+		return nil, errStopping
+	}
+	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
+	defer cancel()
+	items, err := r.store.items(ctx, message.Record.Object)
+	if err != nil {
+		return nil, err
+	}
+	record := message.Record
+	former := record.Owner
+	record.Owner = r.owner
+	version, err := r.store.put(ctx, &record, message.Version)
+	if err != nil {
+		return nil, err // if the write has an effect later, the job is resumed like any other claimed one
+	}
+	r.cache.Update(&record, version)
+	results, _, err := r.store.results(ctx, record.ID, 0)
+	if err != nil {
+		return nil, errors.Wrapf(infra.ErrOutcomeUnknown, "results of job %s: %v", record.ID, err)
+	}
+	r.log.Info("job taken over", "job", record.ID, "former_owner", former, "node", from, "committed", len(results), "total", record.Total, "version", version)
+	r.startJob(Entry{Record: record, Version: version}, items, results, message.Items)
+	return nil, nil
+}
--- a/internal/jobs/orphanclaimer.go
+++ b/internal/jobs/orphanclaimer.go
@@ -6,8 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"gentiantide.example/gentiantide/internal/contain"
 	"gentiantide.example/gentiantide/internal/infra"
 	"gentiantide.example/gentiantide/internal/nodes"
@@ -93,7 +91,7 @@
 	var best string
 	var bestScore uint64
 	for owner := range view.Alive {
-		if score := xxhash.Sum64String(job + "|" + owner); best == "" || score > bestScore {
+		if score := claimScore(job, owner); best == "" || score > bestScore {
 			best, bestScore = owner, score
 		}
 	}
--- a/internal/jobs/ownedjob.go
+++ b/internal/jobs/ownedjob.go
@@ -29,3 +29,20 @@
 		}
 	}
 }
+
+// applyProgress gives the pending items the output so far that a former owner has
+// received.
+func (j *ownedJob) applyProgress(progress []itemProgress) {
+	byItem := make(map[string]*itemProgress, len(progress))
+	for i := range progress {
+		byItem[progress[i].Item] = &progress[i]
+	}
+	for _, task := range j.pending {
+		if p := byItem[task.item.ID]; p != nil {
+			task.eventData, task.lastEvent, task.runTime, task.failures = p.EventData, p.LastEvent, p.RunTime, p.Failures
+			for _, data := range p.EventData {
+				task.textBytes += len(data)
+			}
+		}
+	}
+}
--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -95,6 +95,12 @@
 // StartJob starts executing a job. The items with results in committed are not
 // executed again.
 func (r *Runner) StartJob(entry Entry, items []Item, committed []Result) {
+	r.startJob(entry, items, committed, nil)
+}
+
+// startJob is StartJob for a job of which a former owner has passed on the output so
+// far.
+func (r *Runner) startJob(entry Entry, items []Item, committed []Result, progress []itemProgress) {
 	done := make(map[string]bool, len(committed))
 	for i := range committed {
 		done[committed[i].Item] = true
@@ -117,6 +123,7 @@
 			job.pending = append(job.pending, &itemTask{job: job, item: &items[i], lastEvent: forward.NoResume})
 		}
 	}
+	job.applyProgress(progress)
 	// The longest items go first, so that no long item runs alone at the end.
 	slices.SortStableFunc(job.pending, func(a, b *itemTask) int { return cmp.Compare(b.item.Tokens, a.item.Tokens) })
 	r.jobs[entry.ID] = job
--- a/internal/jobs/service.go
+++ b/internal/jobs/service.go
@@ -8,6 +8,7 @@
 	"gentiantide.example/gentiantide/internal/core"
 	"gentiantide.example/gentiantide/internal/infra"
 	"gentiantide.example/gentiantide/internal/nodes"
+	"gentiantide.example/gentiantide/internal/peer"
 	"gentiantide.example/gentiantide/internal/placement"
 	"gentiantide.example/gentiantide/internal/replica"
 	"gentiantide.example/gentiantide/internal/routetable"
@@ -26,6 +27,9 @@
 	Objects  infra.Objects
 	Executor *Executor
 	Placer   Placer
+	// Messenger passes jobs on to other nodes when this one stops. If nil, they are
+	// claimed after the node's lease has ended.
+	Messenger peer.Messenger
 	// Nodes is the directory of nodes. Its own record identifies this node as an
 	// owner of jobs.
 	Nodes *nodes.Directory
@@ -47,6 +51,8 @@
 	claimer  *orphanClaimer
 	sweep    *sweeper
 	nodes    *nodes.Directory
+	// handovers is nil without a messenger.
+	handovers *handovers
 }
 
 // New returns a service. It executes no jobs until Run is called.
@@ -68,6 +74,10 @@
 	}
 	service.sweep = &sweeper{store: s, cache: cache, claimer: service.claimer, clock: o.Clock, retention: o.JobRetention}
 	cache.Notify = runner.RowsChanged
+	if o.Messenger != nil {
+		service.handovers = &handovers{runner: runner, messenger: o.Messenger, view: o.Nodes.View}
+		o.Messenger.Handle(kindHandover, service.handovers.handleHandover)
+	}
 	return service
 }
 
@@ -106,8 +116,14 @@
 // Victims returns the items that Preempt would choose; see Runner.Victims.
 func (s *Service) Victims() map[core.ReplicaID]placement.Victim { return s.runner.Victims() }
 
-// Stop stops the execution of jobs; see Runner.Stop.
-func (s *Service) Stop(ctx context.Context) { s.runner.Stop(ctx) }
+// Stop passes the jobs on to other nodes, and stops the execution of those that no
+// node takes; see Runner.Stop. While the store does not answer, no node can take any.
+func (s *Service) Stop(ctx context.Context) {
+	if s.handovers != nil && !s.nodes.Failing() {
+		s.handovers.passOn(ctx)
+	}
+	s.runner.Stop(ctx)
+}
 
 // Counts returns the number of jobs, pending items and running items of this
 // node, for the state dump.
