--- a/internal/platformnode/node.go
+++ b/internal/platformnode/node.go
@@ -113,7 +113,7 @@
 	})
 	n.jobs = jobs.New(jobs.Options{
 		Table: n.store, Objects: n.store, Nodes: n.nodes, Clock: n.store.Clock, JobRetention: settings.JobRetention, Log: log,
-		Placer:   n.placer, Messenger: n.peers,
+		Placer: n.placer, Messenger: n.peers,
 		Executor: &jobs.Executor{Codec: platform.HeaderCodec{}, Routes: &n.configs.Table, Log: log},
 	})
 	n.jobsAPI = &platform.JobsAPI{Jobs: n.jobs}
