--- a/internal/placement/contain_test.go
+++ b/internal/placement/contain_test.go
@@ -30,4 +30,8 @@
 	}, testTimeout, "5ms").Should(gomega.Equal(held.Info().ID))
 	f.Expect(contain.Count()).To(gomega.BeNumerically(">", before))
 	hub.tick(time.Now())
+	hub.mu.Lock()
+	defer hub.mu.Unlock()
+	state := hub.groups[testGroup]
+	f.Expect(state == nil || state.grants != nil).To(gomega.BeTrue(), "the broken state was dropped")
 }
