Watch no stream for stalls whose route says nothing of its callers

A route without the pause after which its callers disconnect would have ended each attempt at once; the platform's configuration always yields one.

--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -105,7 +105,7 @@
 // stream.
 func (s *streamRelay) watchdog(cancel context.CancelCauseFunc) *time.Timer {
 	r := s.r
-	if !r.route.CanResume || r.runs+1 >= r.route.MaxAttempts {
+	if !r.route.CanResume || r.runs+1 >= r.route.MaxAttempts || s.stallTimeout() <= 0 {
 		timer := time.NewTimer(time.Hour)
 		timer.Stop()
 		return timer
--- a/internal/httpsend/client_test.go
+++ b/internal/httpsend/client_test.go
@@ -140,6 +140,26 @@
 	g.Expect(MaybeSent(err)).To(gomega.BeTrue())
 }
 
+// respondOnce serves one connection: it reads a request, calls respond and closes the
+// connection. It returns the server's URL.
+func respondOnce(t *testing.T, respond func(net.Conn)) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		_, _ = http.ReadRequest(bufio.NewReader(conn))
+		respond(conn)
+	}()
+	return "http://" + listener.Addr().String()
+}
+
 // Guards against accepting a truncated or oversized response as complete.
 func TestIncompleteResponse(t *testing.T) {
 	for name, response := range map[string]string{
@@ -151,19 +171,8 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			g.Expect(err).NotTo(gomega.HaveOccurred())
-			defer listener.Close()
-			go func() {
-				conn, err := listener.Accept()
-				if err != nil {
-					return
-				}
-				_, _ = http.ReadRequest(bufio.NewReader(conn))
-				_, _ = fmt.Fprint(conn, "HTTP/1.1 200 OK\r\n", response)
-				_ = conn.Close()
-			}()
-			_, err = New().Fetch(t.Context(), Request{Method: http.MethodGet, URL: "http://" + listener.Addr().String()}, 10)
+			address := respondOnce(t, func(conn net.Conn) { _, _ = fmt.Fprint(conn, "HTTP/1.1 200 OK\r\n", response) })
+			_, err := New().Fetch(t.Context(), Request{Method: http.MethodGet, URL: address}, 10)
 			g.Expect(err).To(gomega.HaveOccurred())
 			g.Expect(MaybeSent(err)).To(gomega.BeTrue())
 		})
@@ -181,23 +190,15 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			g.Expect(err).NotTo(gomega.HaveOccurred())
-			defer listener.Close()
-			go func() {
-				conn, err := listener.Accept()
-				if err != nil {
-					return
-				}
-				defer conn.Close()
-				_, _ = http.ReadRequest(bufio.NewReader(conn))
-				for _, err = io.WriteString(conn, part.prefix); err == nil; {
+			address := respondOnce(t, func(conn net.Conn) {
+				_, err := io.WriteString(conn, part.prefix)
+				for err == nil {
 					_, err = io.WriteString(conn, part.repeated)
 				}
-			}()
+			})
 			ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 			defer cancel()
-			_, err = New().Fetch(ctx, Request{Method: http.MethodGet, URL: "http://" + listener.Addr().String()}, 1<<20)
+			_, err := New().Fetch(ctx, Request{Method: http.MethodGet, URL: address}, 1<<20)
 			g.Expect(err).To(gomega.HaveOccurred())
 			g.Expect(ctx.Err()).NotTo(gomega.HaveOccurred())
 		})
