--- a/internal/jobs/handover.go
+++ b/internal/jobs/handover.go
@@ -28,6 +28,8 @@
 	// quiesceTimeout bounds the wait for the runs and the commit of a job that is
 	// handed over.
 	quiesceTimeout = 500 * time.Millisecond
+	// quiescePollInterval is how often a node checks whether a job has ended these.
+	quiescePollInterval = 5 * time.Millisecond
 	// maxHandoverText bounds the text in the message. A frame holds 1 MiB; the items
 	// whose text does not fit run from their start.
 	maxHandoverText = 512 << 10
@@ -146,9 +148,6 @@
 	}
 }
 
-// quiescePollInterval is how often a node checks whether a job is quiet.
-const quiescePollInterval = 5 * time.Millisecond
-
 // handoverMessage returns the message that passes a job on, or nil while it has runs
 // or results that are not committed, or if the runner no longer has it.
 func (r *Runner) handoverMessage(job *ownedJob) *handover {
