Let a node that starts while the store is away use the hub of the others

Cause: a node learned of the others only from the table of leases. One that was restarted while the store was away knew none and placed its requests by itself.

Change: the copy that a starting node gets from a peer has the nodes, too. They count as nodes whose lease has lapsed until the store answers, so they are hubs, but no job is claimed because of them. The fleet list says so.

Before: TestNodeStartedDuringOutageKnowsTheOthers failed. After: it passes with the other tests of platform/nodetest.

--- a/internal/nodes/directory.go
+++ b/internal/nodes/directory.go
@@ -110,6 +110,42 @@
 	}
 }
 
+func (d *Directory) notify() {
+	select {
+	case d.changes <- struct{}{}:
+	default: // a signal is already pending
+	}
+}
+
+// Records returns the nodes in the view, with a valid or a lapsed lease.
+func (v *View) Records() []Record {
+	out := make([]Record, 0, len(v.Alive)+len(v.Lapsed))
+	for _, list := range []map[string]Record{v.Alive, v.Lapsed} {
+		for _, record := range list {
+			out = append(out, record)
+		}
+	}
+	return out
+}
+
+// Preload sets the view to the nodes that a peer knows, until this node has read the
+// table. Whether they still run is not known, so they count as lapsed.
+func (d *Directory) Preload(records []Record) bool {
+	view := &View{Alive: map[string]Record{}, Lapsed: make(map[string]Record, len(records))}
+	for _, record := range records {
+		if record.ID != d.self.ID {
+			view.Lapsed[record.Owner()] = record
+		}
+	}
+	current := d.View()
+	// A renewal may hold the lock for as long as the store does not answer.
+	if len(view.Lapsed) == 0 || !current.At.IsZero() || !d.view.CompareAndSwap(current, view) {
+		return false
+	}
+	d.notify()
+	return true
+}
+
 // Failing reports whether the last renewal failed.
 func (d *Directory) Failing() bool { return d.failing.Load() }
 
@@ -190,9 +226,6 @@
 	d.version = version
 	view.Alive[record.Owner()] = record
 	d.view.Store(view)
-	select {
-	case d.changes <- struct{}{}:
-	default: // a signal is already pending
-	}
+	d.notify()
 	return nil
 }
--- a/internal/platformnode/bootstrap.go
+++ b/internal/platformnode/bootstrap.go
@@ -10,6 +10,7 @@
 
 	"gentiantide.example/gentiantide/internal/core"
 	"gentiantide.example/gentiantide/internal/infra"
+	"gentiantide.example/gentiantide/internal/nodes"
 	"gentiantide.example/gentiantide/internal/peer"
 )
 
@@ -32,6 +33,9 @@
 // tableCopy holds a node's copies of the tables that it needs for routing.
 type tableCopy struct {
 	Tables map[string][]infra.VersionedRow `msgpack:"t"`
+	// Nodes are the nodes that the peer knows, so that a node that starts while the
+	// store is away uses the same hubs.
+	Nodes []nodes.Record `msgpack:"n,omitempty"`
 }
 
 // serveTableCopy answers a peer that is starting while the store is unavailable.
@@ -39,7 +43,7 @@
 	if n.configs.Table.Load() == nil {
 		return nil, errTablesNotLoaded
 	}
-	out := tableCopy{Tables: make(map[string][]infra.VersionedRow)}
+	out := tableCopy{Tables: make(map[string][]infra.VersionedRow), Nodes: append(n.nodes.View().Records(), n.nodes.Self())}
 	for _, w := range n.routingWatchers {
 		out.Tables[w.Table] = w.Copy()
 	}
@@ -84,6 +88,9 @@
 		}
 		return
 	}
+	if n.nodes.Preload(got.Nodes) {
+		n.log.Info("nodes preloaded from peer", "nodes", len(got.Nodes), "address", address)
+	}
 	for _, w := range n.routingWatchers {
 		if w.Preload(got.Tables[w.Table]) {
 			n.log.Info("table preloaded from peer", "table", w.Table, "rows", len(got.Tables[w.Table]), "address", address)
--- a/internal/platformnode/operators.go
+++ b/internal/platformnode/operators.go
@@ -81,9 +81,13 @@
 			ID: string(self.ID), DataCentre: string(self.DataCentre), Address: self.Address, State: "live", Reason: "it has no lease yet",
 		})
 	}
+	reason := "its lease ran out"
+	if view.At.IsZero() {
+		reason = "known from a peer; the store has not answered yet"
+	}
 	for _, record := range view.Lapsed {
 		out.Nodes = append(out.Nodes, operators.FleetNode{
-			ID: string(record.ID), DataCentre: string(record.DataCentre), Address: record.Address, State: "unknown", Reason: "its lease ran out",
+			ID: string(record.ID), DataCentre: string(record.DataCentre), Address: record.Address, State: "unknown", Reason: reason,
 		})
 	}
 	for _, r := range n.registry.All() {
