Revert "Use no node as a hub before it has had a lease"

Tried: a hub declines until its node has held a lease. The restarted node got its lease at second 8.07, between two outages, and half of the nodes did not read the table again before the second one: the hubs still differ. And no node would be a hub after all were restarted in an outage.

Open: nodes must tell each other of nodes that the table does not show them, for example with the totals of a hub.

--- a/internal/nodes/directory.go
+++ b/internal/nodes/directory.go
@@ -146,9 +146,6 @@
 	return true
 }
 
-// HasHadLease reports whether this process has held a lease.
-func (d *Directory) HasHadLease() bool { return !d.View().At.IsZero() }
-
 // Failing reports whether the last renewal failed.
 func (d *Directory) Failing() bool { return d.failing.Load() }
 
--- a/internal/placement/hub.go
+++ b/internal/placement/hub.go
@@ -14,7 +14,6 @@
 
 	"gentiantide.example/gentiantide/internal/contain"
 	"gentiantide.example/gentiantide/internal/core"
-	"gentiantide.example/gentiantide/internal/nodes"
 	"gentiantide.example/gentiantide/internal/peer"
 	"gentiantide.example/gentiantide/internal/replica"
 )
@@ -44,10 +43,7 @@
 	groupIdleTimeout = 3 * time.Second
 )
 
-var (
-	errStopping = errors.New("hub is stopping and accepts no placement requests")
-	errNoLease  = errors.New("node has had no lease since it started; not all nodes know of it")
-)
+var errStopping = errors.New("hub is stopping and accepts no placement requests")
 
 // hub is the part of a node that places the requests of all nodes, for the
 // groups whose hub it is.
@@ -56,7 +52,6 @@
 	registry       *replica.Registry
 	sendPreemption func(core.NodeID, core.ReplicaID)
 	log            *slog.Logger
-	nodes          *nodes.Directory
 	stopping       atomic.Bool
 	// groupAdded gets an entry when a group is added.
 	groupAdded chan struct{}
@@ -78,7 +73,7 @@
 }
 
 func newHub(o *Options, sendPreemption func(core.NodeID, core.ReplicaID)) *hub {
-	h := &hub{transport: o.Transport, registry: o.Registry, sendPreemption: sendPreemption, log: o.Log, nodes: o.Nodes, groupAdded: make(chan struct{}, 1), groups: make(map[group]*groupState)}
+	h := &hub{transport: o.Transport, registry: o.Registry, sendPreemption: sendPreemption, log: o.Log, groupAdded: make(chan struct{}, 1), groups: make(map[group]*groupState)}
 	o.Transport.Handle(kindRequest, h.handleRequest)
 	o.Transport.Handle(kindProbe, h.handleProbe)
 	o.Transport.Handle(kindCounts, h.handleCounts)
@@ -145,20 +140,10 @@
 // handleProbe answers a node that wants to know whether this hub is available
 // again.
 func (h *hub) handleProbe(context.Context, core.NodeID, []byte) ([]byte, error) {
-	return nil, h.available()
-}
-
-// available returns why other nodes must use another hub, or nil. While the store is
-// away, some nodes know of a restarted one and some do not; those that know of it
-// must not use it, so that all use the same hub.
-func (h *hub) available() error {
-	switch {
-	case h.stopping.Load():
-		return errStopping
-	case !h.nodes.HasHadLease():
-		return errNoLease
-	}
-	return nil
+	if h.stopping.Load() {
+		return nil, errStopping
+	}
+	return nil, nil
 }
 
 // update calls fn with the state of a group, with the lock held. The caller calls
@@ -181,8 +166,8 @@
 
 // handleRequest answers a placementRequest.
 func (h *hub) handleRequest(_ context.Context, from core.NodeID, body []byte) ([]byte, error) {
-	if err := h.available(); err != nil {
-		return nil, err
+	if h.stopping.Load() {
+		return nil, errStopping
 	}
 	var req placementRequest
 	if err := msgpack.Unmarshal(body, &req); err != nil {
@@ -362,9 +347,9 @@
 		h.log.Error("cannot encode the totals of a group", "error", err)
 		return func() {}
 	}
-	reporting := slices.Collect(maps.Keys(state.nodes))
+	nodes := slices.Collect(maps.Keys(state.nodes))
 	return func() {
-		for _, node := range reporting {
+		for _, node := range nodes {
 			if err := h.transport.Send(node, kindTotals, msgpack.RawMessage(body)); err != nil {
 				h.log.Debug("cannot send the totals of a group", "node", node, "error", err)
 			}
