--- a/internal/placement/load_test.go
+++ b/internal/placement/load_test.go
@@ -74,9 +74,21 @@
 
 func (sim *simulation) serviceTime() float64 { return loadServiceTime * (0.5 + sim.rng.Float64()) }
 
+func newSimulation(seed uint64) *simulation {
+	return &simulation{rng: rand.New(rand.NewPCG(seed, 1))}
+}
+
+// process processes all events.
+func (sim *simulation) process() {
+	for sim.queue.Len() > 0 {
+		ev := heap.Pop(&sim.queue).(event)
+		sim.now = ev.at
+		ev.do()
+	}
+}
+
 // run generates the arrivals, calls arrive for each and processes all events.
-func (sim *simulation) run(seed uint64, arrive func(since float64)) {
-	sim.rng = rand.New(rand.NewPCG(seed, 1))
+func (sim *simulation) run(arrive func(since float64)) {
 	var arrivalLoop func()
 	arrivalLoop = func() {
 		if sim.now > loadDuration {
@@ -89,11 +101,7 @@
 		sim.schedule(sim.rng.ExpFloat64()/rate, arrivalLoop)
 	}
 	sim.schedule(0, arrivalLoop)
-	for sim.queue.Len() > 0 {
-		ev := heap.Pop(&sim.queue).(event)
-		sim.now = ev.at
-		ev.do()
-	}
+	sim.process()
 }
 
 func (sim *simulation) recordStart(since float64) {
@@ -107,7 +115,7 @@
 // replicas by outdated counts. Each replica serves its queue first in, first
 // out.
 func simulateWithoutHub(seed uint64) *simulation {
-	sim := &simulation{}
+	sim := newSimulation(seed)
 	work := make([]int, loadReplicas) // running and queued
 	counts := make([]int, loadReplicas)
 	queues := make([][]float64, loadReplicas)
@@ -129,7 +137,7 @@
 		}
 	}
 	countsReadAt := -loadCountsAge
-	sim.run(seed, func(since float64) {
+	sim.run(func(since float64) {
 		if sim.now-countsReadAt >= loadCountsAge {
 			copy(counts, work)
 			countsReadAt = sim.now
@@ -151,7 +159,7 @@
 
 // simulateWithHub has the nodes ask a hub. Each message takes one millisecond.
 func simulateWithHub(seed uint64) *simulation {
-	sim := &simulation{}
+	sim := newSimulation(seed)
 	const messageDelay = 0.001
 	s := newTestScheduler(loadReplicas, loadSlots)
 	epoch := time.Now()
@@ -198,7 +206,7 @@
 		}
 		sim.schedule(sim.now, refresh)
 	}
-	sim.run(seed, func(arrived float64) {
+	sim.run(func(arrived float64) {
 		requests++
 		id, node := requests, sim.rng.IntN(loadNodes)
 		arrivedAt[id], nodesOf[id] = arrived, node
