Let hubs make themselves known to each other

Cause: nodes learn of each other from the table.

Change: with its totals, a hub sends its record to the other hubs of the group, and tells the nodes that report to it which node it takes for the first hub, if that is another one. Such a record counts as a node whose lease has lapsed, until the next read of the table.

--- a/internal/nodes/directory.go
+++ b/internal/nodes/directory.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -146,6 +148,28 @@
 	return true
 }
 
+// Add adds a node that another one has heard of to the view, until the next read of
+// the table. Like a preloaded node it counts as lapsed. It reports whether the node
+// was not known.
+func (d *Directory) Add(record Record) bool {
+	for {
+		current := d.View()
+		if record.ID == d.self.ID || slices.ContainsFunc(current.Records(), func(r Record) bool { return r.ID == record.ID }) {
+			return false
+		}
+		view := *current
+		view.Lapsed = maps.Clone(current.Lapsed)
+		if view.Lapsed == nil {
+			view.Lapsed = make(map[string]Record)
+		}
+		view.Lapsed[record.Owner()] = record
+		if d.view.CompareAndSwap(current, &view) {
+			d.notify()
+			return true
+		}
+	}
+}
+
 // Failing reports whether the last renewal failed.
 func (d *Directory) Failing() bool { return d.failing.Load() }
 
--- a/internal/placement/hub.go
+++ b/internal/placement/hub.go
@@ -14,6 +14,7 @@
 
 	"gentiantide.example/gentiantide/internal/contain"
 	"gentiantide.example/gentiantide/internal/core"
+	"gentiantide.example/gentiantide/internal/nodes"
 	"gentiantide.example/gentiantide/internal/peer"
 	"gentiantide.example/gentiantide/internal/replica"
 )
@@ -51,8 +52,12 @@
 	transport      *peer.Transport
 	registry       *replica.Registry
 	sendPreemption func(core.NodeID, core.ReplicaID)
-	log            *slog.Logger
-	stopping       atomic.Bool
+	// firstHub returns the first usable hub of a group if that is another node, and
+	// announce makes this node known to the other hubs of a group.
+	firstHub func(group) *nodes.Record
+	announce func(group)
+	log      *slog.Logger
+	stopping atomic.Bool
 	// groupAdded gets an entry when a group is added.
 	groupAdded chan struct{}
 
@@ -332,7 +337,7 @@
 // prepareTotals encodes the totals of a group. The function returned sends them
 // to the nodes that report to this hub and is called without the lock.
 func (h *hub) prepareTotals(g group, state *groupState) func() {
-	message := &groupTotals{Group: g}
+	message := &groupTotals{Group: g, First: h.firstHub(g)}
 	for _, r := range state.replicas {
 		sum := state.sum(r.id)
 		message.Replicas = append(message.Replicas, replicaCounts{ID: r.id, Online: sum.online + state.pendingByReplica[r.id], Batch: sum.batch})
@@ -347,9 +352,12 @@
 		h.log.Error("cannot encode the totals of a group", "error", err)
 		return func() {}
 	}
-	nodes := slices.Collect(maps.Keys(state.nodes))
+	reporting := slices.Collect(maps.Keys(state.nodes))
 	return func() {
-		for _, node := range nodes {
+		if !h.stopping.Load() {
+			h.announce(g)
+		}
+		for _, node := range reporting {
 			if err := h.transport.Send(node, kindTotals, msgpack.RawMessage(body)); err != nil {
 				h.log.Debug("cannot send the totals of a group", "node", node, "error", err)
 			}
--- a/internal/placement/messages.go
+++ b/internal/placement/messages.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"gentiantide.example/gentiantide/internal/core"
+	"gentiantide.example/gentiantide/internal/nodes"
 )
 
 const (
@@ -29,6 +30,9 @@
 	// kindSuspect is a one-way message that tells a hub that a replica
 	// has stalled.
 	kindSuspect = "placement.silent"
+	// kindHub is a one-way message with which a hub makes itself known to the other
+	// hubs of its groups.
+	kindHub = "placement.hub"
 )
 
 // nodeCounts is the in-flight work of a node at the replicas of a group.
@@ -140,6 +144,9 @@
 type groupTotals struct {
 	Group    group           `msgpack:"s"`
 	Replicas []replicaCounts `msgpack:"r"`
+	// First is the node that the hub takes for the first hub of the group, if that
+	// is another one. Nodes that do not know of it use this hub.
+	First *nodes.Record `msgpack:"f,omitempty"`
 }
 
 // preemption asks a node to preempt one batch item at a replica.
--- a/internal/placement/service.go
+++ b/internal/placement/service.go
@@ -91,6 +91,8 @@
 	s.lastRequestID.Store(rand.Uint64())
 	s.candidates.Store(newHubCandidates(o.Nodes.View(), o.Nodes.Self()))
 	s.hub = newHub(&s.Options, s.sendPreemption)
+	s.hub.firstHub, s.hub.announce = s.firstHub, s.announce
+	o.Transport.Handle(kindHub, s.handleHub)
 	o.Transport.Handle(kindGrant, s.handleGrant)
 	o.Transport.Handle(kindTotals, s.handleTotals)
 	o.Transport.Handle(kindPreempt, s.handlePreemption)
@@ -256,6 +258,9 @@
 	if hubs := s.usableHubs(t.Group); len(hubs) == 0 || hubs[0] != from {
 		return nil, nil // not the hub that this node uses
 	}
+	if t.First != nil {
+		s.learnHub(*t.First, from)
+	}
 	for _, rc := range t.Replicas {
 		if r := s.Registry.Get(rc.ID); r != nil {
 			online, batch := r.LocalLoad()
--- a/internal/placement/service_test.go
+++ b/internal/placement/service_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"net"
 	"slices"
@@ -215,3 +216,36 @@
 	held.End(core.ClassOnline)
 	f.Eventually(waits, testTimeout).Should(gomega.Receive(gomega.Not(gomega.BeNil())))
 }
+
+// Guards against two hubs while the store is away: nodes that read the table before
+// another one wrote itself into it do not know that one, and those that read it
+// afterwards use it as the hub. They must tell each other.
+func TestNodesLearnOfAHubThatTheyCannotReadOf(t *testing.T) {
+	f := newFleet(t, oneReplica(2), "a", "b")
+	first := core.NodeID("")
+	for i := 0; first == ""; i++ { // an ID that ranks before a and b
+		r := nodes.Record{ID: core.NodeID(fmt.Sprintf("c%d", i)), Lifetime: "1", Address: "127.0.0.1:1", DataCentre: "dc-a", CPUCores: 1}
+		view := &nodes.View{Alive: map[string]nodes.Record{r.Owner(): r}, Lapsed: map[string]nodes.Record{}}
+		for _, other := range f.nodes["a"].Nodes.View().Records() {
+			view.Alive[other.Owner()] = other
+		}
+		if newHubCandidates(view, r).hubs(testGroup)[0] == r.ID {
+			first = r.ID
+		}
+	}
+	f.start(first, oneReplica(2))
+	f.Eventually(func() int { return len(f.nodes[first].Nodes.View().Alive) }, testTimeout, "1ms").Should(gomega.Equal(3))
+	f.rows.SetFaultPlan(infratest.FaultPlan{Down: true})
+	r := <-f.place(t.Context(), first)
+	f.Expect(r).NotTo(gomega.BeNil())
+	r.End(core.ClassOnline)
+	for _, id := range []core.NodeID{"a", "b"} {
+		n := f.nodes[id]
+		f.Eventually(func() core.NodeID {
+			if r := <-f.place(t.Context(), id); r != nil {
+				r.End(core.ClassOnline)
+			}
+			return n.candidates.Load().hubs(testGroup)[0]
+		}, testTimeout, "10ms").Should(gomega.Equal(first), string(id))
+	}
+}
