--- a/internal/nodes/directory_test.go
+++ b/internal/nodes/directory_test.go
@@ -93,3 +93,26 @@
 	clock, _ := rows.Clock()
 	g.Expect(d.View().Alive["a/1"].Until - clock).To(gomega.BeNumerically(">", 2*renewInterval(300)))
 }
+
+// Guards against nodes heard of from others that count as alive, so that jobs are
+// claimed because of them, replace what the table says, or are kept for ever.
+func TestNodesHeardOfCountAsLapsedUntilTheNextRead(t *testing.T) {
+	g := gomega.NewWithT(t)
+	rows := infratest.NewRows()
+	a, b := newTestDirectory(rows, "a", "1"), newTestDirectory(rows, "b", "1")
+	other := Record{ID: "c", Lifetime: "1", Address: "127.0.0.1:1"}
+	g.Expect(a.Preload([]Record{a.Self()})).To(gomega.BeFalse(), "it knows only itself")
+	g.Expect(a.Preload([]Record{a.Self(), b.Self()})).To(gomega.BeTrue())
+	g.Expect(a.Add(b.Self())).To(gomega.BeFalse(), "it is known")
+	g.Expect(a.Add(other)).To(gomega.BeTrue())
+	g.Expect(a.View().Alive).To(gomega.BeEmpty())
+	g.Expect(a.View().Lapsed).To(gomega.HaveLen(2))
+	g.Expect(a.View().Settled).To(gomega.BeFalse())
+
+	g.Expect(b.renew(t.Context())).To(gomega.Succeed())
+	g.Expect(a.renew(t.Context())).To(gomega.Succeed())
+	g.Expect(aliveOwners(a)).To(gomega.ConsistOf("a/1", "b/1"))
+	g.Expect(a.View().Lapsed).To(gomega.BeEmpty())
+	g.Expect(a.Preload([]Record{other})).To(gomega.BeFalse(), "it has read the table")
+	g.Expect(a.Add(a.Self())).To(gomega.BeFalse())
+}
