--- a/internal/httpsend/client_test.go
+++ b/internal/httpsend/client_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -204,3 +205,16 @@
 		})
 	}
 }
+
+// Guards against a bound on the head that is not applied: an endless head also ends
+// at the bound of net/http, at 10 MiB, and a long one would be accepted.
+func TestLongHead(t *testing.T) {
+	for size, accepted := range map[int]bool{maxHeadBytes / 2: true, 2 * maxHeadBytes: false} {
+		g := gomega.NewWithT(t)
+		address := respondOnce(t, func(conn net.Conn) {
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Filler: %s\r\nContent-Length: 2\r\n\r\nok", strings.Repeat("x", size))
+		})
+		_, err := New().Fetch(t.Context(), Request{Method: http.MethodGet, URL: address}, 10)
+		g.Expect(err == nil).To(gomega.Equal(accepted), "%d bytes: %v", size, err)
+	}
+}
