Show the age of a node's configuration in logs, metrics and the dump

Callers saw 404 for a route that was confirmed.

Change: the watchers log how long they were without an answer of the store; the refusal has config_age_ms; the dump and the metrics have the version and its age.

--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -46,6 +46,9 @@
 	// Routes is the current routing configuration. It is nil until the first one
 	// was read.
 	Routes *atomic.Pointer[routetable.Table]
+	// RoutesAge returns how long ago Routes was last known to be current. ok is false
+	// if the store has not been read.
+	RoutesAge func(now time.Time) (age time.Duration, ok bool)
 	// Submit accepts a batch job. The request body was read before the call.
 	Submit   func(w http.ResponseWriter, in *http.Request, reqInfo *RequestInfo, route *routetable.Route, body []byte) Outcome
 	Placer   Placer
@@ -104,7 +107,8 @@
 	}
 	route := table.Match(HostName(in.Host), Path(in))
 	if route == nil {
-		h.Log.Info("request refused", "request", reqInfo.ID, "reason", "no route", "host", in.Host, "path", Path(in), "config", table.Version)
+		age, _ := h.RoutesAge(arrived)
+		h.Log.Info("request refused", "request", reqInfo.ID, "reason", "no route", "host", in.Host, "path", Path(in), "config", table.Version, "config_age_ms", age.Milliseconds())
 		refuse(w, http.StatusNotFound, "no_route", 0)
 		return
 	}
--- a/internal/platformnode/node.go
+++ b/internal/platformnode/node.go
@@ -63,11 +63,13 @@
 	placer        *placement.Service
 	forward       *forward.Handler
 	counters      *forward.Counters
+	configGauges  *configGauges
 	metrics       http.Handler
 	metricsCloser io.Closer
 	// routingWatchers follow the tables that a node needs to serve requests: the
 	// configuration and the replicas.
 	routingWatchers []*watch.Watcher
+	configWatcher   *watch.Watcher
 	jobWatcher      *watch.Watcher
 	stopping        atomic.Bool
 }
@@ -120,11 +122,13 @@
 	scope, handler, closer := metrics.New()
 	n.metrics, n.metricsCloser = handler, closer
 	n.counters = forward.NewCounters(scope)
+	n.configGauges = newConfigGauges(scope)
+	n.configWatcher = n.configs.Watcher(n.store)
 	n.forward = &forward.Handler{
-		Codec: platform.HeaderCodec{}, Placer: n.placer, Routes: &n.configs.Table,
+		Codec: platform.HeaderCodec{}, Placer: n.placer, Routes: &n.configs.Table, RoutesAge: n.configWatcher.ContactAge,
 		Submit: n.jobsAPI.Submit, Log: log, Counters: n.counters,
 	}
-	n.routingWatchers = []*watch.Watcher{n.configs.Watcher(n.store), n.replicas.Watcher(n.store, platform.ReplicaTable)}
+	n.routingWatchers = []*watch.Watcher{n.configWatcher, n.replicas.Watcher(n.store, platform.ReplicaTable)}
 	n.jobWatcher = watch.New(n.store, jobs.JobsTable, jobs.Partitions(), n.jobs.JobCache, log)
 	n.jobWatcher.Interval = jobRowsInterval
 }
@@ -156,7 +160,7 @@
 	go n.nodes.Run(ctx)
 	go n.jobs.Run(ctx)
 	go n.placer.Run(ctx)
-	go n.monitorReplicas(ctx)
+	go n.monitor(ctx)
 	n.waitForStop(signals)
 	n.stop(callers)
 	cancel()
@@ -250,10 +254,10 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-// monitorReplicas periodically closes idle connections to replicas, checks the
-// health of the replicas and reports those that have become unreachable to the
-// other nodes.
-func (n *Node) monitorReplicas(ctx context.Context) {
+// monitor periodically updates the gauges, closes idle connections to replicas,
+// checks the health of the replicas and reports those that have become unreachable
+// to the other nodes.
+func (n *Node) monitor(ctx context.Context) {
 	ticker := time.NewTicker(healthCheckInterval)
 	defer ticker.Stop()
 	for {
@@ -261,6 +265,7 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
+			n.configGauges.update(n.configs.Table.Load(), n.configWatcher, now)
 			n.registry.ExpireIdle(now)
 			for _, r := range n.registry.CheckHealth(now) {
 				n.log.Info("replica is unreachable", "replica", r.Info().ID, "data_centre", r.Info().DataCentre)
--- a/internal/platformnode/statedump.go
+++ b/internal/platformnode/statedump.go
@@ -12,8 +12,11 @@
 	Node          string `json:"node"`
 	Lifetime      string `json:"lifetime"`
 	ConfigVersion int64  `json:"config_version"`
-	Stopping      bool   `json:"stopping"`
-	InFlight      int64  `json:"in_flight"`
+	// ConfigAgeMS is the time since the store last confirmed the configuration, or -1
+	// if it has not.
+	ConfigAgeMS int64 `json:"config_age_ms"`
+	Stopping    bool  `json:"stopping"`
+	InFlight    int64 `json:"in_flight"`
 	// Panics is the number of panics that were contained since the start.
 	Panics       int64         `json:"panics"`
 	StoreClockMS int64         `json:"store_clock_ms"`
@@ -42,6 +45,10 @@
 	if table := n.configs.Table.Load(); table != nil {
 		state.ConfigVersion = table.Version
 	}
+	state.ConfigAgeMS = -1
+	if age, ok := n.configWatcher.ContactAge(now); ok {
+		state.ConfigAgeMS = age.Milliseconds()
+	}
 	state.Jobs, state.ItemsPending, state.ItemsRunning = n.jobs.Counts()
 	for _, r := range n.registry.All() {
 		state.Replicas = append(state.Replicas, dumpReplica{Info: *r.Info(), Busy: r.EstimatedLoad(now), Avoided: r.Ejected(now)})
--- a/internal/watch/watcher.go
+++ b/internal/watch/watcher.go
@@ -52,6 +52,7 @@
 
 	version  uint64
 	restored monotime.AtomicTime // when the first call succeeded after a failure
+	contact  monotime.AtomicTime // when the latest call succeeded
 	failing  atomic.Bool
 	loaded   chan struct{}
 }
@@ -71,6 +72,13 @@
 // false if it has not recovered from any failure so far.
 func (w *Watcher) RestoredAt() (at time.Time, ok bool) { return w.restored.Get() }
 
+// ContactAge returns the time since the latest call that succeeded. The copy may
+// lack changes made since. ok is false before the first such call.
+func (w *Watcher) ContactAge(now time.Time) (age time.Duration, ok bool) {
+	at, ok := w.contact.Get()
+	return now.Sub(at), ok
+}
+
 // Failing reports whether the last call failed.
 func (w *Watcher) Failing() bool { return w.failing.Load() }
 
@@ -237,15 +245,19 @@
 }
 
 func (w *Watcher) markReachable() {
+	now := time.Now()
 	if w.failing.CompareAndSwap(true, false) {
-		w.restored.Set(time.Now())
-		w.Log.Info("store is reachable again", "version", w.version)
+		w.restored.Set(now)
+		age, _ := w.ContactAge(now)
+		w.Log.Info("store is reachable again", "version", w.version, "without_contact_ms", age.Milliseconds())
 	}
+	w.contact.Set(now)
 }
 
 func (w *Watcher) markFailing(err error) {
 	if w.failing.CompareAndSwap(false, true) {
-		w.Log.Warn("store cannot be reached", "error", err, "version", w.version)
+		age, _ := w.ContactAge(time.Now())
+		w.Log.Warn("store cannot be reached", "error", err, "version", w.version, "without_contact_ms", age.Milliseconds())
 	}
 }
 
