Do not wait for changes while the store does not answer

Cause: a node follows its tables with calls that ask the store to wait 2 s for a change and are given up after 2.7 s. It used them during an outage, too. A call made right before a silent outage ended was given up 2.7 s later, and the next one followed after a delay of up to 0.6 s: 3.3 s, while a node counts as connected after 3 s.

Change: after a failed call the watcher asks without a wait, until a call succeeds. Such a call is given up after 1.5 s like all others, so that the node is up to date 2.1 s after an outage, also for registrations and jobs, which use the same watcher.

--- a/internal/watch/watcher.go
+++ b/internal/watch/watcher.go
@@ -19,8 +19,9 @@
 	// date within 3 s after an outage of the store, so a call that the store will
 	// never answer must end before that.
 	followTimeout = 2 * time.Second
-	// minBackoff and maxBackoff bound the delay after a failed call. The delay
-	// must leave time to read the table within the same 3 s after an outage.
+	// minBackoff and maxBackoff bound the delay after a failed call. A call that was
+	// made in an outage and the delay after it must end well within the same 3 s.
+	// Therefore calls do not wait for changes while the store does not answer.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = 600 * time.Millisecond
 )
@@ -110,7 +111,11 @@
 		return w.load(ctx)
 	}
 	started := time.Now()
-	set, err := w.Store.Follow(ctx, w.Table, w.version, followTimeout)
+	wait := followTimeout
+	if w.Failing() {
+		wait = 0
+	}
+	set, err := w.Store.Follow(ctx, w.Table, w.version, wait)
 	if err != nil {
 		return err
 	}
