Show no contact age before the first contact with the store

A node that started during an outage logged the time since its process started as without_contact_ms. Seen in a log of a test; the field is 0 now until the store has answered once. No decision depends on it.

--- a/internal/watch/watcher.go
+++ b/internal/watch/watcher.go
@@ -77,7 +77,10 @@
 // lack changes made since. ok is false before the first such call.
 func (w *Watcher) ContactAge(now time.Time) (age time.Duration, ok bool) {
 	at, ok := w.contact.Get()
-	return now.Sub(at), ok
+	if !ok {
+		return 0, false
+	}
+	return now.Sub(at), true
 }
 
 // Failing reports whether the last call failed.
