Quarantine parts of prompts that crash replicas

Callers saw: requests with one part of the prompt in common crashed one replica after the other, 67 to 81 of them in 22 s, and the streams of all other requests at these replicas broke off.

Cause: nothing related the requests to the crashes. Each crash ejected the replica at the nodes that had work there, and the next such request went to another one. Class of fault: a failure that follows the request and not the replica, against which ejection of replicas and retries elsewhere make it worse.

Change: package internal/quarantine. A run whose connection breaks before it has gone on for 250 ms after its first event is a suspect if its replica then refuses connections. Nodes report suspects to the first hub of the service. A part that was in three crashes at different moments is quarantined after one second unless a node has seen a run with it prove harmless since; the most specific such part goes first, and the crashes that it explains no longer count against the parts before it. The decision goes to all nodes at once, to starting ones from a peer, and into one row of the table of nodes, which each node reads with its lease renewal anyway, so that it costs no call and outlives restarts. Requests with the part are refused at once with 503 and the time until the quarantine ends, those that wait or have not begun at an engine are cancelled, items of jobs are held back. After a minute, doubled in each round, one request is the trial: it releases the part, or renews the quarantine.

--- a/internal/forward/codec.go
+++ b/internal/forward/codec.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"gentiantide.example/gentiantide/internal/core"
+	"gentiantide.example/gentiantide/internal/quarantine"
 	"gentiantide.example/gentiantide/internal/replica"
 )
 
@@ -12,6 +13,9 @@
 type Codec interface {
 	// ParseRequest parses the headers of a caller's request.
 	ParseRequest(h http.Header) (RequestInfo, error)
+	// PromptParts returns the parts of a request's prompt that other requests may
+	// share, from the first to the last.
+	PromptParts(h http.Header) []quarantine.Part
 	// ReplicaHeader returns the headers of the request to a replica: the caller's
 	// end-to-end headers and those that encode the options.
 	ReplicaHeader(h http.Header, send SendOptions) http.Header
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -13,6 +13,7 @@
 
 	"gentiantide.example/gentiantide/internal/core"
 	"gentiantide.example/gentiantide/internal/placement"
+	"gentiantide.example/gentiantide/internal/quarantine"
 	"gentiantide.example/gentiantide/internal/replica"
 	"gentiantide.example/gentiantide/internal/routetable"
 )
@@ -50,10 +51,12 @@
 	// if the store has not been read.
 	RoutesAge func(now time.Time) (age time.Duration, ok bool)
 	// Submit accepts a batch job. The request body was read before the call.
-	Submit   func(w http.ResponseWriter, in *http.Request, reqInfo *RequestInfo, route *routetable.Route, body []byte) Outcome
-	Placer   Placer
-	Log      *slog.Logger
-	Counters *Counters
+	Submit func(w http.ResponseWriter, in *http.Request, reqInfo *RequestInfo, route *routetable.Route, body []byte) Outcome
+	Placer Placer
+	// Quarantine refuses requests that crash replicas.
+	Quarantine *quarantine.Service
+	Log        *slog.Logger
+	Counters   *Counters
 }
 
 // request is the state of one request in progress.
@@ -84,9 +87,14 @@
 	// firstByte is the time from arrival to the first byte of the response.
 	firstByte  time.Duration
 	headerSent bool // the caller was sent the response header
+	// stopWatch ends the watch that cancels the request when one of its parts is
+	// quarantined.
+	stopWatch func()
 	// attempt is the last attempt. outcome is set when the request ends; until then
 	// it is that of a request whose handler panics.
 	attempt *attempt
+	// run observes the next attempt.
+	run     *quarantine.Run
 	outcome Outcome
 }
 
@@ -114,6 +122,10 @@
 	}
 	r := &request{h: h, w: w, in: in, reqInfo: reqInfo, route: route, configVersion: table.Version, arrived: arrived, outcome: OutcomeBroken}
 	r.deadline = arrived.Add(r.timeout())
+	if remaining, blocked := h.Quarantine.Blocked(reqInfo.PromptParts); blocked && route.Kind != routetable.KindBatch {
+		r.refuseQuarantined(remaining)
+		return
+	}
 	if r.body, err = readBody(w, in, table.Limits, r.deadline); err != nil {
 		r.refuseBody(err)
 		return
@@ -185,10 +197,22 @@
 	refuse(r.w, status, reason, 0)
 }
 
+// refuseQuarantined refuses a request with a quarantined part. The caller may return
+// when the quarantine ends.
+func (r *request) refuseQuarantined(remaining time.Duration) {
+	r.h.Quarantine.CountRefusal()
+	r.h.Log.Info("request refused", "request", r.reqInfo.ID, "reason", "quarantined", "parts", r.reqInfo.PromptParts, "remaining_ms", remaining.Milliseconds())
+	refuse(r.w, http.StatusServiceUnavailable, "quarantined", remaining)
+}
+
 // serve handles the request by the kind of its route.
 func (r *request) serve() Outcome {
 	ctx, cancel := context.WithDeadlineCause(r.in.Context(), r.deadline, errRouteTimeout)
 	defer cancel()
+	ctx, cancelCause := context.WithCancelCause(ctx)
+	defer cancelCause(nil)
+	r.stopWatch = r.h.Quarantine.Watch(r.reqInfo.PromptParts, cancelCause)
+	defer r.stopWatch()
 	switch r.route.Kind {
 	case routetable.KindBatch:
 		return r.h.Submit(r.w, r.in, &r.reqInfo, r.route, r.body)
--- a/internal/forward/requestinfo.go
+++ b/internal/forward/requestinfo.go
@@ -1,6 +1,10 @@
 package forward
 
-import "time"
+import (
+	"time"
+
+	"gentiantide.example/gentiantide/internal/quarantine"
+)
 
 // RequestInfo holds what the headers of a caller's request say.
 type RequestInfo struct {
@@ -9,4 +13,6 @@
 	// CallerTimeout is how long the caller waits for the response, counted from
 	// when it sent the request. 0 means that the caller set no deadline.
 	CallerTimeout time.Duration
+	// PromptParts are the parts of the prompt that other requests may share.
+	PromptParts []quarantine.Part
 }
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -8,6 +8,7 @@
 
 	"gentiantide.example/gentiantide/internal/core"
 	"gentiantide.example/gentiantide/internal/placement"
+	"gentiantide.example/gentiantide/internal/quarantine"
 	"gentiantide.example/gentiantide/internal/replica"
 )
 
@@ -26,6 +27,7 @@
 type attempt struct {
 	replica  *replica.Replica
 	response *replica.Response
+	run      *quarantine.Run
 	info     ResponseInfo
 	err      error
 	released bool
@@ -54,9 +56,16 @@
 	now := time.Now()
 	r.placementTime += now.Sub(began)
 	r.expectedWait = wait
-	if target != nil {
-		r.busy, r.slowdown = target.EstimatedLoad(now), target.Slowdown(now)
+	if target == nil {
+		return nil
+	}
+	r.busy, r.slowdown = target.EstimatedLoad(now), target.Slowdown(now)
+	run, ok := r.h.Quarantine.Begin(r.reqInfo.PromptParts, target)
+	if !ok { // another request is the trial
+		target.End(core.ClassOnline)
+		return nil
 	}
+	r.run = run
 	return target
 }
 
@@ -83,7 +92,7 @@
 	info := target.Info()
 	r.tried = append(r.tried, info.ID)
 	r.sends++
-	a := &attempt{replica: target}
+	a := &attempt{replica: target, run: r.run}
 	r.attempt = a
 	a.response, a.err = target.Send(ctx, &replica.Request{
 		Method: r.in.Method, Target: r.in.RequestURI, Host: r.in.Host,
@@ -102,12 +111,14 @@
 func (r *request) recordResult(a *attempt, sent time.Time) {
 	now := time.Now()
 	if a.err != nil {
-		a.release()
 		if !a.notRun() {
 			r.runs++
+			a.run.RecordEnd(a.err, true)
 		}
-		// A caller that disconnected or a deadline is no fault of the replica.
-		if !errors.Is(a.err, context.Canceled) && !errors.Is(a.err, errRouteTimeout) {
+		a.release()
+		// A caller that disconnected, a deadline or a quarantine is no fault of the
+		// replica.
+		if !errors.Is(a.err, context.Canceled) && !errors.Is(a.err, errRouteTimeout) && !errors.Is(a.err, quarantine.ErrQuarantined) {
 			wait := a.replica.RecordError(a.err, now)
 			r.h.Log.Info("replica failed", "request", r.reqInfo.ID, "replica", a.replica.Info().ID,
 				"error", a.err, "after_ms", now.Sub(sent).Milliseconds(), "avoid_ms", wait.Milliseconds())
@@ -138,6 +149,7 @@
 	if a.response != nil {
 		a.response.Close()
 	}
+	a.run.End()
 	a.replica.End(core.ClassOnline)
 }
 
@@ -167,8 +179,15 @@
 	if r.in.Context().Err() != nil {
 		return OutcomeCallerGone
 	}
+	remaining, blocked := r.h.Quarantine.Blocked(r.reqInfo.PromptParts)
 	timedOut := context.Cause(ctx) != nil || time.Until(r.deadline) < minRemaining
 	switch {
+	case r.runs == 0 && blocked:
+		r.refuseQuarantined(remaining)
+		return OutcomeRefused
+	case r.runs > 0 && errors.Is(context.Cause(ctx), quarantine.ErrQuarantined):
+		refuse(r.w, http.StatusBadGateway, "quarantined", 0)
+		return OutcomeBroken
 	case r.runs == 0:
 		refuse(r.w, http.StatusServiceUnavailable, "no_capacity", r.retryAfter())
 		return OutcomeRefused
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -21,7 +22,7 @@
 
 var (
 	errEventOrder     = errors.New("event ID out of sequence")
-	errTruncatedEvent = errors.New("stream ended within an event")
+	errTruncatedEvent = fmt.Errorf("stream ended within an event: %w", io.ErrUnexpectedEOF)
 	errCallerWrite    = errors.New("write to caller failed")
 )
 
@@ -79,6 +80,9 @@
 		return "", false
 	}
 	err := s.copy(a, watchdog)
+	if !errors.Is(err, errCallerWrite) && context.Cause(attemptCtx) == nil {
+		a.run.RecordEnd(err, a.response.Framed)
+	}
 	a.release()
 	switch {
 	case err == nil:
@@ -139,6 +143,8 @@
 		if n > 0 {
 			progress, addErr := s.relayEvents(a, &splitter, buf[:n])
 			if progress {
+				s.r.stopWatch() // the run has begun without a crash
+				a.run.RecordEvent(time.Now())
 				a.response.RecordProgress()
 				if watchdog.Stop() {
 					watchdog.Reset(s.stallTimeout())
--- a/internal/jobs/executor.go
+++ b/internal/jobs/executor.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"gentiantide.example/gentiantide/internal/forward"
+	"gentiantide.example/gentiantide/internal/quarantine"
 	"gentiantide.example/gentiantide/internal/replica"
 	"gentiantide.example/gentiantide/internal/routetable"
 	"gentiantide.example/gentiantide/internal/sse"
@@ -40,7 +41,25 @@
 type Executor struct {
 	Codec  forward.Codec
 	Routes *atomic.Pointer[routetable.Table]
-	Log    *slog.Logger
+	// Quarantine holds items back that crash replicas.
+	Quarantine *quarantine.Service
+	Log        *slog.Logger
+}
+
+// newTask returns the state of an item that has not run.
+func (e *Executor) newTask(job *ownedJob, item *Item) *itemTask {
+	return &itemTask{job: job, item: item, lastEvent: forward.NoResume, parts: e.Codec.PromptParts(item.header())}
+}
+
+// quarantined reports whether a part of the item's prompt is quarantined. The item
+// stays pending until the quarantine ends or the item is abandoned.
+func (e *Executor) quarantined(task *itemTask) bool {
+	remaining, blocked := e.Quarantine.Blocked(task.parts)
+	if blocked && !task.held {
+		e.Log.Info("item held back", "job", task.job.entry.ID, "item", task.item.ID, "reason", "quarantined", "parts", task.parts, "remaining_ms", remaining.Milliseconds())
+	}
+	task.held = blocked
+	return blocked
 }
 
 // routeStatus is the result of a route lookup.
@@ -74,12 +93,21 @@
 func (e *Executor) run(ctx context.Context, task *itemTask, target *replica.Replica) runOutcome {
 	runCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watchdog := time.AfterFunc(itemStallTimeout, func() { cancel(errItemStalled) })
-	defer watchdog.Stop()
+	observed, ok := e.Quarantine.Begin(task.parts, target)
+	if !ok { // another request is the trial
+		return outcomeDeclined
+	}
+	run := &itemRun{
+		task: task, observed: observed, stopWatch: e.Quarantine.Watch(task.parts, cancel),
+		watchdog: time.AfterFunc(itemStallTimeout, func() { cancel(errItemStalled) }),
+	}
+	defer run.end()
 	start, from := time.Now(), task.lastEvent
-	outcome, err := e.sendItem(runCtx, task, target, watchdog)
+	outcome, err := e.sendItem(runCtx, run, target)
 	switch {
 	case outcome != outcomeBroken && outcome != outcomeNotRun:
+	case errors.Is(context.Cause(runCtx), quarantine.ErrQuarantined):
+		outcome = outcomeDeclined
 	case errors.Is(context.Cause(ctx), errPreempted):
 		outcome = outcomePreempted
 	case ctx.Err() != nil:
@@ -104,18 +132,18 @@
 }
 
 // sendItem sends the item to the replica, from the last received event on, and
-// reads the response. The watchdog is reset whenever data arrives.
-func (e *Executor) sendItem(ctx context.Context, task *itemTask, target *replica.Replica, watchdog *time.Timer) (runOutcome, error) {
-	header := make(http.Header, len(task.item.Header))
-	for name, value := range task.item.Header {
-		header.Set(name, value)
-	}
+// reads the response.
+func (e *Executor) sendItem(ctx context.Context, run *itemRun, target *replica.Replica) (runOutcome, error) {
+	task := run.task
 	response, err := target.Send(ctx, &replica.Request{
 		Method: http.MethodPost, Target: task.item.Path, Host: task.job.entry.Host,
-		Header: e.Codec.ReplicaHeader(header, forward.SendOptions{Replica: target.Info().ID, ResumeAfter: task.lastEvent}),
+		Header: e.Codec.ReplicaHeader(task.item.header(), forward.SendOptions{Replica: target.Info().ID, ResumeAfter: task.lastEvent}),
 		Body:   task.item.Body, HasBody: true, MatchResponse: e.Codec.ResponseMatcher(task.item.ID), NewConnection: task.answered,
 	})
 	if err != nil {
+		if ctx.Err() == nil {
+			run.observed.RecordEnd(err, true)
+		}
 		return outcomeBroken, err
 	}
 	defer response.Close()
@@ -127,7 +155,11 @@
 		task.answered = true
 		return e.classifyResponse(response, info)
 	}
-	if err := readEvents(task, response, watchdog); err != nil {
+	err = run.readEvents(response)
+	if ctx.Err() == nil {
+		run.observed.RecordEnd(err, response.Framed)
+	}
+	if err != nil {
 		return outcomeBroken, err
 	}
 	target.RecordSuccess()
@@ -155,41 +187,6 @@
 	}
 }
 
-// readEvents appends the events of a response to the item's output. It returns
-// nil only if the output is complete.
-func readEvents(task *itemTask, response *replica.Response, watchdog *time.Timer) error {
-	var splitter sse.Splitter
-	buf := make([]byte, readBufferSize)
-	for {
-		n, err := response.Read(buf)
-		if n > 0 {
-			progress := false
-			addErr := splitter.Add(buf[:n], func(e sse.Event) error {
-				progress = progress || !e.IsComment()
-				return task.addEvent(e)
-			})
-			if progress {
-				response.RecordProgress()
-				if watchdog.Stop() {
-					watchdog.Reset(itemStallTimeout)
-				}
-			}
-			if addErr != nil {
-				return addErr
-			}
-		}
-		if errors.Is(err, io.EOF) {
-			if len(splitter.Pending()) > 0 {
-				return io.ErrUnexpectedEOF
-			}
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-	}
-}
-
 // addEvent appends one event to the output. Event IDs must be consecutive.
 func (task *itemTask) addEvent(e sse.Event) error {
 	if e.IsComment() {
--- a/internal/jobs/item.go
+++ b/internal/jobs/item.go
@@ -1,5 +1,7 @@
 package jobs
 
+import "net/http"
+
 // Item is one request of a job.
 type Item struct {
 	ID     string            `msgpack:"i"`
@@ -10,6 +12,15 @@
 	Tokens int64 `msgpack:"t"`
 }
 
+// header returns the headers of the item's request.
+func (i *Item) header() http.Header {
+	header := make(http.Header, len(i.Header))
+	for name, value := range i.Header {
+		header.Set(name, value)
+	}
+	return header
+}
+
 // Submission is a job as submitted by a caller.
 type Submission struct {
 	ID    string
--- a/internal/jobs/itemtask.go
+++ b/internal/jobs/itemtask.go
@@ -5,6 +5,7 @@
 	"context"
 	"time"
 
+	"gentiantide.example/gentiantide/internal/quarantine"
 	"gentiantide.example/gentiantide/internal/replica"
 )
 
@@ -12,6 +13,10 @@
 type itemTask struct {
 	job  *ownedJob
 	item *Item
+	// parts are the parts of the item's prompt that others may share. held is set
+	// once it was logged that one of them is quarantined.
+	parts []quarantine.Part
+	held  bool
 	// eventData is the data of the events received so far, in order.
 	eventData [][]byte
 	// textBytes is the total length of eventData.
--- a/internal/jobs/placement_test.go
+++ b/internal/jobs/placement_test.go
@@ -14,6 +14,7 @@
 	"gentiantide.example/gentiantide/internal/core"
 	"gentiantide.example/gentiantide/internal/forward"
 	"gentiantide.example/gentiantide/internal/placement"
+	"gentiantide.example/gentiantide/internal/quarantine"
 	"gentiantide.example/gentiantide/internal/replica"
 	"gentiantide.example/gentiantide/internal/routetable"
 )
@@ -21,6 +22,7 @@
 // plainCodec adds no headers.
 type plainCodec struct{ forward.Codec }
 
+func (plainCodec) PromptParts(http.Header) []quarantine.Part                      { return nil }
 func (plainCodec) ReplicaHeader(h http.Header, _ forward.SendOptions) http.Header { return h }
 func (plainCodec) ResponseMatcher(string) func(http.Header) replica.Match         { return nil }
 
--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -12,7 +12,6 @@
 
 	"gentiantide.example/gentiantide/internal/contain"
 	"gentiantide.example/gentiantide/internal/core"
-	"gentiantide.example/gentiantide/internal/forward"
 	"gentiantide.example/gentiantide/internal/placement"
 	"gentiantide.example/gentiantide/internal/replica"
 	"gentiantide.example/gentiantide/internal/routetable"
@@ -120,7 +119,7 @@
 	job.ctx, job.cancel = context.WithCancel(context.Background())
 	for i := range items {
 		if !done[items[i].ID] {
-			job.pending = append(job.pending, &itemTask{job: job, item: &items[i], lastEvent: forward.NoResume})
+			job.pending = append(job.pending, r.exec.newTask(job, &items[i]))
 		}
 	}
 	job.applyProgress(progress)
@@ -188,6 +187,9 @@
 		case routeNotLoaded:
 			continue
 		}
+		if r.exec.quarantined(task) {
+			continue
+		}
 		service := route.Pick(rand.Uint64())
 		wanted[service]++
 		if wanted[service] <= r.searches[service] || r.searches[service] >= maxSearches {
@@ -213,7 +215,8 @@
 	}
 	clock, _ := r.clock()
 	for _, task := range r.readyItems(time.Now(), clock) {
-		if route, status := r.exec.route(task); status == routeFound && route.HasBackend(q.Service) && !r.stopping {
+		route, status := r.exec.route(task)
+		if status == routeFound && route.HasBackend(q.Service) && !r.exec.quarantined(task) && !r.stopping {
 			r.startItem(task, route, target)
 			r.wakeDispatch() // a further search may start now
 			return
--- a/internal/nodes/directory.go
+++ b/internal/nodes/directory.go
@@ -71,11 +71,14 @@
 	version uint64
 	// changes receives a signal after the view was replaced.
 	changes chan struct{}
+	// renewNow makes Run renew the lease before its time.
+	renewNow chan struct{}
+	shared   SharedState // may be nil
 }
 
 // NewDirectory returns a directory for the node with the given record.
 func NewDirectory(store infra.PartitionedTable, self Record, log *slog.Logger) *Directory {
-	d := &Directory{store: store, self: self, log: log, changes: make(chan struct{}, 1)}
+	d := &Directory{store: store, self: self, log: log, changes: make(chan struct{}, 1), renewNow: make(chan struct{}, 1)}
 	d.view.Store(&View{})
 	return d
 }
@@ -108,6 +111,7 @@
 		select {
 		case <-ctx.Done():
 		case <-time.After(pause):
+		case <-d.renewNow:
 		}
 	}
 }
@@ -218,6 +222,7 @@
 	if err != nil {
 		return err
 	}
+	sharedState := takeSharedState(&set)
 	record := d.self
 	record.Until = set.Clock + leaseRenewals*renewInterval(len(set.Rows))
 	value, err := msgpack.Marshal(&record)
@@ -249,6 +254,7 @@
 	}
 	d.version = version
 	view.Alive[record.Owner()] = record
+	d.reconcile(ctx, sharedState, set.Clock) // before the view, with which a starting node becomes ready
 	d.view.Store(view)
 	d.notify()
 	return nil
--- a/internal/placement/downhub.go
+++ b/internal/placement/downhub.go
@@ -31,6 +31,12 @@
 	return slices.DeleteFunc(slices.Clone(hubs), func(id core.NodeID) bool { return s.downHubs[id] != nil })
 }
 
+// Hubs returns the usable hubs of a service as a whole, in the order in which to ask
+// them.
+func (s *Service) Hubs(service core.DeploymentID) []core.NodeID {
+	return s.usableHubs(group{Service: service, Count: 1})
+}
+
 // markDown excludes a hub that failed to answer a call. It is used again once it
 // has answered a probe.
 func (s *Service) markDown(hub core.NodeID, err error) {
--- a/internal/platformnode/bootstrap.go
+++ b/internal/platformnode/bootstrap.go
@@ -12,6 +12,7 @@
 	"gentiantide.example/gentiantide/internal/infra"
 	"gentiantide.example/gentiantide/internal/nodes"
 	"gentiantide.example/gentiantide/internal/peer"
+	"gentiantide.example/gentiantide/internal/quarantine"
 )
 
 const (
@@ -36,6 +37,8 @@
 	// Nodes are the nodes that the peer knows, so that a node that starts while the
 	// store is away uses the same hubs.
 	Nodes []nodes.Record `msgpack:"n,omitempty"`
+	// Quarantine are the quarantined parts that the peer knows.
+	Quarantine []quarantine.Notice `msgpack:"q,omitempty"`
 }
 
 // serveTableCopy answers a peer that is starting while the store is unavailable.
@@ -43,7 +46,10 @@
 	if n.configs.Table.Load() == nil {
 		return nil, errTablesNotLoaded
 	}
-	out := tableCopy{Tables: make(map[string][]infra.VersionedRow), Nodes: append(n.nodes.View().Records(), n.nodes.Self())}
+	out := tableCopy{
+		Tables: make(map[string][]infra.VersionedRow), Nodes: append(n.nodes.View().Records(), n.nodes.Self()),
+		Quarantine: n.quarantine.Notices(),
+	}
 	for _, w := range n.routingWatchers {
 		out.Tables[w.Table] = w.Copy()
 	}
@@ -88,6 +94,7 @@
 		}
 		return
 	}
+	n.quarantine.Adopt(got.Quarantine, "received at the start from "+address)
 	if n.nodes.Preload(got.Nodes) {
 		n.log.Info("nodes preloaded from peer", "nodes", len(got.Nodes), "address", address)
 	}
--- a/internal/platformnode/node.go
+++ b/internal/platformnode/node.go
@@ -24,6 +24,7 @@
 	"gentiantide.example/gentiantide/internal/nodes"
 	"gentiantide.example/gentiantide/internal/peer"
 	"gentiantide.example/gentiantide/internal/placement"
+	"gentiantide.example/gentiantide/internal/quarantine"
 	"gentiantide.example/gentiantide/internal/replica"
 	"gentiantide.example/gentiantide/internal/routetable"
 	"gentiantide.example/gentiantide/internal/watch"
@@ -61,6 +62,7 @@
 	jobsAPI       *platform.JobsAPI
 	peers         *peer.Transport
 	placer        *placement.Service
+	quarantine    *quarantine.Service
 	forward       *forward.Handler
 	counters      *forward.Counters
 	configGauges  *configGauges
@@ -108,6 +110,13 @@
 	n.peers = peer.New(settings.Node, log)
 	n.peers.ContainPanics()
 	n.peers.Handle(kindTableCopy, n.serveTableCopy)
+	scope, handler, closer := metrics.New()
+	n.metrics, n.metricsCloser = handler, closer
+	n.quarantine = quarantine.New(quarantine.Options{
+		Messenger: n.peers, View: n.nodes.View, Persist: n.nodes.RenewSoon, Log: log, Scope: scope,
+		Hubs: func(service core.DeploymentID) []core.NodeID { return n.placer.Hubs(service) },
+	})
+	n.nodes.Share(n.quarantine)
 	n.placer = placement.New(placement.Options{
 		Transport: n.peers, Registry: n.registry, Nodes: n.nodes, Log: log,
 		Preempt: func(r *replica.Replica) bool { return n.jobs.Preempt(r) },
@@ -116,17 +125,15 @@
 	n.jobs = jobs.New(jobs.Options{
 		Table: n.store, Objects: n.store, Nodes: n.nodes, Clock: n.store.Clock, JobRetention: settings.JobRetention, Log: log,
 		Placer: n.placer, Messenger: n.peers,
-		Executor: &jobs.Executor{Codec: platform.HeaderCodec{}, Routes: &n.configs.Table, Log: log},
+		Executor: &jobs.Executor{Codec: platform.HeaderCodec{}, Routes: &n.configs.Table, Quarantine: n.quarantine, Log: log},
 	})
 	n.jobsAPI = &platform.JobsAPI{Jobs: n.jobs}
-	scope, handler, closer := metrics.New()
-	n.metrics, n.metricsCloser = handler, closer
 	n.counters = forward.NewCounters(scope)
 	n.configGauges = newConfigGauges(scope)
 	n.configWatcher = n.configs.Watcher(n.store)
 	n.forward = &forward.Handler{
 		Codec: platform.HeaderCodec{}, Placer: n.placer, Routes: &n.configs.Table, RoutesAge: n.configWatcher.ContactAge,
-		Submit: n.jobsAPI.Submit, Log: log, Counters: n.counters,
+		Submit: n.jobsAPI.Submit, Quarantine: n.quarantine, Log: log, Counters: n.counters,
 	}
 	n.routingWatchers = []*watch.Watcher{n.configWatcher, n.replicas.Watcher(n.store, platform.ReplicaTable)}
 	n.jobWatcher = watch.New(n.store, jobs.JobsTable, jobs.Partitions(), n.jobs.JobCache, log)
--- /dev/null
+++ b/internal/quarantine/messages.go
@@ -0,0 +1,57 @@
+package quarantine
+
+import (
+	"time"
+
+	"gentiantide.example/gentiantide/internal/core"
+)
+
+const (
+	// kindReport is a call from a node to a hub: a run may have crashed a replica.
+	kindReport = "quarantine.report"
+	// kindWitness is a call from a hub to all nodes: it asks whether runs with some
+	// parts have proved harmless.
+	kindWitness = "quarantine.witness"
+	// kindEntries is a call to all nodes that passes entries on.
+	kindEntries = "quarantine.entries"
+)
+
+// report names a run that was at a replica when it crashed.
+type report struct {
+	Service core.DeploymentID `msgpack:"s"`
+	Replica core.ReplicaID    `msgpack:"r"`
+	Parts   []Part            `msgpack:"p"`
+	// Trials are the entries of the parts of which the run was the trial.
+	Trials []Notice `msgpack:"t,omitempty"`
+}
+
+// witnessRequest asks when runs with the parts last proved harmless.
+type witnessRequest struct {
+	Parts []Part `msgpack:"p"`
+}
+
+// witnessResponse holds for each part the time since the latest harmless run with it
+// began, or a negative time if there was none, and the same for any part.
+type witnessResponse struct {
+	Ages []time.Duration `msgpack:"a"`
+	Any  time.Duration   `msgpack:"n"`
+}
+
+// Notice is an entry in a message. The end of the quarantine is given as a duration
+// because the clocks of nodes differ.
+type Notice struct {
+	Part      Part          `msgpack:"p"`
+	Round     int           `msgpack:"r"`
+	Crashes   int           `msgpack:"c"`
+	Remaining time.Duration `msgpack:"u"`
+	Lifted    bool          `msgpack:"l,omitempty"`
+	By        core.NodeID   `msgpack:"b"`
+}
+
+func newNotice(e *Entry, now time.Time) Notice {
+	return Notice{Part: e.Part, Round: e.Round, Crashes: e.Crashes, Remaining: e.Until.Sub(now), Lifted: e.Lifted, By: e.By}
+}
+
+func (n *Notice) entry(now time.Time) Entry {
+	return Entry{Part: n.Part, Round: n.Round, Crashes: n.Crashes, Until: now.Add(n.Remaining), Lifted: n.Lifted, By: n.By}
+}
--- /dev/null
+++ b/internal/quarantine/run.go
@@ -0,0 +1,126 @@
+package quarantine
+
+import (
+	"context"
+	"io"
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"gentiantide.example/gentiantide/internal/contain"
+	"gentiantide.example/gentiantide/internal/replica"
+)
+
+const (
+	// proofDelay is how long after its first event a run must go on to prove its
+	// parts harmless. A request that crashes a replica does so when the replica
+	// begins to write its response.
+	proofDelay = 250 * time.Millisecond
+	// verifyTimeout bounds the connection that shows whether a replica has crashed.
+	verifyTimeout = 200 * time.Millisecond
+)
+
+// Run observes one run of a request or an item at a replica. A nil Run observes
+// nothing.
+type Run struct {
+	service *Service
+	parts   []Part
+	replica *replica.Replica
+	trial   []Part
+	began   time.Time // of the response, with its first event
+	proved  bool
+}
+
+// Begin starts to observe a run. It reports false if the request must not be sent
+// because one of its parts is quarantined. The caller must call End.
+func (s *Service) Begin(parts []Part, target *replica.Replica) (run *Run, ok bool) {
+	if len(parts) == 0 {
+		return nil, true
+	}
+	trial, ok := s.list.admit(parts, time.Now())
+	if !ok {
+		return nil, false
+	}
+	if len(trial) > 0 {
+		s.Log.Info("trial of quarantined parts", "parts", trial, "replica", target.Info().ID)
+	}
+	return &Run{service: s, parts: parts, replica: target, trial: trial}, true
+}
+
+// RecordEvent records that an event of the response has arrived.
+func (r *Run) RecordEvent(now time.Time) {
+	switch {
+	case r == nil || r.proved:
+	case r.began.IsZero():
+		r.began = now
+	case now.Sub(r.began) >= proofDelay:
+		r.prove()
+	}
+}
+
+// RecordEnd records the end of the response: err is nil if it is complete. framed
+// says whether its length or chunks show that. Without them a response that has just
+// begun may have been ended by a crash.
+func (r *Run) RecordEnd(err error, framed bool) {
+	switch {
+	case r == nil || r.proved:
+	case err == nil && framed && !r.began.IsZero():
+		r.prove()
+	case err == nil && !framed || connectionBroken(err):
+		r.suspect()
+	}
+}
+
+// End ends the observation. The request is no trial any more.
+func (r *Run) End() {
+	if r != nil && len(r.trial) > 0 {
+		r.service.list.release(r.trial)
+		r.trial = nil
+	}
+}
+
+func (r *Run) prove() {
+	r.proved = true
+	r.service.proofs.add(r.parts, r.began)
+	for _, part := range r.trial {
+		r.service.lift(part, "the trial proved harmless")
+	}
+}
+
+// suspect reports the run if its replica has crashed. Replicas that were leaving
+// were expected to end.
+func (r *Run) suspect() {
+	if r.replica.Info().Leaving {
+		return
+	}
+	suspect := report{Service: r.replica.Info().Service, Replica: r.replica.Info().ID, Parts: slices.Clone(r.parts)}
+	for _, part := range r.trial {
+		if e, ok := r.service.list.get(part); ok {
+			suspect.Trials = append(suspect.Trials, newNotice(&e, time.Now()))
+		}
+	}
+	go r.service.verify(r.replica, &suspect)
+}
+
+// verify reports the suspect if the replica refuses connections.
+func (s *Service) verify(target *replica.Replica, suspect *report) {
+	defer contain.Recover(s.Log, "suspect of a crash", string(suspect.Replica))
+	ctx, cancel := context.WithTimeout(context.Background(), verifyTimeout)
+	defer cancel()
+	if target.RefusesConnections(ctx) {
+		s.sendReport(suspect)
+	}
+}
+
+// connectionBroken reports whether an exchange ended because the other side closed
+// or reset the connection, as a crash does.
+func connectionBroken(err error) bool {
+	for _, broken := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
+		if errors.Is(err, broken) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/quarantine/service_test.go
@@ -0,0 +1,272 @@
+package quarantine
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"sync"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+	"github.com/uber-go/tally/v4"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"gentiantide.example/gentiantide/internal/core"
+	"gentiantide.example/gentiantide/internal/nodes"
+	"gentiantide.example/gentiantide/internal/peer"
+	"gentiantide.example/gentiantide/internal/replica"
+)
+
+// decisionTime is longer than a hub takes from the third crash to a decision that all
+// nodes know.
+const decisionTime = observationTime + time.Second
+
+// testFleet are services whose messages go from one to another without a network.
+type testFleet struct {
+	*gomega.WithT
+	services map[core.NodeID]*Service
+	view     nodes.View
+	mu       sync.Mutex
+	down     map[core.NodeID]bool
+	crashes  int
+}
+
+// fakeMessenger is one node's messenger.
+type fakeMessenger struct {
+	fleet    *testFleet
+	self     core.NodeID
+	handlers map[string]peer.Handler
+}
+
+func (m *fakeMessenger) Self() core.NodeID                        { return m.self }
+func (m *fakeMessenger) Handle(kind string, handler peer.Handler) { m.handlers[kind] = handler }
+func (m *fakeMessenger) Send(core.NodeID, string, any) error      { return peer.ErrUnavailable }
+
+func (m *fakeMessenger) Call(ctx context.Context, to core.NodeID, kind string, req, resp any) error {
+	m.fleet.mu.Lock()
+	unreachable := to != m.self && (m.fleet.down[to] || m.fleet.down[m.self])
+	m.fleet.mu.Unlock()
+	if unreachable {
+		<-ctx.Done()
+		return peer.ErrUnavailable
+	}
+	body, err := msgpack.Marshal(req)
+	if err != nil {
+		return err
+	}
+	out, err := m.fleet.services[to].Messenger.(*fakeMessenger).handlers[kind](ctx, m.self, body)
+	if err != nil || resp == nil {
+		return err
+	}
+	return msgpack.Unmarshal(out, resp)
+}
+
+// newTestFleet returns a fleet of n nodes n0, n1 and so on, which are hubs in this
+// order.
+func newTestFleet(t *testing.T, n int) *testFleet {
+	f := &testFleet{
+		WithT: gomega.NewWithT(t), services: make(map[core.NodeID]*Service), down: make(map[core.NodeID]bool),
+		view: nodes.View{Alive: make(map[string]nodes.Record)},
+	}
+	var hubs []core.NodeID
+	for i := range n {
+		id := core.NodeID(fmt.Sprintf("n%d", i))
+		hubs = append(hubs, id)
+		record := nodes.Record{ID: id, Lifetime: "1"}
+		f.view.Alive[record.Owner()] = record
+		f.services[id] = New(Options{
+			Messenger: &fakeMessenger{fleet: f, self: id, handlers: make(map[string]peer.Handler)},
+			Hubs:      func(core.DeploymentID) []core.NodeID { return hubs }, View: func() *nodes.View { return &f.view },
+			Persist: func() {}, Log: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
+		})
+	}
+	return f
+}
+
+// crash reports the crash of a further replica from a node, and lets 200 ms pass.
+func (f *testFleet) crash(at core.NodeID, parts ...Part) {
+	f.crashes++
+	f.services[at].sendReport(&report{Service: "m", Replica: core.ReplicaID(fmt.Sprintf("i-%d", f.crashes)), Parts: parts})
+	time.Sleep(200 * time.Millisecond)
+}
+
+// harmless lets a run with the parts prove harmless at a node.
+func (f *testFleet) harmless(at core.NodeID, parts ...Part) {
+	f.services[at].proofs.add(parts, time.Now())
+}
+
+func (f *testFleet) blocked(at core.NodeID, part Part) bool {
+	_, blocked := f.services[at].Blocked([]Part{"f", part})
+	return blocked
+}
+
+// Guards against nodes that do not act on what others have seen: the crashes are
+// spread over the nodes, and no node sees two.
+func TestAllNodesActOnCrashesOfAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 5)
+		for i := range 3 {
+			f.crash(core.NodeID(fmt.Sprintf("n%d", i+1)), "f", "bad", own(i))
+		}
+		f.harmless("n4", "f", "fine")
+		time.Sleep(decisionTime)
+		for id := range f.services {
+			f.Expect(f.blocked(id, "bad")).To(gomega.BeTrue())
+			f.Expect(f.blocked(id, "fine")).To(gomega.BeFalse())
+			f.Expect(f.services[id].Entries()).To(gomega.HaveLen(1))
+		}
+	})
+}
+
+// Guards against the quarantine of a part that some node has just seen proved
+// harmless, and of any part in an outage of all replicas, in which nothing is.
+func TestNothingSoundIsQuarantined(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 3)
+		for i := range 3 {
+			f.crash("n1", "popular", own(i))
+		}
+		f.harmless("n2", "popular")
+		time.Sleep(decisionTime)
+		f.Expect(f.blocked("n0", "popular")).To(gomega.BeFalse())
+		for i := range minCrashesUnproved - 1 {
+			f.crash("n1", "other", own(10+i))
+		}
+		time.Sleep(decisionTime)
+		f.Expect(f.blocked("n0", "other")).To(gomega.BeFalse())
+		f.crash("n1", "other", own(20)) // without any harmless run the part is found later
+		time.Sleep(decisionTime)
+		f.Expect(f.blocked("n0", "other")).To(gomega.BeTrue())
+	})
+}
+
+// Guards against crashes that go on because the hub that had counted them is gone, or
+// because a node reaches no hub.
+func TestCrashesAreCountedWhenHubsFail(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 4)
+		f.harmless("n3", "f")
+		f.crash("n2", "f", "bad", own(0))
+		f.crash("n2", "f", "bad", own(1))
+		f.mu.Lock()
+		f.down["n0"], f.down["n3"] = true, true
+		f.mu.Unlock()
+		for i := range 3 {
+			f.crash("n2", "f", "bad", own(2+i))
+			f.crash("n3", "f", "worse", own(2+i))
+			f.harmless("n1", "f")
+			f.harmless("n3", "f")
+		}
+		time.Sleep(decisionTime)
+		f.Expect(f.blocked("n2", "bad")).To(gomega.BeTrue())
+		f.Expect(f.blocked("n3", "worse")).To(gomega.BeTrue())
+	})
+}
+
+// Guards against a quarantine that does not end when the crashes have ended, that is
+// not renewed when they go on, and against more than one trial.
+func TestQuarantineEndsWithTrial(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 3)
+		target := crashedReplica()
+		f.harmless("n2", "f")
+		for i := range 3 {
+			f.crash("n1", "f", "bad", own(i))
+			f.harmless("n2", "f")
+		}
+		time.Sleep(decisionTime)
+		f.Expect(f.blocked("n1", "bad")).To(gomega.BeTrue())
+
+		time.Sleep(baseDuration + trialSpread)
+		run, ok := f.services["n1"].Begin([]Part{"f", "bad"}, target)
+		f.Expect(ok).To(gomega.BeTrue())
+		f.Expect(f.blocked("n1", "bad")).To(gomega.BeTrue(), "one trial at a time")
+		run.RecordEnd(syscall.ECONNRESET, true)
+		run.End()
+		time.Sleep(decisionTime)
+		for id := range f.services {
+			f.Expect(f.blocked(id, "bad")).To(gomega.BeTrue())
+			f.Expect(f.services[id].Entries()[0].Round).To(gomega.Equal(2))
+		}
+		time.Sleep(baseDuration + trialSpread)
+		f.Expect(f.blocked("n1", "bad")).To(gomega.BeTrue(), "the second quarantine is longer")
+
+		time.Sleep(baseDuration)
+		run, ok = f.services["n2"].Begin([]Part{"f", "bad"}, target)
+		f.Expect(ok).To(gomega.BeTrue())
+		run.RecordEvent(time.Now())
+		time.Sleep(proofDelay)
+		run.RecordEvent(time.Now())
+		run.End()
+		time.Sleep(decisionTime)
+		for id := range f.services {
+			f.Expect(f.blocked(id, "bad")).To(gomega.BeFalse())
+		}
+	})
+}
+
+// crashedReplica returns a replica whose address refuses connections.
+func crashedReplica() *replica.Replica {
+	registry := replica.NewRegistry()
+	registry.Put(replica.Info{ID: "i-target", Service: "m", Address: "127.0.0.1:1", Slots: 8})
+	return registry.Get("i-target")
+}
+
+// Guards against trials that never end: one whose request is refused or whose caller
+// leaves must make room for the next.
+func TestTrialWithoutResultMakesRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 1)
+		s := f.services["n0"]
+		s.Adopt([]Notice{{Part: "bad", Round: 1, Remaining: 0}}, "test")
+		time.Sleep(trialSpread)
+		for range 3 {
+			run, ok := s.Begin([]Part{"bad"}, crashedReplica())
+			f.Expect(ok).To(gomega.BeTrue())
+			run.End()
+		}
+		time.Sleep(forgetAfter)
+		f.Expect(s.Entries()).To(gomega.BeEmpty())
+		f.Expect(f.blocked("n0", "bad")).To(gomega.BeFalse())
+	})
+}
+
+// Guards against a quarantine that restarts undo, that a stale copy revives after it
+// was lifted, or that stays in the store for ever.
+func TestReconcileWithStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 3)
+		first, second, third := f.services["n0"], f.services["n1"], f.services["n2"]
+		update, changed := first.Reconcile(nil, 0)
+		f.Expect(changed).To(gomega.BeFalse())
+		f.Expect(update).To(gomega.BeNil())
+
+		first.Adopt([]Notice{{Part: "bad", Round: 1, Remaining: baseDuration}}, "test")
+		stored, changed := first.Reconcile(nil, 100*time.Second)
+		f.Expect(changed).To(gomega.BeTrue())
+		_, changed = first.Reconcile(stored, 101*time.Second)
+		f.Expect(changed).To(gomega.BeFalse())
+
+		time.Sleep(10 * time.Second)
+		_, changed = second.Reconcile(stored, 110*time.Second)
+		f.Expect(changed).To(gomega.BeFalse())
+		f.Expect(time.Until(second.Entries()[0].Until)).To(gomega.Equal(baseDuration - 10*time.Second))
+
+		third.Adopt([]Notice{{Part: "bad", Round: 1, Remaining: baseDuration, Lifted: true}}, "test")
+		lifted, changed := third.Reconcile(stored, 110*time.Second)
+		f.Expect(changed).To(gomega.BeTrue())
+		_, changed = first.Reconcile(lifted, 111*time.Second)
+		f.Expect(changed).To(gomega.BeFalse())
+		f.Expect(f.blocked("n0", "bad")).To(gomega.BeFalse())
+		_, _ = third.Reconcile(stored, 112*time.Second) // a stale read
+		f.Expect(f.blocked("n2", "bad")).To(gomega.BeFalse())
+
+		time.Sleep(baseDuration + forgetAfter)
+		update, changed = first.Reconcile(lifted, 900*time.Second)
+		f.Expect(changed).To(gomega.BeTrue())
+		f.Expect(update).To(gomega.BeNil())
+	})
+}
--- a/internal/replica/exchange.go
+++ b/internal/replica/exchange.go
@@ -35,6 +35,9 @@
 	Header http.Header
 	// Length is the length of the body, or -1 if unknown.
 	Length int64
+	// Framed is set if the length or chunks show where the body ends. Otherwise it
+	// ends with the connection.
+	Framed bool
 
 	replica   *Replica
 	conn      *conn
@@ -83,6 +86,7 @@
 	r.openResponses.Add(1)
 	return &Response{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
+		Framed:  resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0,
 		replica: r, conn: c, body: resp.Body, stop: stop, sendDone: sendDone, keepAlive: named && !resp.Close,
 		events: isEventStream(resp.Header),
 	}, nil
