--- a/internal/httpapi/operators/server.go
+++ b/internal/httpapi/operators/server.go
@@ -27,6 +27,8 @@
 	Fleet func() any
 	// Dump returns the state of the process.
 	Dump func() any
+	// Quarantine is nil on a node without one.
+	Quarantine Quarantine
 	// Metrics serves the metrics as text; nil: there is no metrics endpoint.
 	Metrics http.Handler
 	// Version is the program's version.
@@ -53,6 +55,7 @@
 	mux.HandleFunc("GET /admin/v1/fleet", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, s.Fleet()) })
 	mux.HandleFunc("GET /admin/v1/dump", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, s.Dump()) })
 	mux.HandleFunc("GET /admin/v1/version", s.version)
+	s.registerQuarantine(mux)
 	if s.Metrics != nil {
 		mux.Handle("GET /admin/v1/metrics", s.Metrics)
 	}
--- a/internal/platformnode/statedump.go
+++ b/internal/platformnode/statedump.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"gentiantide.example/gentiantide/internal/contain"
+	"gentiantide.example/gentiantide/internal/httpapi/operators"
 	"gentiantide.example/gentiantide/internal/replica"
 )
 
@@ -25,6 +26,8 @@
 	ItemsRunning int           `json:"items_running"`
 	Replicas     []dumpReplica `json:"replicas"`
 	Nodes        []string      `json:"nodes"`
+	// Quarantine are the parts of prompts that crash replicas.
+	Quarantine []operators.QuarantinedPart `json:"quarantine"`
 }
 
 // dumpReplica is one replica in the state dump.
@@ -56,5 +59,6 @@
 	for owner := range n.nodes.View().Alive {
 		state.Nodes = append(state.Nodes, owner)
 	}
+	state.Quarantine = operatorsQuarantine{n.quarantine}.List()
 	return state
 }
