Hold one part responsible for each crash of a replica

Cause: requests with the popular first part were at three of the eight replicas that the other part crashed, and no run with it happened to prove harmless before the decision. The crashes counted for both parts.

Change: a crash that a quarantined part was in counts for no other part. The part in most crashes is held responsible, or the most specific one of those in almost as many; it must be in 40 in 100 of the crashes of its time, or in six. A run proves its parts harmless 100 ms after its first event instead of 250 ms: the crashing requests send no event. After a trial that crashed a replica the node begins no other trial for 2 s, as the renewed quarantine takes some ms to arrive; a trial of 8 s quarantines showed one.

--- a/internal/quarantine/crashtally.go
+++ b/internal/quarantine/crashtally.go
@@ -12,10 +12,17 @@
 	// minCrashes is the number of crashes, at different moments and without a
 	// harmless run in between, for which a part is quarantined.
 	minCrashes = 3
-	// minCrashesUnproved is the same while no run with any part proves harmless, as
-	// in an outage of all replicas. It is larger because nothing tells the crashing
-	// part from the others then.
-	minCrashesUnproved = 6
+	// certainCrashes is the number from which further conditions do not apply: that
+	// any run has proved harmless since, as none does in an outage of all replicas,
+	// and that the part explains minShare of the crashes.
+	certainCrashes = 6
+	// minShare is the share of all crashes of its time that a part must explain.
+	// Sound parts that are used often are in some of them by chance.
+	minShare = 0.4
+	// specificShare is the share of the crashes of an earlier part of the same prompts
+	// from which a later part is held responsible instead. It follows fewer different
+	// prompts, so that fewer sound requests have it.
+	specificShare = 0.7
 	// observationTime is the time from the first of these crashes to the decision.
 	// Parts that many requests share prove harmless within it.
 	observationTime = time.Second
@@ -45,14 +52,16 @@
 	suspects [][]Part
 }
 
-// candidate is a part that several crashes have in common.
+// candidate is a part that crashes have in common.
 type candidate struct {
 	part Part
-	// depth is the position of the part in the prompts. Later parts are more
-	// specific: they follow fewer different prompts.
+	// depth is the position of the part in the prompts.
 	depth int
-	// moments are the times of the crashes that have it, each momentLength or more
-	// after the one before.
+	// first and last are the indices of the first and the last of its crashes, and
+	// crashes is their number.
+	first, last, crashes int
+	// moments are the times of its crashes, each momentLength or more after the one
+	// before.
 	moments []time.Time
 }
 
@@ -78,39 +87,67 @@
 	t.crashes = slices.Delete(t.crashes, 0, first)
 }
 
-// candidates returns the parts that minCrashes crashes have in common, the most
-// specific ones first.
-func (t *crashTally) candidates() []candidate {
+// candidates returns the parts that two crashes or more have in common, in the order
+// of their number of crashes.
+func (t *crashTally) candidates() []*candidate {
 	found := make(map[Part]*candidate)
-	for _, c := range t.crashes {
+	for i, c := range t.crashes {
 		for _, suspect := range c.suspects {
 			for depth, part := range suspect {
 				if found[part] == nil {
-					found[part] = &candidate{part: part}
+					found[part] = &candidate{part: part, first: i, last: -1}
 				}
-				found[part].observe(depth, c.at)
+				found[part].observe(i, depth, c.at)
 			}
 		}
 	}
-	var out []candidate
+	var out []*candidate
 	for _, c := range found {
-		if len(c.moments) >= minCrashes {
-			out = append(out, *c)
+		if c.crashes > 1 {
+			out = append(out, c)
 		}
 	}
-	slices.SortFunc(out, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(b.depth, a.depth), cmp.Compare(len(b.moments), len(a.moments)), cmp.Compare(a.part, b.part))
+	slices.SortFunc(out, func(a, b *candidate) int {
+		return cmp.Or(cmp.Compare(b.crashes, a.crashes), cmp.Compare(b.depth, a.depth), cmp.Compare(a.part, b.part))
 	})
 	return out
 }
 
-func (c *candidate) observe(depth int, at time.Time) {
+// observe counts the crash with an index for the candidate.
+func (c *candidate) observe(index, depth int, at time.Time) {
 	c.depth = max(c.depth, depth)
+	if c.last == index {
+		return
+	}
+	c.last = index
+	c.crashes++
 	if n := len(c.moments); n == 0 || at.Sub(c.moments[n-1]) >= momentLength {
 		c.moments = append(c.moments, at)
 	}
 }
 
+// mostLikely returns the candidate that most likely causes the crashes, or nil if
+// there is none: the most specific one of those that explain almost as many crashes
+// as the first.
+func mostLikely(candidates []*candidate) *candidate {
+	var likely *candidate
+	for _, c := range candidates {
+		enough := likely == nil || float64(c.crashes) >= specificShare*float64(candidates[0].crashes)
+		if enough && (likely == nil || c.depth > likely.depth) {
+			likely = c
+		}
+	}
+	return likely
+}
+
+// convincing reports whether the crashes suffice for a decision. anyProof is when the
+// latest run with any part began that proved harmless.
+func (c *candidate) convincing(anyProof time.Time) bool {
+	n := len(c.moments)
+	share := float64(c.crashes) / float64(c.last-c.first+1)
+	return n >= certainCrashes || n >= minCrashes && share >= minShare && anyProof.After(c.moments[0])
+}
+
 // dueAt returns when the candidate can be decided on.
 func (c *candidate) dueAt() time.Time { return c.moments[0].Add(observationTime) }
 
@@ -129,10 +166,10 @@
 	}
 }
 
-// explain removes the runs with a part that was found to crash replicas, so that
-// the other parts of these runs are not held responsible.
+// explain removes the crashes that a part has caused, so that the other parts that
+// were at the replicas at these times are not held responsible.
 func (t *crashTally) explain(part Part) {
-	for _, c := range t.crashes {
-		c.suspects = slices.DeleteFunc(c.suspects, func(suspect []Part) bool { return slices.Contains(suspect, part) })
-	}
+	t.crashes = slices.DeleteFunc(t.crashes, func(c *crash) bool {
+		return slices.ContainsFunc(c.suspects, func(suspect []Part) bool { return slices.Contains(suspect, part) })
+	})
 }
--- a/internal/quarantine/evaluate.go
+++ b/internal/quarantine/evaluate.go
@@ -8,6 +8,14 @@
 	"gentiantide.example/gentiantide/internal/core"
 )
 
+const (
+	// evaluationInterval is the longest time between two looks at a candidate that
+	// cannot be decided on yet.
+	evaluationInterval = 100 * time.Millisecond
+	// maxWitnessParts bounds the parts in one question to the nodes.
+	maxWitnessParts = 64
+)
+
 // evaluate decides on the candidates of the tally until no report has come since the
 // last decision. It runs in one goroutine at most.
 func (s *Service) evaluate() {
@@ -24,47 +32,39 @@
 	return s.evaluating
 }
 
-// evaluateCandidates decides on the candidates until none is left or none can be
-// decided on.
+// evaluateCandidates decides on the most likely candidate, and then on the next one,
+// until the crashes do not suffice for a decision.
 func (s *Service) evaluateCandidates() {
 	defer contain.Recover(s.Log, "evaluation of crashes", string(s.Messenger.Self()))
 	for {
-		wait, candidates := s.dueCandidates(time.Now())
-		switch {
-		case len(candidates) > 0:
-			if anyProof := s.askWitnesses(candidates); !s.quarantineFirst(anyProof) {
-				return
-			}
-		case wait > 0:
-			time.Sleep(wait)
-		default:
+		candidates := s.candidates()
+		likely := mostLikely(candidates)
+		if likely == nil || len(likely.moments) < minCrashes {
+			return
+		}
+		if wait := time.Until(likely.dueAt()); wait > 0 {
+			time.Sleep(min(wait, evaluationInterval)) // further crashes may change the candidate
+			continue
+		}
+		anyProof := s.askWitnesses(candidates)
+		if !s.decideOn(likely.part, anyProof) {
 			return
 		}
 	}
 }
 
-// dueCandidates returns the candidates that can be decided on now, or else the time
-// until the first one can be. The time is 0 if there are no candidates.
-func (s *Service) dueCandidates(now time.Time) (wait time.Duration, due []candidate) {
+func (s *Service) candidates() []*candidate {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, c := range s.tally.candidates() {
-		switch left := c.dueAt().Sub(now); {
-		case left <= 0:
-			due = append(due, c)
-		case wait == 0 || left < wait:
-			wait = left
-		}
-	}
-	return wait, due
+	return s.tally.candidates()
 }
 
 // askWitnesses asks all nodes for harmless runs with the parts and acquits these
 // parts. It returns when the latest harmless run with any part began.
-func (s *Service) askWitnesses(candidates []candidate) (anyProof time.Time) {
+func (s *Service) askWitnesses(candidates []*candidate) (anyProof time.Time) {
 	request := witnessRequest{}
-	for i := range candidates {
-		request.Parts = append(request.Parts, candidates[i].part)
+	for _, c := range candidates[:min(len(candidates), maxWitnessParts)] {
+		request.Parts = append(request.Parts, c.part)
 	}
 	ids := []core.NodeID{s.Messenger.Self()}
 	for _, record := range s.View().Alive {
@@ -115,30 +115,27 @@
 	}
 }
 
-// quarantineFirst quarantines the most specific part that is still a candidate. It
-// reports whether there was one.
-func (s *Service) quarantineFirst(anyProof time.Time) bool {
+// decideOn quarantines a part if it is still the most likely candidate, after the
+// witnesses have spoken. It reports whether the candidates must be looked at again:
+// the part was quarantined, or another one is more likely now.
+func (s *Service) decideOn(part Part, anyProof time.Time) bool {
 	now := time.Now()
 	s.mu.Lock()
-	var found *candidate
-	for _, c := range s.tally.candidates() {
-		proved := anyProof.After(c.moments[0])
-		if !c.dueAt().After(now) && (proved || len(c.moments) >= minCrashesUnproved) {
-			found = &c
-			s.tally.explain(c.part)
-			break
-		}
+	likely := mostLikely(s.tally.candidates())
+	decided := likely != nil && likely.part == part && likely.convincing(anyProof)
+	if decided {
+		s.tally.explain(part)
 	}
 	s.mu.Unlock()
-	if found == nil {
-		return false
+	if !decided {
+		return likely != nil && likely.part != part
 	}
 	round := 1
-	if e, ok := s.list.get(found.part); ok {
+	if e, ok := s.list.get(part); ok {
 		round = e.Round + 1
 	}
 	s.decide(Entry{
-		Part: found.part, Round: round, Crashes: len(found.moments), Until: now.Add(roundDuration(round)), By: s.Messenger.Self(),
+		Part: part, Round: round, Crashes: likely.crashes, Until: now.Add(roundDuration(round)), By: s.Messenger.Self(),
 	}, "requests with it crashed replicas")
 	return true
 }
--- a/internal/quarantine/run.go
+++ b/internal/quarantine/run.go
@@ -17,9 +17,12 @@
 	// proofDelay is how long after its first event a run must go on to prove its
 	// parts harmless. A request that crashes a replica does so when the replica
 	// begins to write its response.
-	proofDelay = 250 * time.Millisecond
+	proofDelay = 100 * time.Millisecond
 	// verifyTimeout bounds the connection that shows whether a replica has crashed.
 	verifyTimeout = 200 * time.Millisecond
+	// trialSettleTime is how long after a crash in a trial no other trial begins here.
+	// The renewed quarantine arrives within that time.
+	trialSettleTime = 2 * time.Second
 )
 
 // Run observes one run of a request or an item at a replica. A nil Run observes
@@ -101,16 +104,22 @@
 			suspect.Trials = append(suspect.Trials, newNotice(&e, time.Now()))
 		}
 	}
-	go r.service.verify(r.replica, &suspect)
+	go r.service.verify(r.replica, &suspect, r.trial)
+	r.trial = nil
 }
 
-// verify reports the suspect if the replica refuses connections.
-func (s *Service) verify(target *replica.Replica, suspect *report) {
+// verify reports the suspect if the replica refuses connections, and ends its trial.
+func (s *Service) verify(target *replica.Replica, suspect *report, trial []Part) {
 	defer contain.Recover(s.Log, "suspect of a crash", string(suspect.Replica))
+	defer s.list.release(trial)
 	ctx, cancel := context.WithTimeout(context.Background(), verifyTimeout)
 	defer cancel()
-	if target.RefusesConnections(ctx) {
-		s.sendReport(suspect)
+	if !target.RefusesConnections(ctx) {
+		return
+	}
+	s.sendReport(suspect)
+	if len(trial) > 0 {
+		time.Sleep(trialSettleTime)
 	}
 }
 
