Take no response without a length for complete that has no event

Callers got status 200 with an empty body as a complete stream, and an item of a job succeeded with an empty text.

Cause: the end of such a body was taken for complete unless it was within an event.

Change: without a length or chunks, the end before the first event is an interruption: the request is sent elsewhere if it may be, or ends with 502; the item runs again. An item that has events from an earlier run may end without a further one.

--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -23,6 +23,7 @@
 var (
 	errEventOrder     = errors.New("event ID out of sequence")
 	errTruncatedEvent = fmt.Errorf("stream ended within an event: %w", io.ErrUnexpectedEOF)
+	errNoEvent        = fmt.Errorf("stream without a length ended before its first event: %w", io.ErrUnexpectedEOF)
 	errCallerWrite    = errors.New("write to caller failed")
 )
 
@@ -204,11 +205,15 @@
 
 // finish ends the response after the replica ended its body. Trailing bytes that
 // are no complete event are an error in a stream of events: the replica stopped in
-// the middle of one. A body of another type is forwarded as it is.
+// the middle of one. So is the end of a connection before the first event, if only
+// that end shows where the body ends. A body of another type is forwarded as it is.
 func (s *streamRelay) finish(a *attempt, remainder []byte, resumed bool) error {
 	if len(remainder) > 0 && (resumed || s.r.route.CanResume || a.response.EventStream()) {
 		return errTruncatedEvent
 	}
+	if !s.r.headerSent && !a.response.Framed && a.response.EventStream() {
+		return errNoEvent
+	}
 	s.sendHeader(a)
 	if len(remainder) > 0 {
 		if _, err := s.r.w.Write(remainder); err != nil {
--- a/internal/jobs/itemrun.go
+++ b/internal/jobs/itemrun.go
@@ -50,7 +50,8 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			if len(splitter.Pending()) > 0 {
+			// Without a length, only events show that the replica has not crashed.
+			if len(splitter.Pending()) > 0 || !response.Framed && len(run.task.eventData) == 0 {
 				return io.ErrUnexpectedEOF
 			}
 			return nil
