Test the lift by a trial, the tally of a node without hubs, and concurrent trials

Mutations of that the tests did not notice: no lift after a harmless trial, no own tally of a node that reaches no hub, and trials of requests that arrive at the same moment (the last one only with many at once). The fourth, items that are not held back, is noticed only together with the check before an item is sent.

--- a/internal/quarantine/list_test.go
+++ b/internal/quarantine/list_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -93,6 +95,20 @@
 		_, ok = l.admit([]Part{"bad"}, now.Add(trialSpread))
 		g.Expect(ok).To(gomega.BeTrue())
 	}
+	// Requests that arrive at the same moment.
+	l := newList("a")
+	l.merge(e, now)
+	var admitted atomic.Int32
+	var wg sync.WaitGroup
+	for range 100 {
+		wg.Go(func() {
+			if _, ok := l.admit([]Part{"bad"}, now.Add(trialSpread)); ok {
+				admitted.Add(1)
+			}
+		})
+	}
+	wg.Wait()
+	g.Expect(admitted.Load()).To(gomega.BeEquivalentTo(1))
 	for at, n := range starts {
 		g.Expect(n).To(gomega.BeNumerically("<=", 4), "%v", at)
 	}
--- a/internal/quarantine/service_test.go
+++ b/internal/quarantine/service_test.go
@@ -64,8 +64,8 @@
 	return msgpack.Unmarshal(out, resp)
 }
 
-// newTestFleet returns a fleet of n nodes n0, n1 and so on, which are hubs in this
-// order.
+// newTestFleet returns a fleet of n nodes n0, n1 and so on, of which the first two are
+// hubs.
 func newTestFleet(t *testing.T, n int) *testFleet {
 	f := &testFleet{
 		WithT: gomega.NewWithT(t), services: make(map[core.NodeID]*Service), down: make(map[core.NodeID]bool),
@@ -74,7 +74,9 @@
 	var hubs []core.NodeID
 	for i := range n {
 		id := core.NodeID(fmt.Sprintf("n%d", i))
-		hubs = append(hubs, id)
+		if len(hubs) < 2 {
+			hubs = append(hubs, id)
+		}
 		record := nodes.Record{ID: id, Lifetime: "1"}
 		f.view.Alive[record.Owner()] = record
 		f.services[id] = New(Options{
@@ -220,6 +222,7 @@
 		run.End()
 		time.Sleep(decisionTime)
 		for id := range f.services {
+			f.Expect(f.services[id].Entries()[0].Lifted).To(gomega.BeTrue())
 			f.Expect(f.blocked(id, "bad")).To(gomega.BeFalse())
 		}
 	})
