Bound the parts of prompts that a node keeps

A caller chooses the IDs of the parts. With IDs of some KB the tally of a hub, the proofs and the list could have held more than a small VM has (112 MB on one deployment): 256 crashes with 64 runs of 32 parts each.

--- a/internal/quarantine/crashtally.go
+++ b/internal/quarantine/crashtally.go
@@ -40,7 +40,7 @@
 	// maxCrashes and maxSuspects bound the memory of the tally: crashes, and runs for
 	// each of them.
 	maxCrashes  = 256
-	maxSuspects = 64
+	maxSuspects = 16
 )
 
 // crashTally finds the parts that crashing requests have in common.
