Let requests crash engines in the soak

After its random faults the soak now sends requests with one part in common for 7 s, at which engines crash (they refuse connections and others take their place a second later), while nodes are killed and get the reload signal. From 3 s after the fifth crash on, three such requests may reach engines. All callers send prompts with a shared part.

--- a/bench/soak/clients.go
+++ b/bench/soak/clients.go
@@ -20,6 +20,8 @@
 	// item.
 	jobItems  = 6
 	jobTokens = 10
+	// sharedPart is a part of the prompt of all requests and items.
+	sharedPart = "shared"
 )
 
 // clients sends online requests and batch jobs to the nodes.
@@ -38,7 +40,7 @@
 }
 
 func (c *clients) caller(node int) *platformtest.Caller {
-	return &platformtest.Caller{Client: c.client, Address: c.testbed.nodes[node%len(c.testbed.nodes)].frontAddress}
+	return &platformtest.Caller{Client: c.client, Address: c.testbed.nodes[node%len(c.testbed.nodes)].frontAddress, Prompt: sharedPart + ":100,own:50"}
 }
 
 // start runs all callers until ctx ends; wg.Wait returns when they have stopped.
--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -20,7 +20,7 @@
 type faultInjector struct {
 	testbed *testbed
 	rng     *rand.Rand
-	log     func(format string, args ...any)
+	log     func(format string, args ...any) // safe for concurrent use
 }
 
 // run injects faults until ctx ends and then clears all of them.
--- a/bench/soak/options.go
+++ b/bench/soak/options.go
@@ -14,6 +14,8 @@
 	Nodes, Engines, PlainServices int
 	// FaultDuration is how long faults are injected.
 	FaultDuration time.Duration
+	// Crashes adds a phase after the faults in which requests crash engines.
+	Crashes bool
 	// RecoveryTimeout is the time after the faults within which every accepted job
 	// must complete.
 	RecoveryTimeout time.Duration
@@ -23,6 +25,6 @@
 func DefaultOptions(binary, dir string, seed uint64) Options {
 	return Options{
 		Binary: binary, Dir: dir, Seed: seed, Nodes: 4, Engines: 4, PlainServices: 2,
-		FaultDuration: 12 * time.Second, RecoveryTimeout: 60 * time.Second,
+		FaultDuration: 12 * time.Second, RecoveryTimeout: 60 * time.Second, Crashes: true,
 	}
 }
--- a/bench/soak/run.go
+++ b/bench/soak/run.go
@@ -35,9 +35,6 @@
 	if err != nil {
 		return report, err
 	}
-	for _, b := range tb.backends {
-		serveNormally(b)
-	}
 	oracle := newOracle()
 	clients := newClients(tb, oracle)
 	start := time.Now()
@@ -52,6 +49,13 @@
 	if err := f.run(faultCtx); err != nil {
 		oracle.addViolation("%v", err)
 	}
+	if o.Crashes {
+		time.Sleep(contactTime)
+		phase := &crashPhase{testbed: tb, clients: clients, oracle: oracle, rng: rand.New(rand.NewPCG(o.Seed, 2)), log: f.log}
+		if err := phase.run(); err != nil {
+			return report, err
+		}
+	}
 	stopClients()
 	clients.wg.Wait()
 	awaitJobs(clients, oracle, o.RecoveryTimeout)
--- a/bench/soak/testbed.go
+++ b/bench/soak/testbed.go
@@ -81,23 +81,29 @@
 		if i >= tb.options.Engines {
 			id, service, events = fmt.Sprintf("plain-%d", i), "desk", 0
 		}
-		r, err := platformtest.NewReplica(id, events)
-		if err != nil {
-			return err
-		}
-		p, err := newProxy("127.0.0.1:0", r.Address())
-		if err != nil {
-			return err
-		}
-		b := &backend{Replica: r, proxy: p, service: service}
-		tb.backends = append(tb.backends, b)
-		if err := tb.register(b, "ready"); err != nil {
+		if _, err := tb.addBackend(id, service, events); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// addBackend starts a replica behind a proxy and registers it.
+func (tb *testbed) addBackend(id, service string, events int) (*backend, error) {
+	r, err := platformtest.NewReplica(id, events)
+	if err != nil {
+		return nil, err
+	}
+	p, err := newProxy("127.0.0.1:0", r.Address())
+	if err != nil {
+		return nil, err
+	}
+	b := &backend{Replica: r, proxy: p, service: service}
+	serveNormally(b)
+	tb.backends = append(tb.backends, b)
+	return b, tb.register(b, "ready")
+}
+
 func (tb *testbed) register(b *backend, state string) error {
 	b.draining = state != "ready"
 	return tb.store.RegisterAt(b.Replica, b.proxy.address(), b.service, "dc-a", state)
