Let sick servers answer in the soak, and give it a floor

A replica may now answer a share of its requests with a head without end, an event without end, comments that never become an event, or two copies of a response. A run fails if under a quarter of the online requests were served or fewer than three jobs are complete.

--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -146,17 +146,18 @@
 	return f.testbed.register(b, "draining")
 }
 
-// failRequests makes a replica fail a random share of its requests.
+// failRequests makes a replica fail a random share of its requests, or answer them with
+// what is no answer.
 func (f *faultInjector) failRequests(b *backend) {
 	share := f.rng.IntN(30)
 	rng := rand.New(rand.NewPCG(f.rng.Uint64(), 1))
 	f.log("%s fails %d%% of its requests", b.ID, share)
-	b.SetBehaviour(func(platformtest.ReceivedRequest) platformtest.Behaviour {
+	b.SetBehaviour(func(r platformtest.ReceivedRequest) platformtest.Behaviour {
 		normal := platformtest.Behaviour{EventGap: eventGap}
 		if rng.IntN(100) >= share {
 			return normal
 		}
-		switch rng.IntN(6) {
+		switch rng.IntN(8) {
 		case 0:
 			return platformtest.Behaviour{Refuse: true}
 		case 1:
@@ -167,8 +168,10 @@
 			return platformtest.Behaviour{CutAfter: 1 + rng.IntN(eventsPerStream), EventGap: eventGap}
 		case 4:
 			return platformtest.Behaviour{ExtraResponse: true, EventGap: eventGap}
-		default:
+		case 5:
 			return platformtest.Behaviour{CloseDelimited: true, EventGap: eventGap}
+		default:
+			return sickBehaviour(rng, b.Events > 0, r.RequestID)
 		}
 	})
 }
--- a/bench/soak/oracle.go
+++ b/bench/soak/oracle.go
@@ -147,6 +147,26 @@
 	return out
 }
 
+const (
+	// minServedShare is the least share of the online requests that must be served in a
+	// run, and minCompleteJobs the least number of jobs that must be complete.
+	minServedShare  = 0.25
+	minCompleteJobs = 3
+)
+
+// checkFloor checks that a run, whatever its faults, served callers at all.
+func (o *oracle) checkFloor() {
+	incomplete := len(o.incompleteJobs())
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if float64(o.served) < minServedShare*float64(o.sent) {
+		o.violations = append(o.violations, fmt.Sprintf("only %d of %d online requests were served", o.served, o.sent))
+	}
+	if complete := len(o.jobs) - incomplete; complete < minCompleteJobs {
+		o.violations = append(o.violations, fmt.Sprintf("only %d jobs are complete", complete))
+	}
+}
+
 // checkExecutions checks at the end of a run how often the replicas ran each
 // request that must run at most once.
 func (o *oracle) checkExecutions(backends []*backend) {
--- a/bench/soak/run.go
+++ b/bench/soak/run.go
@@ -60,6 +60,7 @@
 	clients.wg.Wait()
 	awaitJobs(clients, oracle, o.RecoveryTimeout)
 	oracle.checkExecutions(tb.backends)
+	oracle.checkFloor()
 	report.Violations, report.Sent, report.Served, report.Jobs = oracle.violations, oracle.sent, oracle.served, len(oracle.jobs)
 	return report, nil
 }
