--- a/bench/soak/crashes.go
+++ b/bench/soak/crashes.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -120,7 +119,7 @@
 // makeFragile makes an engine crash at requests with the part.
 func (p *crashPhase) makeFragile(b *backend) {
 	b.SetBehaviour(func(r platformtest.ReceivedRequest) platformtest.Behaviour {
-		if !strings.Contains(r.Header.Get("X-Prompt-Prefix"), crashingPart+":") {
+		if !r.HasPart(crashingPart) {
 			return platformtest.Behaviour{EventGap: eventGap}
 		}
 		p.mu.Lock()
