Refuse messages that claim more than they hold before decoding them

The codec allocates what an array claims; its option for that has no effect, as it compares a flag with 1. Values that are nested a million times would exhaust the stack likewise.

Change: internal/wire checks the lengths and the nesting of a message without allocating, and the transport does so for each frame, each message before its handler, and each response.

--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -7,6 +7,8 @@
 
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
+
+	"gentiantide.example/gentiantide/internal/wire"
 )
 
 // MaxFrameBytes is the maximum size of a frame without its length prefix. It
@@ -75,7 +77,7 @@
 		return nil, err
 	}
 	f := new(frame)
-	if err := msgpack.Unmarshal(body, f); err != nil {
+	if err := wire.Unmarshal(body, f); err != nil {
 		return nil, errors.Wrap(err, "decode frame")
 	}
 	return f, nil
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -13,6 +13,7 @@
 
 	"gentiantide.example/gentiantide/internal/contain"
 	"gentiantide.example/gentiantide/internal/core"
+	"gentiantide.example/gentiantide/internal/wire"
 )
 
 const (
@@ -145,7 +146,7 @@
 	if err != nil || resp == nil {
 		return err
 	}
-	return errors.Wrapf(msgpack.Unmarshal(response, resp), "decode response to request of kind %s", kind)
+	return errors.Wrapf(wire.Unmarshal(response, resp), "decode response to request of kind %s", kind)
 }
 
 func (t *Transport) callLocal(ctx context.Context, kind string, body []byte) ([]byte, error) {
@@ -167,6 +168,11 @@
 	if !ok {
 		return nil, errors.New("unknown message kind " + kind)
 	}
+	if len(body) > 0 {
+		if err := wire.Check(body); err != nil {
+			return nil, errors.Wrapf(err, "body of a message of kind %s", kind)
+		}
+	}
 	if t.containPanics {
 		defer contain.Error(t.log, "message", kind+" from "+string(from), &err)
 	}
--- a/internal/peer/transport_test.go
+++ b/internal/peer/transport_test.go
@@ -158,3 +158,18 @@
 		g.Expect(got.Text).To(gomega.Equal("good"))
 	}
 }
+
+// Guards against a short message that exhausts the memory of a node, because it says
+// that it has billions of elements.
+func TestMessageThatClaimsTooMuchIsRefused(t *testing.T) {
+	g := gomega.NewWithT(t)
+	transport := New("a", slog.New(slog.DiscardHandler))
+	transport.Handle("list", func(_ context.Context, _ core.NodeID, body []byte) ([]byte, error) {
+		var list [][4]uint64
+		return nil, msgpack.Unmarshal(body, &list)
+	})
+	_, err := transport.invoke(t.Context(), "b", "list", []byte{0xdd, 0xff, 0xff, 0xff, 0xff})
+	g.Expect(err).To(gomega.HaveOccurred())
+	_, err = transport.invoke(t.Context(), "b", "list", []byte{0x91, 0x94, 1, 2, 3, 4})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+}
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -14,6 +14,7 @@
 	"gentiantide.example/gentiantide/internal/core"
 	"gentiantide.example/gentiantide/internal/nodes"
 	"gentiantide.example/gentiantide/internal/peer"
+	"gentiantide.example/gentiantide/internal/wire"
 )
 
 const (
@@ -158,7 +159,7 @@
 
 func (s *Service) handleEntries(_ context.Context, from core.NodeID, body []byte) ([]byte, error) {
 	var entries []Notice
-	if err := msgpack.Unmarshal(body, &entries); err != nil {
+	if err := wire.Unmarshal(body, &entries); err != nil {
 		return nil, err
 	}
 	s.Adopt(entries, "received from "+string(from))
@@ -202,7 +203,7 @@
 
 func (s *Service) handleReport(_ context.Context, _ core.NodeID, body []byte) ([]byte, error) {
 	var suspect report
-	if err := msgpack.Unmarshal(body, &suspect); err != nil {
+	if err := wire.Unmarshal(body, &suspect); err != nil {
 		return nil, err
 	}
 	s.record(&suspect)
@@ -242,7 +243,7 @@
 // handleWitness says when runs with the parts last proved harmless at this node.
 func (s *Service) handleWitness(_ context.Context, _ core.NodeID, body []byte) ([]byte, error) {
 	var request witnessRequest
-	if err := msgpack.Unmarshal(body, &request); err != nil {
+	if err := wire.Unmarshal(body, &request); err != nil {
 		return nil, err
 	}
 	now := time.Now()
--- a/internal/quarantine/sharedstate.go
+++ b/internal/quarantine/sharedstate.go
@@ -6,6 +6,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"gentiantide.example/gentiantide/internal/core"
+	"gentiantide.example/gentiantide/internal/wire"
 )
 
 // storedEntry is an entry in the store. Until is a time of the store's clock.
@@ -22,7 +23,7 @@
 func (s *Service) Reconcile(stored []byte, clock time.Duration) (update []byte, changed bool) {
 	var known []storedEntry
 	if len(stored) > 0 {
-		if err := msgpack.Unmarshal(stored, &known); err != nil {
+		if err := wire.Unmarshal(stored, &known); err != nil {
 			s.Log.Error("stored quarantine cannot be decoded; it is replaced", "error", err)
 		}
 	}
