Log one-way messages that are not handled

The sender of a one-way message gets no answer, and its error was dropped without a line: a malformed message, or a kind that an older build does not know, could not be seen anywhere. Found by looking for where the refusals of internal/wire show.

--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -131,6 +131,9 @@
 		response.Body = body
 	}
 	if f.Type != frameRequest {
+		if response.Type == frameError {
+			s.transport.log.Warn("one-way message not handled", "kind", f.Kind, "from", s.from, "error", string(response.Body))
+		}
 		return
 	}
 	data, err := encodeFrame(response)
