Log the limits that replicas name

What callers saw: replicas get more requests than they ask for (LIMIT); no log line, counter or dump said that they had asked.

Change: the adapter decodes Server-Limit, each node keeps the latest limit of each replica and logs changes; the dump, the fleet command and the gauge replicas_limited show it. Nothing is decided by it yet.

--- a/internal/forward/codec.go
+++ b/internal/forward/codec.go
@@ -53,4 +53,7 @@
 	Signed bool
 	// Load is the replica's load report, or nil if it sent none.
 	Load *replica.Load
+	// Limit is the request rate that the replica names, or nil if the response says
+	// nothing of it: it is not the replica's own, or the rate cannot be read.
+	Limit *replica.Limit
 }
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -129,6 +129,10 @@
 	if a.info.Load != nil {
 		a.replica.RecordLoad(*a.info.Load, now)
 	}
+	if a.info.Limit != nil && a.replica.ObserveLimit(*a.info.Limit, sent, now) {
+		r.h.Log.Info("limit of a replica changed", "request", r.reqInfo.ID, "replica", a.replica.Info().ID,
+			"limited", a.info.Limit.Named, "per_second", a.info.Limit.PerSecond)
+	}
 	switch {
 	case a.info.Misdirected:
 		a.replica.RecordFailure(now)
--- a/internal/platformnode/node.go
+++ b/internal/platformnode/node.go
@@ -15,6 +15,8 @@
 	"syscall"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"gentiantide.example/gentiantide/internal/core"
 	"gentiantide.example/gentiantide/internal/discovery"
 	"gentiantide.example/gentiantide/internal/forward"
@@ -53,21 +55,23 @@
 	ready        net.Listener
 	peerListener net.Listener
 
-	store         *platform.Store
-	configs       *platform.ConfigHandler
-	registry      *replica.Registry
-	replicas      *discovery.RegistryUpdater
-	nodes         *nodes.Directory
-	jobs          *jobs.Service
-	jobsAPI       *platform.JobsAPI
-	peers         *peer.Transport
-	placer        *placement.Service
-	quarantine    *quarantine.Service
-	forward       *forward.Handler
-	counters      *forward.Counters
-	configGauges  *configGauges
-	metrics       http.Handler
-	metricsCloser io.Closer
+	store        *platform.Store
+	configs      *platform.ConfigHandler
+	registry     *replica.Registry
+	replicas     *discovery.RegistryUpdater
+	nodes        *nodes.Directory
+	jobs         *jobs.Service
+	jobsAPI      *platform.JobsAPI
+	peers        *peer.Transport
+	placer       *placement.Service
+	quarantine   *quarantine.Service
+	forward      *forward.Handler
+	counters     *forward.Counters
+	configGauges *configGauges
+	// limitedReplicas is the number of replicas that name a limit.
+	limitedReplicas tally.Gauge
+	metrics         http.Handler
+	metricsCloser   io.Closer
 	// routingWatchers follow the tables that a node needs to serve requests: the
 	// configuration and the replicas.
 	routingWatchers []*watch.Watcher
@@ -130,6 +134,7 @@
 	n.jobsAPI = &platform.JobsAPI{Jobs: n.jobs}
 	n.counters = forward.NewCounters(scope)
 	n.configGauges = newConfigGauges(scope)
+	n.limitedReplicas = scope.Gauge("replicas_limited")
 	n.configWatcher = n.configs.Watcher(n.store)
 	n.forward = &forward.Handler{
 		Codec: platform.HeaderCodec{}, Placer: n.placer, Routes: &n.configs.Table, RoutesAge: n.configWatcher.ContactAge,
@@ -273,6 +278,7 @@
 			return
 		case now := <-ticker.C:
 			n.configGauges.update(n.configs.Table.Load(), n.configWatcher, now)
+			n.limitedReplicas.Update(float64(n.registry.CountLimited()))
 			n.registry.ExpireIdle(now)
 			for _, r := range n.registry.CheckHealth(now) {
 				n.log.Info("replica is unreachable", "replica", r.Info().ID, "data_centre", r.Info().DataCentre)
--- a/internal/platformnode/operators.go
+++ b/internal/platformnode/operators.go
@@ -12,6 +12,7 @@
 	"gentiantide.example/gentiantide/internal/httpapi/operators"
 	"gentiantide.example/gentiantide/internal/infra"
 	"gentiantide.example/gentiantide/internal/jobs"
+	"gentiantide.example/gentiantide/internal/replica"
 )
 
 const (
@@ -99,6 +100,8 @@
 			state = "leaving"
 		case r.Ejected(now):
 			state, reason = "ejected", "recent failures at this node"
+		default:
+			reason = limitReason(r)
 		}
 		out.Backends = append(out.Backends, operators.FleetBackend{
 			ID: string(info.ID), Deployment: string(info.Service), DataCentre: string(info.DataCentre), Address: info.Address,
@@ -109,6 +112,15 @@
 	return out
 }
 
+// limitReason tells how many requests a replica takes, if it has named a limit.
+func limitReason(r *replica.Replica) string {
+	limit, ok := r.Limit()
+	if !ok || !limit.Named {
+		return ""
+	}
+	return "takes " + strconv.FormatFloat(limit.PerSecond, 'g', 3, 64) + " requests a second"
+}
+
 func (n *Node) listJobs(w http.ResponseWriter, in *http.Request) {
 	limit := defaultJobLimit
 	if asked, err := strconv.Atoi(in.URL.Query().Get("limit")); err == nil && asked > 0 {
--- a/internal/platformnode/statedump.go
+++ b/internal/platformnode/statedump.go
@@ -35,6 +35,9 @@
 	replica.Info
 	Busy    float64 `json:"busy"`
 	Avoided bool    `json:"avoided"`
+	// LimitPerSecond is the request rate that the replica names, and absent if it names
+	// none.
+	LimitPerSecond *float64 `json:"limit_per_second,omitempty"`
 }
 
 // stateDump returns the current state of the process.
@@ -54,7 +57,11 @@
 	}
 	state.Jobs, state.ItemsPending, state.ItemsRunning = n.jobs.Counts()
 	for _, r := range n.registry.All() {
-		state.Replicas = append(state.Replicas, dumpReplica{Info: *r.Info(), Busy: r.EstimatedLoad(now), Avoided: r.Ejected(now)})
+		shown := dumpReplica{Info: *r.Info(), Busy: r.EstimatedLoad(now), Avoided: r.Ejected(now)}
+		if limit, ok := r.Limit(); ok && limit.Named {
+			shown.LimitPerSecond = &limit.PerSecond
+		}
+		state.Replicas = append(state.Replicas, shown)
 	}
 	for owner := range n.nodes.View().Alive {
 		state.Nodes = append(state.Nodes, owner)
--- a/internal/replica/registry.go
+++ b/internal/replica/registry.go
@@ -123,6 +123,17 @@
 // Get returns a replica by ID, or nil.
 func (g *Registry) Get(id core.ReplicaID) *Replica { return g.view.Load().byID[id] }
 
+// CountLimited returns the number of replicas that name a limit.
+func (g *Registry) CountLimited() int {
+	n := 0
+	for _, r := range g.All() {
+		if limit, ok := r.Limit(); ok && limit.Named {
+			n++
+		}
+	}
+	return n
+}
+
 // Changes receives a signal after this node's load on a replica changed or a
 // replica reported its load. Online work that begins gives no signal, because the
 // hub that placed it knows of it.
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -36,6 +36,8 @@
 	remoteCounts atomic.Pointer[loadCounts]
 	// report is the last load report of the replica itself.
 	report atomic.Pointer[reportedLoad]
+	// limit is nil until the replica names a limit.
+	limit atomic.Pointer[LimitState]
 
 	failures     atomic.Int32
 	ejectedUntil monotime.AtomicTime
@@ -229,6 +231,7 @@
 // reset discards the state that belongs to a previous process of the replica.
 func (r *Replica) reset() {
 	r.report.Store(nil)
+	r.limit.Store(nil)
 	r.failures.Store(0)
 	r.ejectedUntil.Clear()
 	r.unreachable.Store(false)
