Keep all nodes together within the limit that a replica names

Cause: nothing used the limit.

Change: a limit is a limit of the fleet, so the hub, which places the requests of all nodes, keeps a token bucket for each limited replica and takes a token for each grant: first sends, retries, resumed streams and items alike. Buckets start empty, so a hub that takes over adds no burst. Nodes tell their hub what responses said with their counts, and the hub tells all with its totals; the latest evidence holds, and a response without a limit withdraws it only if its request was sent after the limit was named. A hub that is not the first one hands out half; without a hub one node for each replica uses half. Limited replicas are used when others are full or when their bucket is, items only from a full bucket. The expected wait counts limits, so that what cannot be served in time is refused at once.

--- a/internal/placement/candidates.go
+++ b/internal/placement/candidates.go
@@ -27,6 +27,8 @@
 	records     []nodes.Record
 	self        nodes.Record
 	hubsByGroup sync.Map // map[group][]core.NodeID, filled on first use
+	// holderByReplica is a map[core.ReplicaID]core.NodeID, filled on first use.
+	holderByReplica sync.Map
 }
 
 func newHubCandidates(view *nodes.View, self nodes.Record) *hubCandidates {
--- a/internal/placement/hub.go
+++ b/internal/placement/hub.go
@@ -71,6 +71,7 @@
 	listedAt      time.Time // last refresh of the replicas
 	lastMessageAt time.Time // last placement request or counts
 	totalsSentAt  time.Time
+	sentLimits    sentLimits // with the totals
 	dispatchedAt  time.Time
 	// dispatchDue is set while a dispatch is scheduled, see dispatchSoon.
 	dispatchDue    bool
@@ -105,7 +106,11 @@
 	}
 	if now.Sub(state.listedAt) >= interval {
 		state.listedAt = now
-		state.replicas = groupReplicas(state.replicas, g, ready, now)
+		state.limits.share = 1
+		if h.firstHub(g) != nil {
+			state.limits.share = secondHubShare
+		}
+		state.setReplicas(groupReplicas(state.replicas, g, ready, now), now)
 	}
 	return state
 }
@@ -127,7 +132,8 @@
 		if !ok {
 			since = now
 		}
-		out = append(out, replicaSlots{id: info.ID, dc: info.DataCentre, slots: max(1, info.Slots), usableSince: since})
+		limit, _ := r.Limit()
+		out = append(out, replicaSlots{id: info.ID, dc: info.DataCentre, slots: max(1, info.Slots), limit: limit.Limit, usableSince: since})
 	}
 	for _, r := range ready {
 		if !r.Ejected(now) {
@@ -217,6 +223,7 @@
 		return nil, err
 	}
 	now := time.Now()
+	learnLimits(h.registry, c.Limits, from, now, h.log)
 	send, err := h.update(c.Group, now, func(state *groupState) func() {
 		state.lastMessageAt = now
 		state.receiveCounts(from, &c, now)
@@ -326,7 +333,7 @@
 	sendGrants, sendTotals := h.dispatch(state, now), func() {}
 	if now.Sub(state.totalsSentAt) >= max(minTotalsInterval, time.Duration(len(state.nodes))*totalsIntervalPerNode) {
 		state.totalsSentAt = now
-		sendTotals = h.prepareTotals(g, state)
+		sendTotals = h.prepareTotals(g, state, now)
 	}
 	return func() {
 		sendGrants()
@@ -336,8 +343,9 @@
 
 // prepareTotals encodes the totals of a group. The function returned sends them
 // to the nodes that report to this hub and is called without the lock.
-func (h *hub) prepareTotals(g group, state *groupState) func() {
+func (h *hub) prepareTotals(g group, state *groupState, now time.Time) func() {
 	message := &groupTotals{Group: g, First: h.firstHub(g)}
+	state.sentLimits.attach(&message.Limits, knownLimits(h.registry, g, now), now)
 	for _, r := range state.replicas {
 		sum := state.sum(r.id)
 		message.Replicas = append(message.Replicas, replicaCounts{ID: r.id, Online: sum.online + state.pendingByReplica[r.id], Batch: sum.batch})
--- a/internal/placement/openings.go
+++ b/internal/placement/openings.go
@@ -16,17 +16,25 @@
 	slowdown float64
 	victim   Victim // the item that is preempted first, if batch is positive
 	settled  bool   // replicaSettleTime has passed, so that it may get items
+	tokens   int    // requests that its limit allows now
 }
 
 func (o *opening) free() int { return o.slots - o.busy }
 
 func (o *opening) freeForItems() int {
-	if !o.settled {
+	if !o.takesItems() {
 		return 0
 	}
-	return max(0, o.free())
+	return min(max(0, o.free()), o.tokens)
 }
 
+// takesItems reports whether items may go to the replica. One with a limit gets only
+// those that cost no online request its token.
+func (o *opening) takesItems() bool { return o.settled && full(o.tokens) }
+
+// usable reports whether the replica can take a request.
+func (o *opening) usable() bool { return o.tokens > 0 && (o.free() > 0 || o.preemptible()) }
+
 func (o *opening) preemptible() bool { return o.batch > 0 && o.busy-o.batch < o.slots }
 
 func (o *opening) tooSlow() bool { return o.slowdown > maxFreeSlowdown }
@@ -61,12 +69,13 @@
 		o := &opening{
 			settled:      now.Sub(r.usableSince) >= replicaSettleTime,
 			replicaSlots: r, batch: s.sum(r.id).batch, slowdown: s.slowdown(r.id, now),
-			busy: s.trackedLoad(r.id) + s.untracked[r.id].confirmed(now),
+			busy:   s.trackedLoad(r.id) + s.untracked[r.id].confirmed(now),
+			tokens: s.limits.tokens(r.id, now),
 		}
 		if o.batch > 0 {
 			_, o.victim, _ = s.victim(r.id)
 		}
-		if o.free() > 0 || o.preemptible() {
+		if o.usable() {
 			out.list = append(out.list, o)
 			out.free += o.freeForItems()
 		}
@@ -76,7 +85,7 @@
 
 // choose returns the best replica with a free slot, or for an online request that
 // with the item to preempt first, or nil. Items of jobs get no slot out of the
-// headroom.
+// headroom. The tokens of limited replicas are saved for when the others are full.
 func (o *openings) choose(q *queuedRequest, headroom int) (chosen *opening, preempts bool) {
 	if q.batch && o.free <= headroom {
 		return nil, false
@@ -84,9 +93,9 @@
 	var free, occupied *opening
 	for _, r := range o.list {
 		switch {
-		case q.excludes(r.id), q.batch && !r.settled:
+		case q.excludes(r.id), q.batch && !r.takesItems():
 		case r.free() > 0:
-			if free == nil || r.score(q) < free.score(q) {
+			if free == nil || r.before(free, q) {
 				free = r
 			}
 		case !q.batch && (occupied == nil || r.preemptedBefore(occupied, q)):
@@ -99,6 +108,15 @@
 	return free, false
 }
 
+// before reports whether a request goes to r rather than to o, if both have a free
+// slot.
+func (r *opening) before(o *opening, q *queuedRequest) bool {
+	if full(r.tokens) != full(o.tokens) {
+		return full(r.tokens)
+	}
+	return r.score(q) < o.score(q)
+}
+
 // preemptedBefore reports whether to preempt the item at r rather than that at o:
 // not at a replica that is too slow, then by the item, then by the score.
 func (r *opening) preemptedBefore(o *opening, q *queuedRequest) bool {
@@ -116,8 +134,11 @@
 func (o *openings) take(r *opening) {
 	o.free -= r.freeForItems()
 	r.busy++
+	if r.tokens != unlimited {
+		r.tokens--
+	}
 	o.free += r.freeForItems()
-	if r.free() <= 0 && !r.preemptible() {
+	if !r.usable() {
 		o.list = slices.DeleteFunc(o.list, func(other *opening) bool { return other == r })
 	}
 }
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -78,7 +78,10 @@
 	s.localMu.Lock() // concurrent placements must see each other's work
 	defer s.localMu.Unlock()
 	now := time.Now()
-	choice := &replica.Query{Service: q.Service, DataCentre: s.Nodes.Self().DataCentre, Now: now, Tried: q.Tried}
+	choice := &replica.Query{
+		Service: q.Service, DataCentre: s.Nodes.Self().DataCentre, Now: now, Tried: q.Tried,
+		MayUse: func(r *replica.Replica) bool { return s.mayUseLocally(r, now) },
+	}
 	if q.Class == core.ClassBatch {
 		choice.MinFreeSlots = itemMinFreeSlots
 	}
@@ -86,6 +89,7 @@
 	if r == nil {
 		return nil
 	}
+	s.takeLocalShare(r, now)
 	if q.Class == core.ClassOnline && r.EstimatedLoad(now) >= float64(r.Info().Slots) {
 		s.Preempt(r)
 	}
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"gentiantide.example/gentiantide/internal/core"
+	"gentiantide.example/gentiantide/internal/replica"
 )
 
 const (
@@ -37,6 +38,7 @@
 	id    core.ReplicaID
 	dc    core.DataCentre
 	slots int
+	limit replica.Limit
 	// usableSince is when the hub began to use the replica, or used it again after
 	// it was ejected.
 	usableSince time.Time
@@ -78,6 +80,7 @@
 	slowdowns        map[core.ReplicaID]slowdownReport
 	untracked        map[core.ReplicaID]untrackedLoad
 	ejectionVotes    ejectionVotes
+	limits           rateLimits
 	queue            []*queuedRequest
 	lastGrantID      uint64
 	serviceTime      serviceTimeEstimator
@@ -87,7 +90,7 @@
 	return &scheduler{
 		ledger: newLedger(), grants: make(map[uint64]pendingGrant),
 		pendingByReplica: make(map[core.ReplicaID]int), slowdowns: make(map[core.ReplicaID]slowdownReport),
-		untracked: make(map[core.ReplicaID]untrackedLoad), ejectionVotes: newEjectionVotes(),
+		untracked: make(map[core.ReplicaID]untrackedLoad), ejectionVotes: newEjectionVotes(), limits: newRateLimits(),
 	}
 }
 
@@ -134,6 +137,12 @@
 	return int(math.Ceil(headroomShare * float64(s.totalSlots())))
 }
 
+// setReplicas replaces the replicas of the group.
+func (s *scheduler) setReplicas(replicas []replicaSlots, now time.Time) {
+	s.replicas = replicas
+	s.limits.update(replicas, now)
+}
+
 func (s *scheduler) totalSlots() int {
 	n := 0
 	for _, r := range s.replicas {
@@ -161,6 +170,7 @@
 	s.lastGrantID++
 	s.grants[s.lastGrantID] = pendingGrant{node: q.node, requestID: q.id, replica: r.id, batch: q.batch, grantedAt: now}
 	s.pendingByReplica[r.id]++
+	s.limits.take(r.id, now)
 	if !q.batch {
 		s.serviceTime.grantedSinceSample++
 	}
@@ -282,5 +292,19 @@
 			online++
 		}
 	}
-	return s.serviceTime.expectedWait(online+1, s.totalSlots())
+	return time.Duration(float64(online+1) / s.throughput() * float64(time.Second))
+}
+
+// throughput estimates how many online requests a second the replicas take: what their
+// slots allow, or the limits that they name if that is less.
+func (s *scheduler) throughput() float64 {
+	serviceTime, sum := s.serviceTime.seconds(), 0.0
+	for _, r := range s.replicas {
+		perSecond := float64(r.slots) / serviceTime
+		if r.limit.Named {
+			perSecond = min(perSecond, s.limits.share*usableRate(r.limit))
+		}
+		sum += perSecond
+	}
+	return max(sum, 1/serviceTime) // as of one slot, if there are none
 }
--- a/internal/placement/scheduler_test.go
+++ b/internal/placement/scheduler_test.go
@@ -359,7 +359,7 @@
 		now = now.Add(100 * time.Millisecond)
 		s.expire(now)
 	}
-	g.Expect(s.serviceTime.expectedWait(400, 400)).To(gomega.BeNumerically("<=", 2*time.Second))
+	g.Expect(s.serviceTime.seconds()).To(gomega.BeNumerically("<=", 2))
 }
 
 // Guards against a hub that takes replicas for empty because it has not heard yet of
--- a/internal/placement/service.go
+++ b/internal/placement/service.go
@@ -55,6 +55,7 @@
 	runID         uint64 // random, one per process
 	lastRequestID atomic.Uint64
 	localMu       sync.Mutex // held while this node chooses a replica without a hub
+	localShares   localShares
 
 	mu sync.Mutex
 	// peerAddresses are the addresses that the transport has been given.
@@ -76,6 +77,7 @@
 	unconfirmed []uint64 // grants to confirm with the next counts
 	lastCounts  []replicaCounts
 	lastVictims []replicaVictim
+	limits      sentLimits
 	sentAt      time.Time
 }
 
@@ -84,7 +86,7 @@
 func New(o Options) *Service {
 	s := &Service{
 		Options: o, runID: rand.Uint64(), peerAddresses: make(map[core.NodeID]string), downHubs: make(map[core.NodeID]*downHub),
-		grantChans: make(map[uint64]chan grantNotice), sentCounts: make(map[group]*sentCounts),
+		grantChans: make(map[uint64]chan grantNotice), sentCounts: make(map[group]*sentCounts), localShares: make(localShares),
 	}
 	// Starts at a random number, because a hub may still have requests from an
 	// earlier run of this node.
@@ -213,11 +215,13 @@
 	}
 	c := s.ownCounts(g, victims, now)
 	unchanged := slices.Equal(c.Replicas, sent.lastCounts) && slices.Equal(c.Victims, sent.lastVictims)
-	upToDate := !sent.sentAt.IsZero() && len(sent.unconfirmed) == 0 && unchanged
+	limits := knownLimits(s.Registry, g, now)
+	upToDate := !sent.sentAt.IsZero() && len(sent.unconfirmed) == 0 && unchanged && sent.limits.upToDate(limits)
 	if upToDate && (len(c.Replicas) == 0 || now.Sub(sent.sentAt) < maxCountsInterval/2) {
 		return nil
 	}
 	c.ConfirmedGrants, sent.unconfirmed = sent.unconfirmed, nil
+	sent.limits.attach(&c.Limits, limits, now)
 	sent.lastCounts, sent.lastVictims, sent.sentAt = c.Replicas, c.Victims, now
 	s.lastSequence++
 	c.Sequence = s.lastSequence
@@ -255,6 +259,7 @@
 		return nil, err
 	}
 	now := time.Now()
+	learnLimits(s.Registry, t.Limits, from, now, s.Log)
 	if hubs := s.usableHubs(t.Group); len(hubs) == 0 || hubs[0] != from {
 		return nil, nil // not the hub that this node uses
 	}
--- a/internal/placement/servicetime.go
+++ b/internal/placement/servicetime.go
@@ -44,12 +44,10 @@
 	e.grantedSinceSample, e.busyAtSample, e.nodesAtSample, e.sampledAt = 0, busy, nodeChanges, now
 }
 
-// expectedWait estimates the time until each of the given number of requests has
-// got one of the slots.
-func (e *serviceTimeEstimator) expectedWait(requests, slots int) time.Duration {
-	mean := e.mean
-	if mean == 0 {
-		mean = defaultServiceTime.Seconds()
+// seconds returns the estimate, or the default until there is one.
+func (e *serviceTimeEstimator) seconds() float64 {
+	if e.mean == 0 {
+		return defaultServiceTime.Seconds()
 	}
-	return time.Duration(float64(requests) * mean / float64(max(1, slots)) * float64(time.Second))
+	return e.mean
 }
--- a/internal/replica/choose.go
+++ b/internal/replica/choose.go
@@ -32,6 +32,8 @@
 	// MinFreeSlots, if positive, is the least number of free slots that the
 	// replica must have.
 	MinFreeSlots int
+	// MayUse, if set, reports whether the replica takes a request now.
+	MayUse func(*Replica) bool
 }
 
 // Choose returns a replica with low load, or nil if there is none. Ejected
@@ -64,7 +66,7 @@
 	}
 	for i, compared := 0, 0; i < len(ready) && compared < limit; i++ {
 		r := ready[(offset+i*step)%len(ready)]
-		if q.tried(r) || r.Ejected(q.Now) != ejected {
+		if q.tried(r) || r.Ejected(q.Now) != ejected || q.MayUse != nil && !q.MayUse(r) {
 			continue
 		}
 		busy := r.EstimatedLoad(q.Now)
