Quarantine requests that crash replicas each time they come again

Cause: crashes were counted for the parts of prompts that several requests share, and the part that belongs to the request was left out. Such a request was caught only through parts that sound requests have as well: these were refused with it, or were acquitted by the sound ones, and nothing was left. Its share of the crashes was too small beside others like it, and repeats at many nodes in one moment counted as one crash.

Change: a request is also identified by its host, method, path and body. Each of its crashes counts, its share does not, and it is decided on before the parts of prompts. Items of jobs do not have this identity.

--- a/internal/forward/buffered.go
+++ b/internal/forward/buffered.go
@@ -96,6 +96,7 @@
 			err = nil
 		}
 	}
+	a.run.RecordEvent(a.sent)
 	a.run.RecordEnd(err, a.response.Framed)
 	a.release()
 	if err != nil {
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -68,7 +68,9 @@
 	route         *routetable.Route
 	configVersion int64
 	body          []byte
-	arrived       time.Time
+	// parts are the parts of the prompt, and one that identifies the request.
+	parts   []quarantine.Part
+	arrived time.Time
 	// deadline is when the route's timeout or the caller's own limit is reached,
 	// whichever is earlier.
 	deadline time.Time
@@ -120,16 +122,21 @@
 		refuse(w, http.StatusNotFound, "no_route", 0)
 		return
 	}
-	r := &request{h: h, w: w, in: in, reqInfo: reqInfo, route: route, configVersion: table.Version, arrived: arrived, outcome: OutcomeBroken}
+	r := &request{h: h, w: w, in: in, reqInfo: reqInfo, parts: reqInfo.PromptParts, route: route, configVersion: table.Version, arrived: arrived, outcome: OutcomeBroken}
 	r.deadline = arrived.Add(r.timeout())
-	if remaining, blocked := h.Quarantine.Blocked(reqInfo.PromptParts); blocked && route.Kind != routetable.KindBatch {
-		r.refuseQuarantined(remaining)
+	if r.refuseQuarantined() {
 		return
 	}
 	if r.body, err = readBody(w, in, table.Limits, r.deadline); err != nil {
 		r.refuseBody(err)
 		return
 	}
+	if route.Kind != routetable.KindBatch {
+		r.parts = append(r.parts, quarantine.RequestPart(HostName(in.Host), in.Method, in.RequestURI, r.body))
+		if r.refuseQuarantined() {
+			return
+		}
+	}
 	h.Counters.Begin()
 	defer r.finish()
 	r.outcome = r.serve()
@@ -197,12 +204,17 @@
 	refuse(r.w, status, reason, 0)
 }
 
-// refuseQuarantined refuses a request with a quarantined part. The caller may return
-// when the quarantine ends.
-func (r *request) refuseQuarantined(remaining time.Duration) {
+// refuseQuarantined refuses the request if one of its parts is quarantined. The caller
+// may return when the quarantine ends. Batch jobs are accepted; their items are held.
+func (r *request) refuseQuarantined() bool {
+	remaining, blocked := r.h.Quarantine.Blocked(r.parts)
+	if !blocked || r.route.Kind == routetable.KindBatch {
+		return false
+	}
 	r.h.Quarantine.CountRefusal()
-	r.h.Log.Info("request refused", "request", r.reqInfo.ID, "reason", "quarantined", "parts", r.reqInfo.PromptParts, "remaining_ms", remaining.Milliseconds())
+	r.h.Log.Info("request refused", "request", r.reqInfo.ID, "reason", "quarantined", "parts", r.parts, "remaining_ms", remaining.Milliseconds())
 	refuse(r.w, http.StatusServiceUnavailable, "quarantined", remaining)
+	return true
 }
 
 // serve handles the request by the kind of its route.
@@ -211,7 +223,7 @@
 	defer cancel()
 	ctx, cancelCause := context.WithCancelCause(ctx)
 	defer cancelCause(nil)
-	r.stopWatch = r.h.Quarantine.Watch(r.reqInfo.PromptParts, cancelCause)
+	r.stopWatch = r.h.Quarantine.Watch(r.parts, cancelCause)
 	defer r.stopWatch()
 	switch r.route.Kind {
 	case routetable.KindBatch:
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -28,6 +28,7 @@
 	replica  *replica.Replica
 	response *replica.Response
 	run      *quarantine.Run
+	sent     time.Time
 	info     ResponseInfo
 	err      error
 	released bool
@@ -60,7 +61,7 @@
 		return nil
 	}
 	r.busy, r.slowdown = target.EstimatedLoad(now), target.Slowdown(now)
-	run, ok := r.h.Quarantine.Begin(r.reqInfo.PromptParts, target)
+	run, ok := r.h.Quarantine.Begin(r.parts, target)
 	if !ok { // another request is the trial
 		target.End(core.ClassOnline)
 		return nil
@@ -92,7 +93,7 @@
 	info := target.Info()
 	r.tried = append(r.tried, info.ID)
 	r.sends++
-	a := &attempt{replica: target, run: r.run}
+	a := &attempt{replica: target, run: r.run, sent: now}
 	r.attempt = a
 	a.response, a.err = target.Send(ctx, &replica.Request{
 		Method: r.in.Method, Target: r.in.RequestURI, Host: r.in.Host,
@@ -183,11 +184,9 @@
 	if r.in.Context().Err() != nil {
 		return OutcomeCallerGone
 	}
-	remaining, blocked := r.h.Quarantine.Blocked(r.reqInfo.PromptParts)
 	timedOut := context.Cause(ctx) != nil || time.Until(r.deadline) < minRemaining
 	switch {
-	case r.runs == 0 && blocked:
-		r.refuseQuarantined(remaining)
+	case r.runs == 0 && r.refuseQuarantined():
 		return OutcomeRefused
 	case r.runs > 0 && errors.Is(context.Cause(ctx), quarantine.ErrQuarantined):
 		refuse(r.w, http.StatusBadGateway, "quarantined", 0)
--- a/internal/quarantine/crashtally.go
+++ b/internal/quarantine/crashtally.go
@@ -129,10 +129,27 @@
 	}
 }
 
-// mostLikely returns the candidate that most likely causes the crashes, or nil if
+// suspects returns the candidates that may be held responsible: each request that
+// crashed enough replicas, however many others crash replicas at the same time, and
+// then the most likely part of prompts.
+func suspects(candidates []*candidate) []*candidate {
+	var out []*candidate
+	for _, c := range candidates {
+		if c.part.isRequest() && c.crashes >= minCrashes {
+			out = append(out, c)
+		}
+	}
+	if likely := mostLikely(candidates); likely != nil && len(likely.moments) >= minCrashes {
+		out = append(out, likely)
+	}
+	return out
+}
+
+// mostLikely returns the part of prompts that most likely causes the crashes, or nil if
 // there is none: the most specific one of those that explain almost as many crashes
 // as the first.
 func mostLikely(candidates []*candidate) *candidate {
+	candidates = slices.DeleteFunc(slices.Clone(candidates), func(c *candidate) bool { return c.part.isRequest() })
 	var likely *candidate
 	for _, c := range candidates {
 		enough := likely == nil || float64(c.crashes) >= specificShare*float64(candidates[0].crashes)
@@ -144,8 +161,13 @@
 }
 
 // convincing reports whether the crashes suffice for a decision. anyProof is when the
-// latest run with any part began that proved harmless.
+// latest run with any part began that proved harmless. Each crash of a request counts,
+// as it may be at several replicas at once, and no other request is in it by chance for
+// long without proving harmless.
 func (c *candidate) convincing(anyProof time.Time) bool {
+	if c.part.isRequest() {
+		return c.crashes >= certainCrashes || c.crashes >= minCrashes && anyProof.After(c.moments[0])
+	}
 	n := len(c.moments)
 	share := float64(c.crashes) / float64(c.last-c.first+1)
 	return n >= certainCrashes || n >= minCrashes && share >= minShare && anyProof.After(c.moments[0])
--- a/internal/quarantine/entry.go
+++ b/internal/quarantine/entry.go
@@ -1,14 +1,37 @@
 package quarantine
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
+	"strings"
 	"time"
 
 	"gentiantide.example/gentiantide/internal/core"
 )
 
-// Part identifies a part of a prompt that several requests may share.
+// Part identifies a part of a prompt that several requests may share, or a whole
+// request that may come again.
 type Part string
 
+// requestPrefix marks a part that identifies a whole request. No ID of a part of a
+// prompt has a colon.
+const requestPrefix = "request:"
+
+// RequestPart returns the part that identifies a request by what remains the same when
+// it comes again. Other requests do not have it.
+func RequestPart(host, method, target string, body []byte) Part {
+	digest := sha256.New()
+	for _, field := range []string{host, method, target} {
+		digest.Write([]byte(field))
+		digest.Write([]byte{0})
+	}
+	digest.Write(body)
+	return Part(requestPrefix + hex.EncodeToString(digest.Sum(nil)[:requestDigestBytes]))
+}
+
+// isRequest reports whether the part identifies a whole request.
+func (p Part) isRequest() bool { return strings.HasPrefix(string(p), requestPrefix) }
+
 const (
 	// baseDuration is the length of the first quarantine of a part. It costs at most
 	// a few crashes per hour if the part keeps crashing replicas.
@@ -18,6 +41,9 @@
 	// forgetAfter is how long after its end an entry is kept without a request that
 	// could be the trial.
 	forgetAfter = 10 * time.Minute
+	// requestDigestBytes is the length of the digest of a request. It must not be
+	// possible to find another request with the same digest.
+	requestDigestBytes = 16
 )
 
 // Entry is a part that is, or was, quarantined.
--- a/internal/quarantine/evaluate.go
+++ b/internal/quarantine/evaluate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"gentiantide.example/gentiantide/internal/contain"
@@ -32,27 +33,38 @@
 	return s.evaluating
 }
 
-// evaluateCandidates decides on the most likely candidate, and then on the next one,
-// until the crashes do not suffice for a decision.
+// evaluateCandidates decides on the suspects, one after the other, until the crashes do
+// not suffice for a decision.
 func (s *Service) evaluateCandidates() {
 	defer contain.Recover(s.Log, "evaluation of crashes", string(s.Messenger.Self()))
 	for {
 		candidates := s.candidates()
-		likely := mostLikely(candidates)
-		if likely == nil || len(likely.moments) < minCrashes {
+		asked := suspects(candidates)
+		if len(asked) == 0 {
 			return
 		}
-		if wait := time.Until(likely.dueAt()); wait > 0 {
-			time.Sleep(min(wait, evaluationInterval)) // further crashes may change the candidate
+		if wait := time.Until(firstDue(asked)); wait > 0 {
+			time.Sleep(min(wait, evaluationInterval)) // further crashes may change the suspects
 			continue
 		}
-		anyProof := s.askWitnesses(candidates)
-		if !s.decideOn(likely.part, anyProof) {
+		anyProof := s.askWitnesses(append(asked, candidates...))
+		if !s.decideOnSuspects(asked, anyProof) {
 			return
 		}
 	}
 }
 
+// firstDue returns when the first of the candidates can be decided on.
+func firstDue(candidates []*candidate) time.Time {
+	first := candidates[0].dueAt()
+	for _, c := range candidates {
+		if due := c.dueAt(); due.Before(first) {
+			first = due
+		}
+	}
+	return first
+}
+
 func (s *Service) candidates() []*candidate {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -115,27 +127,43 @@
 	}
 }
 
-// decideOn quarantines a part if it is still the most likely candidate, after the
-// witnesses have spoken. It reports whether the candidates must be looked at again:
-// the part was quarantined, or another one is more likely now.
-func (s *Service) decideOn(part Part, anyProof time.Time) bool {
+// decideOnSuspects quarantines the first suspect that is convincing, after the
+// witnesses have spoken. It reports whether the candidates must be looked at again: a
+// part was quarantined, a suspect is not due yet, or others are suspected than before.
+func (s *Service) decideOnSuspects(asked []*candidate, anyProof time.Time) bool {
 	now := time.Now()
-	s.mu.Lock()
-	likely := mostLikely(s.tally.candidates())
-	decided := likely != nil && likely.part == part && likely.convincing(anyProof)
-	if decided {
-		s.tally.explain(part)
-	}
-	s.mu.Unlock()
-	if !decided {
-		return likely != nil && likely.part != part
+	chosen, again := s.chooseSuspect(asked, anyProof, now)
+	if chosen == nil {
+		return again
 	}
-	round := 1
-	if e, ok := s.list.get(part); ok {
+	round, reason := 1, "requests with it crashed replicas"
+	if e, ok := s.list.get(chosen.part); ok {
 		round = e.Round + 1
 	}
+	if chosen.part.isRequest() {
+		reason = "the request crashed replicas"
+	}
 	s.decide(Entry{
-		Part: part, Round: round, Crashes: likely.crashes, Until: now.Add(roundDuration(round)), By: s.Messenger.Self(),
-	}, "requests with it crashed replicas")
+		Part: chosen.part, Round: round, Crashes: chosen.crashes, Until: now.Add(roundDuration(round)), By: s.Messenger.Self(),
+	}, reason)
 	return true
 }
+
+// chooseSuspect returns the suspect to quarantine and takes its crashes out of the
+// tally. If there is none, it reports whether to look again.
+func (s *Service) chooseSuspect(asked []*candidate, anyProof, now time.Time) (chosen *candidate, again bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	current := suspects(s.tally.candidates())
+	for _, c := range current {
+		switch {
+		case now.Before(c.dueAt()):
+			again = true
+		case c.convincing(anyProof):
+			s.tally.explain(c.part)
+			return c, true
+		}
+	}
+	samePart := func(a, b *candidate) bool { return a.part == b.part }
+	return nil, len(current) > 0 && (again || !slices.EqualFunc(asked, current, samePart))
+}
--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -16,7 +16,7 @@
 const (
 	// maxEntries bounds the list. When it is full, the entry that ends first makes
 	// room.
-	maxEntries = 64
+	maxEntries = 256
 	// trialSpread is the time after the end of a quarantine in which the nodes start
 	// their trials, each at another moment. If the part still crashes replicas, the
 	// first trial renews the quarantine on all nodes.
--- a/internal/quarantine/service_test.go
+++ b/internal/quarantine/service_test.go
@@ -290,3 +290,62 @@
 		f.Expect(update).To(gomega.BeNil())
 	})
 }
+
+// quarantinedRequests returns how many of the requests are quarantined at all nodes.
+func (f *testFleet) quarantinedRequests(requests []Part) int {
+	n := 0
+	for _, request := range requests {
+		everywhere := true
+		for _, s := range f.services {
+			_, blocked := s.Blocked([]Part{request})
+			everywhere = everywhere && blocked
+		}
+		if everywhere {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against one request that crashes server after server: it comes again at many
+// nodes in the same moment, so that its crashes are no series, and it is one of many
+// such requests, so that it is in a small part of the crashes. Sound requests share its
+// prompt.
+func TestRequestsThatComeAgainAtOnceAreQuarantined(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 4)
+		var requests []Part
+		for i := range 8 {
+			requests = append(requests, RequestPart("h", "POST", fmt.Sprintf("/%d", i), nil))
+		}
+		for range minCrashes {
+			for i, request := range requests {
+				f.crashes++
+				f.services[core.NodeID(fmt.Sprintf("n%d", i%4))].sendReport(&report{
+					Service: "m", Replica: core.ReplicaID(fmt.Sprintf("i-%d", f.crashes)), Parts: []Part{"f", "shared", request},
+				})
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+		f.harmless("n3", "f", "shared", RequestPart("h", "POST", "/sound", nil))
+		time.Sleep(decisionTime)
+		f.Expect(f.quarantinedRequests(requests)).To(gomega.Equal(len(requests)))
+		f.Expect(f.blocked("n0", "shared")).To(gomega.BeFalse())
+	})
+}
+
+// Guards against refusing a sound request that many callers send, because replicas that
+// run it fail with their rack.
+func TestPopularRequestIsNotQuarantinedWithARack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 3)
+		popular := RequestPart("h", "GET", "/front-page", nil)
+		for i := range 5 {
+			f.services["n1"].sendReport(&report{Service: "m", Replica: core.ReplicaID(fmt.Sprintf("i-%d", i)), Parts: []Part{popular}})
+		}
+		time.Sleep(50 * time.Millisecond)
+		f.harmless("n2", popular)
+		time.Sleep(decisionTime)
+		f.Expect(f.quarantinedRequests([]Part{popular})).To(gomega.Equal(0))
+	})
+}
