Take no copy of an earlier response for that to a retry with the same ID

A faulty replica writes an earlier refusal once more on a kept connection; a request with the same ID comes again (a caller's retry, or an item), gets the connection, and its caller is told 'not run' for a request that runs.

Cause: responses are matched by the request ID alone. For items a new connection was used after an answer, at one place of the code only.

Change: each connection remembers the IDs that it carried (512 requests, then it is replaced) and is not used for the same one again. This replaces the special case for items.

Test: TestRetryWithTheSameIDGetsItsOwnResponse fails without the check ('attempt 1' for the second attempt).

--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -96,7 +96,7 @@
 	a := &attempt{replica: target, run: r.run, sent: now}
 	r.attempt = a
 	a.response, a.err = target.Send(ctx, &replica.Request{
-		Method: r.in.Method, Target: r.in.RequestURI, Host: r.in.Host,
+		ID: r.reqInfo.ID, Method: r.in.Method, Target: r.in.RequestURI, Host: r.in.Host,
 		Header: r.h.Codec.ReplicaHeader(r.in.Header, SendOptions{
 			Remaining: r.deadline.Sub(now), Replica: info.ID, ResumeAfter: resumeAfter,
 		}),
--- a/internal/jobs/executor.go
+++ b/internal/jobs/executor.go
@@ -136,9 +136,9 @@
 func (e *Executor) sendItem(ctx context.Context, run *itemRun, target *replica.Replica) (runOutcome, error) {
 	task, sent := run.task, time.Now()
 	response, err := target.Send(ctx, &replica.Request{
-		Method: http.MethodPost, Target: task.item.Path, Host: task.job.entry.Host,
+		ID: task.item.ID, Method: http.MethodPost, Target: task.item.Path, Host: task.job.entry.Host,
 		Header: e.Codec.ReplicaHeader(task.item.header(), forward.SendOptions{Replica: target.Info().ID, ResumeAfter: task.lastEvent}),
-		Body:   task.item.Body, HasBody: true, MatchResponse: e.Codec.ResponseMatcher(task.item.ID), NewConnection: task.answered,
+		Body:   task.item.Body, HasBody: true, MatchResponse: e.Codec.ResponseMatcher(task.item.ID),
 	})
 	if err != nil {
 		if ctx.Err() == nil {
@@ -156,7 +156,6 @@
 			"limited", info.Limit.Named, "per_second", info.Limit.PerSecond)
 	}
 	if info.NotRun || response.Status != http.StatusOK || !info.Signed {
-		task.answered = true
 		return e.classifyResponse(response, info)
 	}
 	err = run.readEvents(response)
--- a/internal/jobs/itemtask.go
+++ b/internal/jobs/itemtask.go
@@ -27,9 +27,6 @@
 	// the start of the present run, or zero.
 	runTime time.Duration
 	started time.Time
-	// answered is set if a replica has answered the item without running it to its
-	// end. A second copy of that answer could arrive on the same connection.
-	answered bool
 	// failures counts the runs that the replica answered with a failure.
 	failures int
 	// notBefore is the earliest time at which the item may be sent again.
--- a/internal/replica/conn.go
+++ b/internal/replica/conn.go
@@ -6,15 +6,21 @@
 	"errors"
 	"io"
 	"net"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
 	// connBuffer is the size of the read and write buffers: enough for a response
 	// head or a few streamed events.
 	connBuffer = 4 << 10
+	// maxCarried is the number of requests after which a connection is replaced, so
+	// that the hashes of their IDs take at most 4 KiB.
+	maxCarried = 512
 )
 
 // conn is one connection to a replica. It carries one request at a time.
@@ -27,6 +33,8 @@
 	idleSince time.Time
 	// idleTimeout is the idle timeout of the replica.
 	idleTimeout time.Duration
+	// carried holds hashes of the IDs of the requests that were sent, see mayCarry.
+	carried []uint64
 	// used is set if the connection has carried another request before. A late
 	// second copy of its response may then still arrive.
 	used    bool
@@ -44,6 +52,16 @@
 	}
 }
 
+// mayCarry reports whether a request with an ID may be sent on the connection. If it
+// has carried one with the same ID, a late copy of that response could not be told from
+// the response to this request.
+func (c *conn) mayCarry(id string) bool {
+	if len(c.carried) >= maxCarried {
+		return false
+	}
+	return id == "" || !slices.Contains(c.carried, xxhash.Sum64String(id))
+}
+
 // watch aborts the connection when the context ends. The returned function ends
 // the watch and reports whether the connection was not aborted.
 func (c *conn) watch(ctx context.Context) func() bool {
--- a/internal/replica/crossed_test.go
+++ b/internal/replica/crossed_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 
@@ -105,3 +107,50 @@
 		}
 	})
 }
+
+// Guards against a caller's retry that gets the response to its first attempt: the
+// retry has the same ID, and a server writes the earlier refusal once more, before the
+// response to the retry. The caller would be told that the retry has not run.
+func TestRetryWithTheSameIDGetsItsOwnResponse(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var mu sync.Mutex
+	late := make(map[net.Conn]string)
+	attempts := 0
+	r := rawReplica(t, func(conn net.Conn, req *http.Request) bool {
+		mu.Lock()
+		defer mu.Unlock()
+		attempts++
+		text := fmt.Sprintf("attempt %d", attempts)
+		response := fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: %d\r\n\r\n%s", req.Header.Get("X-Id"), len(text), text)
+		out := late[conn] + response
+		late[conn] = response
+		_, err := io.WriteString(conn, out)
+		return err == nil
+	})
+	for i, id := range []string{"1", "1", "2", "1", "2", "3"} {
+		body, err := exchange(t.Context(), r, id)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(body).To(gomega.Equal(fmt.Sprintf("attempt %d", i+1)))
+	}
+}
+
+// Guards against connections that remember the IDs of ever more requests.
+func TestConnectionIsReplacedAfterManyRequests(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var mu sync.Mutex
+	conns := make(map[net.Conn]int)
+	r := rawReplica(t, func(conn net.Conn, req *http.Request) bool {
+		mu.Lock()
+		conns[conn]++
+		mu.Unlock()
+		_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: 0\r\n\r\n", req.Header.Get("X-Id"))
+		return err == nil
+	})
+	for i := range maxCarried + 10 {
+		_, err := exchange(t.Context(), r, fmt.Sprint(i))
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	g.Expect(slices.Sorted(maps.Values(conns))).To(gomega.Equal([]int{10, maxCarried}))
+}
--- a/internal/replica/exchange.go
+++ b/internal/replica/exchange.go
@@ -10,6 +10,8 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -55,10 +57,7 @@
 // a *Failure.
 func (r *Replica) Send(ctx context.Context, req *Request) (*Response, error) {
 	now := time.Now()
-	var c *conn
-	if !req.NewConnection {
-		c = r.pool.get(now)
-	}
+	c := r.pool.get(now, req.ID)
 	if c == nil {
 		var err error
 		if c, err = dial(ctx, r.Info().Address); err != nil {
@@ -96,6 +95,7 @@
 // reading the response; the returned channel then receives the result of the
 // write. Otherwise the channel is nil.
 func (c *conn) send(req *Request) (<-chan error, error) {
+	c.carried = append(c.carried, xxhash.Sum64String(req.ID))
 	if err := req.writeHead(c.writer); err != nil {
 		return nil, err
 	}
--- a/internal/replica/pool.go
+++ b/internal/replica/pool.go
@@ -28,15 +28,15 @@
 	idle []*conn
 }
 
-// get removes and returns an idle connection that can be reused, or nil. It
-// closes those that cannot.
-func (p *pool) get(now time.Time) *conn {
+// get removes and returns an idle connection that can be reused for a request with an
+// ID, or nil. It closes those that cannot.
+func (p *pool) get(now time.Time, id string) *conn {
 	for {
 		c := p.pop()
 		if c == nil {
 			return nil
 		}
-		if c.withinIdleLimit(now) && c.reusable() {
+		if c.withinIdleLimit(now) && c.mayCarry(id) && c.reusable() {
 			return c
 		}
 		c.abort()
--- a/internal/replica/request.go
+++ b/internal/replica/request.go
@@ -8,6 +8,9 @@
 
 // Request is one HTTP request to a replica.
 type Request struct {
+	// ID is the request ID that MatchResponse looks for, or empty. It may be that of an
+	// earlier request that was tried again.
+	ID     string
 	Method string
 	// Target is the request target: path and query exactly as the caller sent
 	// them.
@@ -21,9 +24,6 @@
 	// MatchResponse says whether a response with these headers belongs to this
 	// request. If nil, no response names its request.
 	MatchResponse func(http.Header) Match
-	// NewConnection is set if the replica has answered a request with the same ID,
-	// so that a second copy of that response could not be told from this one's.
-	NewConnection bool
 }
 
 func (r *Request) match(h http.Header) Match {
--- a/internal/replica/trouble_test.go
+++ b/internal/replica/trouble_test.go
@@ -68,7 +68,7 @@
 // testRequest is a request with an ID that its response may name.
 func testRequest(id string) *Request {
 	return &Request{
-		Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{"X-Id": {id}}, Body: []byte("b"),
+		ID: id, Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{"X-Id": {id}}, Body: []byte("b"),
 		MatchResponse: func(h http.Header) Match {
 			switch h.Get("X-Id") {
 			case id:
@@ -136,7 +136,7 @@
 			}
 			g.Expect(err).To(gomega.HaveOccurred())
 			g.Expect(ctx.Err()).NotTo(gomega.HaveOccurred(), "the exchange ends before its deadline")
-			g.Expect(r.pool.get(time.Now())).To(gomega.BeNil(), "the connection is closed")
+			g.Expect(r.pool.get(time.Now(), "")).To(gomega.BeNil(), "the connection is closed")
 		})
 	}
 }
