Keep errors of the next replica out of resumed streams

What callers saw: possible, shown by our test. A stream breaks off after two events; the replica that resumes it answers with status 200 and an error text, an error as an event, or a stream into which the head of another response is mixed. The text, or the whole head, was forwarded in the middle of the stream, and the stream ended as complete.

Cause: events without an ID and lines that are no field were forwarded as comments are, also where earlier events had IDs, and the type of a response that resumes a stream was not looked at.

Change: what resumes a stream must be a stream of events with IDs; a block with a line whose field name is none ends the attempt. The same for items, where a response of another type without events is no output either.

--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -22,6 +22,7 @@
 
 var (
 	errEventOrder     = errors.New("event ID out of sequence")
+	errForeignBytes   = errors.New("stream holds bytes that are no event")
 	errTruncatedEvent = fmt.Errorf("stream ended within an event: %w", io.ErrUnexpectedEOF)
 	errNoEvent        = fmt.Errorf("stream without a length ended before its first event: %w", io.ErrUnexpectedEOF)
 	errCallerWrite    = errors.New("write to caller failed")
@@ -34,6 +35,8 @@
 	out          *http.ResponseController
 	lastEvent    int64 // ID of the last event sent to the caller
 	hasLastEvent bool
+	// resumed is set while the response of a further replica is forwarded.
+	resumed bool
 }
 
 // serveStream serves a request whose response is an event stream.
@@ -75,11 +78,16 @@
 		return "", false
 	case a.response.Status != http.StatusOK:
 		return s.handleNonStream(a)
+	case s.hasLastEvent && !a.response.EventStream():
+		r.h.Log.Info("response that resumes a stream is none", "request", r.reqInfo.ID, "replica", a.replica.Info().ID)
+		a.discard()
+		return "", false
 	case !a.info.Signed:
 		r.h.Log.Info("response has no signature of the replica", "request", r.reqInfo.ID, "replica", a.replica.Info().ID)
 		a.discard()
 		return "", false
 	}
+	s.resumed = s.hasLastEvent
 	err := s.copy(a, watchdog)
 	if !errors.Is(err, errCallerWrite) && context.Cause(attemptCtx) == nil {
 		a.run.RecordEnd(err, a.response.Framed)
@@ -138,7 +146,6 @@
 func (s *streamRelay) copy(a *attempt, watchdog *time.Timer) error {
 	var splitter sse.Splitter
 	buf := make([]byte, streamBuffer)
-	resumed := s.hasLastEvent
 	for {
 		n, err := a.response.Read(buf)
 		if n > 0 {
@@ -156,7 +163,7 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			return s.finish(a, splitter.Pending(), resumed)
+			return s.finish(a, splitter.Pending())
 		}
 		if err != nil {
 			return err
@@ -165,10 +172,17 @@
 }
 
 // relayEvents forwards the events that p completes, and reports whether any of them
-// is more than a comment. Event IDs must increase by 1, also across attempts.
+// is more than a comment. Event IDs must increase by 1, also across attempts, and what
+// resumes a stream must have them: an error that a replica sends instead has none.
 func (s *streamRelay) relayEvents(a *attempt, splitter *sse.Splitter, p []byte) (progress bool, err error) {
 	wrote := false
 	err = splitter.Add(p, func(e sse.Event) error {
+		switch {
+		case e.Foreign && (s.hasLastEvent || a.response.EventStream()):
+			return errForeignBytes
+		case s.resumed && !e.HasID && !e.IsComment():
+			return errEventOrder
+		}
 		progress = progress || !e.IsComment()
 		if e.HasID {
 			if s.hasLastEvent && e.ID != s.lastEvent+1 {
@@ -207,8 +221,8 @@
 // are no complete event are an error in a stream of events: the replica stopped in
 // the middle of one. So is the end of a connection before the first event, if only
 // that end shows where the body ends. A body of another type is forwarded as it is.
-func (s *streamRelay) finish(a *attempt, remainder []byte, resumed bool) error {
-	if len(remainder) > 0 && (resumed || s.r.route.CanResume || a.response.EventStream()) {
+func (s *streamRelay) finish(a *attempt, remainder []byte) error {
+	if len(remainder) > 0 && (s.resumed || s.r.route.CanResume || a.response.EventStream()) {
 		return errTruncatedEvent
 	}
 	if !s.r.headerSent && !a.response.Framed && a.response.EventStream() {
--- a/internal/jobs/executor.go
+++ b/internal/jobs/executor.go
@@ -34,6 +34,7 @@
 var (
 	errItemStalled = errors.New("no data within the stall timeout")
 	errEventOrder  = errors.New("event ID out of sequence")
+	errForeign     = errors.New("stream holds bytes that are no event")
 	errTextTooLong = errors.New("text of the item exceeds 4 MiB")
 )
 
@@ -190,10 +191,16 @@
 	}
 }
 
-// addEvent appends one event to the output. Event IDs must be consecutive.
+// addEvent appends one event to the output. Event IDs must be consecutive, and events
+// after one with an ID must have one.
 func (task *itemTask) addEvent(e sse.Event) error {
-	if e.IsComment() {
+	switch {
+	case e.Foreign:
+		return errForeign
+	case e.IsComment():
 		return nil
+	case !e.HasID && task.lastEvent != forward.NoResume:
+		return errEventOrder
 	}
 	if e.HasID {
 		if task.lastEvent != forward.NoResume && e.ID != task.lastEvent+1 {
--- a/internal/jobs/itemrun.go
+++ b/internal/jobs/itemrun.go
@@ -50,8 +50,10 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			// Without a length, only events show that the replica has not crashed.
-			if len(splitter.Pending()) > 0 || !response.Framed && len(run.task.eventData) == 0 {
+			// Without a length, only events show that the replica has not crashed, and
+			// without the type of a stream, that the response is the item's.
+			sure := response.Framed && response.EventStream() || len(run.task.eventData) > 0
+			if len(splitter.Pending()) > 0 || !sure {
 				return io.ErrUnexpectedEOF
 			}
 			return nil
--- a/internal/sse/event.go
+++ b/internal/sse/event.go
@@ -17,13 +17,17 @@
 	// false for an event without a data field.
 	Data    []byte
 	HasData bool
+	// Foreign is set if a line cannot be a field of an event: bytes of something else,
+	// such as the head of another response, are mixed with the stream.
+	Foreign bool
 }
 
 // IsComment reports whether the event carries neither an ID nor data. Servers send
 // such events to keep a connection open; they are no progress of a stream.
 func (e *Event) IsComment() bool { return !e.HasID && !e.HasData }
 
-// parseEvent reads the id and data fields of an event. Other fields are ignored.
+// parseEvent reads the id and data fields of an event. Other fields are ignored, and
+// lines whose field name is none are foreign.
 func parseEvent(raw []byte) Event {
 	e := Event{Raw: raw}
 	for line := range bytes.Lines(raw) {
@@ -41,6 +45,8 @@
 			}
 			e.Data = append(e.Data, value...)
 			e.HasData = true
+		default:
+			e.Foreign = e.Foreign || bytes.ContainsAny(name, " \t/")
 		}
 	}
 	return e
