Take a replica out of service when its responses say that it is leaving

What callers saw: while the store is away, a replica that leaves goes on to get requests and items until it ends (DRAIN by Server-Leaving); those in progress are then lost or resumed.

Cause: only registrations were read, and they come from the store.

Change: the adapter decodes Server-Leaving; the registry takes the process of the replica out of service, whatever its registration says, until it starts again. What replicas say travels with counts and totals, together with their limits, so that one response at one node is enough for all, and a hub that takes over knows it.

--- a/internal/forward/codec.go
+++ b/internal/forward/codec.go
@@ -42,18 +42,3 @@
 
 // NoResume is the value of ResumeAfter for a request that runs from the start.
 const NoResume int64 = -1
-
-// ResponseInfo holds what the status and headers of a replica's response say.
-type ResponseInfo struct {
-	// NotRun is set if the request has not run at this replica and will not run.
-	NotRun bool
-	// Misdirected is set if another replica now has the address.
-	Misdirected bool
-	// Signed is set if the response carries the replica's signature.
-	Signed bool
-	// Load is the replica's load report, or nil if it sent none.
-	Load *replica.Load
-	// Limit is the request rate that the replica names, or nil if the response says
-	// nothing of it: it is not the replica's own, or the rate cannot be read.
-	Limit *replica.Limit
-}
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -29,6 +29,7 @@
 	response *replica.Response
 	run      *quarantine.Run
 	sent     time.Time
+	started  int64 // the start of the replica's process when the request was sent
 	info     ResponseInfo
 	err      error
 	released bool
@@ -93,7 +94,7 @@
 	info := target.Info()
 	r.tried = append(r.tried, info.ID)
 	r.sends++
-	a := &attempt{replica: target, run: r.run, sent: now}
+	a := &attempt{replica: target, run: r.run, sent: now, started: info.Started}
 	r.attempt = a
 	a.response, a.err = target.Send(ctx, &replica.Request{
 		ID: r.reqInfo.ID, Method: r.in.Method, Target: r.in.RequestURI, Host: r.in.Host,
@@ -103,13 +104,13 @@
 		Body: r.body, HasBody: r.in.ContentLength != 0 || len(r.body) > 0,
 		MatchResponse: r.h.Codec.ResponseMatcher(r.reqInfo.ID),
 	})
-	r.recordResult(a, now)
+	r.recordResult(a)
 	return a
 }
 
 // recordResult counts runs and updates the state of the replica from the result of
 // the attempt.
-func (r *request) recordResult(a *attempt, sent time.Time) {
+func (r *request) recordResult(a *attempt) {
 	now := time.Now()
 	if a.err != nil {
 		if !a.notRun() {
@@ -122,18 +123,12 @@
 		if !errors.Is(a.err, context.Canceled) && !errors.Is(a.err, errRouteTimeout) && !errors.Is(a.err, quarantine.ErrQuarantined) {
 			wait := a.replica.RecordError(a.err, now)
 			r.h.Log.Info("replica failed", "request", r.reqInfo.ID, "replica", a.replica.Info().ID,
-				"error", a.err, "after_ms", now.Sub(sent).Milliseconds(), "avoid_ms", wait.Milliseconds())
+				"error", a.err, "after_ms", now.Sub(a.sent).Milliseconds(), "avoid_ms", wait.Milliseconds())
 		}
 		return
 	}
 	a.info = r.h.Codec.ParseResponse(a.response.Status, a.response.Header)
-	if a.info.Load != nil {
-		a.replica.RecordLoad(*a.info.Load, now)
-	}
-	if a.info.Limit != nil && a.replica.ObserveLimit(*a.info.Limit, sent, now) {
-		r.h.Log.Info("limit of a replica changed", "request", r.reqInfo.ID, "replica", a.replica.Info().ID,
-			"limited", a.info.Limit.Named, "per_second", a.info.Limit.PerSecond)
-	}
+	a.info.Record(a.replica, a.started, a.sent, r.reqInfo.ID, r.h.Log)
 	switch {
 	case a.info.Misdirected:
 		a.replica.RecordFailure(now)
--- a/internal/jobs/executor.go
+++ b/internal/jobs/executor.go
@@ -135,7 +135,7 @@
 // sendItem sends the item to the replica, from the last received event on, and
 // reads the response.
 func (e *Executor) sendItem(ctx context.Context, run *itemRun, target *replica.Replica) (runOutcome, error) {
-	task, sent := run.task, time.Now()
+	task, started, sent := run.task, target.Info().Started, time.Now()
 	response, err := target.Send(ctx, &replica.Request{
 		ID: task.item.ID, Method: http.MethodPost, Target: task.item.Path, Host: task.job.entry.Host,
 		Header: e.Codec.ReplicaHeader(task.item.header(), forward.SendOptions{Replica: target.Info().ID, ResumeAfter: task.lastEvent}),
@@ -149,13 +149,7 @@
 	}
 	defer response.Close()
 	info := e.Codec.ParseResponse(response.Status, response.Header)
-	if info.Load != nil {
-		target.RecordLoad(*info.Load, time.Now())
-	}
-	if info.Limit != nil && target.ObserveLimit(*info.Limit, sent, time.Now()) {
-		e.Log.Info("limit of a replica changed", "item", task.item.ID, "replica", target.Info().ID,
-			"limited", info.Limit.Named, "per_second", info.Limit.PerSecond)
-	}
+	info.Record(target, started, sent, task.item.ID, e.Log)
 	if info.NotRun || response.Status != http.StatusOK || !info.Signed {
 		return e.classifyResponse(response, info)
 	}
--- a/internal/placement/hub.go
+++ b/internal/placement/hub.go
@@ -71,7 +71,7 @@
 	listedAt      time.Time // last refresh of the replicas
 	lastMessageAt time.Time // last placement request or counts
 	totalsSentAt  time.Time
-	sentLimits    sentLimits // with the totals
+	sentNotices   sentNotices // with the totals
 	dispatchedAt  time.Time
 	// dispatchDue is set while a dispatch is scheduled, see dispatchSoon.
 	dispatchDue    bool
@@ -223,7 +223,7 @@
 		return nil, err
 	}
 	now := time.Now()
-	learnLimits(h.registry, c.Limits, from, now, h.log)
+	learnNotices(h.registry, c.Notices, from, now, h.log)
 	send, err := h.update(c.Group, now, func(state *groupState) func() {
 		state.lastMessageAt = now
 		state.receiveCounts(from, &c, now)
@@ -345,7 +345,7 @@
 // to the nodes that report to this hub and is called without the lock.
 func (h *hub) prepareTotals(g group, state *groupState, now time.Time) func() {
 	message := &groupTotals{Group: g, First: h.firstHub(g)}
-	state.sentLimits.attach(&message.Limits, knownLimits(h.registry, g, now), now)
+	state.sentNotices.attach(&message.Notices, knownNotices(h.registry, g, now), now)
 	for _, r := range state.replicas {
 		sum := state.sum(r.id)
 		message.Replicas = append(message.Replicas, replicaCounts{ID: r.id, Online: sum.online + state.pendingByReplica[r.id], Batch: sum.batch})
--- a/internal/placement/messages.go
+++ b/internal/placement/messages.go
@@ -46,8 +46,8 @@
 	Victims  []replicaVictim `msgpack:"v,omitempty"`
 	// ConfirmedGrants are the grants that the counts already include.
 	ConfirmedGrants []uint64 `msgpack:"g,omitempty"`
-	// Limits are the limits that the node knows, in some of the messages.
-	Limits []replicaLimit `msgpack:"l,omitempty"`
+	// Notices are what the node knows that replicas have said, in some of the messages.
+	Notices []replicaNotice `msgpack:"l,omitempty"`
 }
 
 // replicaCounts is the in-flight work at one replica.
@@ -77,16 +77,19 @@
 	Late  bool
 }
 
-// replicaLimit is what a node knows of the limit of a replica.
-type replicaLimit struct {
+// replicaNotice is what a node knows that a replica has said of itself in responses.
+type replicaNotice struct {
 	//lint:ignore U1000 read by the codec
 	_msgpack struct{} `msgpack:",as_array"`
 	ID       core.ReplicaID
-	// Named is false if the replica has withdrawn its limit.
-	Named     bool
-	PerSecond float64
-	// Age is how long ago this was known to hold. The clocks of nodes differ.
-	Age time.Duration
+	// Started tells the processes of a replica apart, as in its registration.
+	Started int64
+	Leaving bool
+	// LimitKnown is set if the replica has named a limit, Limited while it does, and
+	// Age is how long ago that was known to hold. The clocks of nodes differ.
+	LimitKnown, Limited bool
+	PerSecond           float64
+	Age                 time.Duration
 }
 
 // placementRequest asks a hub for a replica.
@@ -158,8 +161,8 @@
 type groupTotals struct {
 	Group    group           `msgpack:"s"`
 	Replicas []replicaCounts `msgpack:"r"`
-	// Limits are the limits that the hub knows, in some of the messages.
-	Limits []replicaLimit `msgpack:"l,omitempty"`
+	// Notices are what the hub knows that replicas have said, in some of the messages.
+	Notices []replicaNotice `msgpack:"l,omitempty"`
 	// First is the node that the hub takes for the first hub of the group, if that
 	// is another one. Nodes that do not know of it use this hub.
 	First *nodes.Record `msgpack:"f,omitempty"`
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -210,7 +210,7 @@
 // if, by what this node knows, the replica takes no new work.
 func (s *Service) acceptGrant(hub core.NodeID, g group, q *Query, grant grantNotice) *replica.Replica {
 	r := s.Registry.Get(grant.Replica)
-	if r == nil || r.Info().Leaving || r.Info().Service != q.Service || slices.Contains(q.Tried, grant.Replica) {
+	if r == nil || r.Leaving() || r.Info().Service != q.Service || slices.Contains(q.Tried, grant.Replica) {
 		return nil
 	}
 	s.mu.Lock()
--- a/internal/placement/ratelimits_test.go
+++ b/internal/placement/ratelimits_test.go
@@ -211,3 +211,29 @@
 		f.Expect(n.mayUseLocally(r, later)).To(gomega.BeFalse())
 	}
 }
+
+// Guards against nodes that each send a leaving replica requests until it has told them
+// by itself, and against a hub that takes over and places requests there.
+func TestLeavingReplicaIsKnownToAllNodes(t *testing.T) {
+	replicas := []replica.Info{
+		{ID: "r", Service: "m", DataCentre: "dc-a", Slots: 8, Started: 1}, {ID: "other", Service: "m", DataCentre: "dc-a", Slots: 8, Started: 1},
+	}
+	f := newFleet(t, replicas, "a", "b", "c")
+	first := f.hub()
+	for id := range f.nodes {
+		f.Expect(<-f.place(t.Context(), id)).NotTo(gomega.BeNil())
+	}
+	for id, n := range f.nodes {
+		if id != first {
+			f.Expect(n.registry.Get("r").MarkLeaving(1)).To(gomega.BeTrue())
+			break
+		}
+	}
+	for _, n := range f.nodes {
+		f.Eventually(n.registry.Get("r").Leaving, testTimeout, "1ms").Should(gomega.BeTrue())
+	}
+	f.nodes[first].Stop()
+	for id := range f.nodes {
+		f.Expect((<-f.place(t.Context(), id)).Info().ID).To(gomega.Equal(core.ReplicaID("other")))
+	}
+}
--- a/internal/placement/service.go
+++ b/internal/placement/service.go
@@ -77,7 +77,7 @@
 	unconfirmed []uint64 // grants to confirm with the next counts
 	lastCounts  []replicaCounts
 	lastVictims []replicaVictim
-	limits      sentLimits
+	notices     sentNotices
 	sentAt      time.Time
 }
 
@@ -215,13 +215,13 @@
 	}
 	c := s.ownCounts(g, victims, now)
 	unchanged := slices.Equal(c.Replicas, sent.lastCounts) && slices.Equal(c.Victims, sent.lastVictims)
-	limits := knownLimits(s.Registry, g, now)
-	upToDate := !sent.sentAt.IsZero() && len(sent.unconfirmed) == 0 && unchanged && sent.limits.upToDate(limits)
+	notices := knownNotices(s.Registry, g, now)
+	upToDate := !sent.sentAt.IsZero() && len(sent.unconfirmed) == 0 && unchanged && sent.notices.upToDate(notices)
 	if upToDate && (len(c.Replicas) == 0 || now.Sub(sent.sentAt) < maxCountsInterval/2) {
 		return nil
 	}
 	c.ConfirmedGrants, sent.unconfirmed = sent.unconfirmed, nil
-	sent.limits.attach(&c.Limits, limits, now)
+	sent.notices.attach(&c.Notices, notices, now)
 	sent.lastCounts, sent.lastVictims, sent.sentAt = c.Replicas, c.Victims, now
 	s.lastSequence++
 	c.Sequence = s.lastSequence
@@ -259,7 +259,7 @@
 		return nil, err
 	}
 	now := time.Now()
-	learnLimits(s.Registry, t.Limits, from, now, s.Log)
+	learnNotices(s.Registry, t.Notices, from, now, s.Log)
 	if hubs := s.usableHubs(t.Group); len(hubs) == 0 || hubs[0] != from {
 		return nil, nil // not the hub that this node uses
 	}
--- a/internal/platformnode/operators.go
+++ b/internal/platformnode/operators.go
@@ -96,7 +96,7 @@
 		online, batch := r.TotalLoad(now)
 		state, reason := "live", ""
 		switch {
-		case info.Leaving:
+		case r.Leaving():
 			state = "leaving"
 		case r.Ejected(now):
 			state, reason = "ejected", "recent failures at this node"
@@ -105,7 +105,7 @@
 		}
 		out.Backends = append(out.Backends, operators.FleetBackend{
 			ID: string(info.ID), Deployment: string(info.Service), DataCentre: string(info.DataCentre), Address: info.Address,
-			State: state, Reason: reason, Drain: info.Leaving, Slots: info.Slots,
+			State: state, Reason: reason, Drain: r.Leaving(), Slots: info.Slots,
 			InFlight: min(online+batch, info.Slots), Batch: batch, Queued: max(0, online+batch-info.Slots),
 		})
 	}
--- a/internal/quarantine/run.go
+++ b/internal/quarantine/run.go
@@ -95,7 +95,7 @@
 // suspect reports the run if its replica has crashed. Replicas that were leaving
 // were expected to end.
 func (r *Run) suspect() {
-	if r.replica.Info().Leaving {
+	if r.replica.Leaving() {
 		return
 	}
 	suspect := report{Service: r.replica.Info().Service, Replica: r.replica.Info().ID, Parts: slices.Clone(r.parts)}
--- a/internal/replica/registry.go
+++ b/internal/replica/registry.go
@@ -44,7 +44,9 @@
 	defer g.mu.Unlock()
 	old, known := g.all[info.ID]
 	if !known {
-		g.all[info.ID] = newReplica(info, g.changes)
+		r := newReplica(info, g.changes)
+		r.republish = g.republish
+		g.all[info.ID] = r
 		g.publish()
 		return
 	}
@@ -104,13 +106,19 @@
 	for _, r := range g.all {
 		v.all = append(v.all, r)
 		v.byID[r.Info().ID] = r
-		if info := r.Info(); !info.Leaving {
+		if info := r.Info(); !r.Leaving() {
 			v.services[info.Service] = append(v.services[info.Service], r)
 		}
 	}
 	g.view.Store(v)
 }
 
+func (g *Registry) republish() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.publish()
+}
+
 // Ready returns the replicas of a service that take new work. The slice must not
 // be changed.
 func (g *Registry) Ready(service core.DeploymentID) []*Replica {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -38,6 +38,10 @@
 	report atomic.Pointer[reportedLoad]
 	// limit is nil until the replica names a limit.
 	limit atomic.Pointer[LimitState]
+	// saidLeaving is set once a response of this process of the replica has said that it
+	// is leaving. republish makes the registry drop it from the replicas that take work.
+	saidLeaving atomic.Bool
+	republish   func()
 
 	failures     atomic.Int32
 	ejectedUntil monotime.AtomicTime
@@ -71,7 +75,7 @@
 }
 
 func newReplica(info Info, changes chan<- struct{}) *Replica {
-	r := &Replica{changes: changes}
+	r := &Replica{changes: changes, republish: func() {}}
 	r.info.Store(&info)
 	return r
 }
@@ -79,6 +83,24 @@
 // Info returns the current registration. It must not be changed.
 func (r *Replica) Info() *Info { return r.info.Load() }
 
+// Leaving reports whether the replica gets no new work, by its registration or by what
+// it said in a response. It does not come back without a restart.
+func (r *Replica) Leaving() bool { return r.Info().Leaving || r.saidLeaving.Load() }
+
+// SaidLeaving reports whether the replica has said in a response that it is leaving.
+func (r *Replica) SaidLeaving() bool { return r.saidLeaving.Load() }
+
+// MarkLeaving records that the process of the replica that was started at a time, as in
+// its registration, has said that it is leaving. It reports whether that is news.
+func (r *Replica) MarkLeaving(started int64) bool {
+	if r.Info().Started != started || !r.saidLeaving.CompareAndSwap(false, true) {
+		return false
+	}
+	r.republish()
+	r.notify()
+	return true
+}
+
 // Begin adds one request or item to this node's load on the replica.
 func (r *Replica) Begin(class core.Class) { r.addWork(class, 1) }
 
@@ -232,6 +254,7 @@
 func (r *Replica) reset() {
 	r.report.Store(nil)
 	r.limit.Store(nil)
+	r.saidLeaving.Store(false)
 	r.failures.Store(0)
 	r.ejectedUntil.Clear()
 	r.unreachable.Store(false)
