Reject requests that cannot be served before their callers give up

Cause: whether the wait fits was decided once, on arrival, as if the queue were served in the order of arrival. Those that can still start on time go first, so that a request that had become late was passed by each newer one until its caller gave up, and was then dropped without a word.

Change: the hub forecasts the start of each request on arrival and every 20 ms, by those before it and by what the replicas take, limits included; for a request that will be late, by what the demand of the last eight seconds leaves of that. One that would start too late is rejected, also from the queue, with the forecast as Retry-After and a spread of half of it. The hub remembers who was rejected and takes those that return first.

--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"gentiantide.example/gentiantide/internal/core"
 	"gentiantide.example/gentiantide/internal/placement"
 	"gentiantide.example/gentiantide/internal/quarantine"
@@ -69,8 +71,10 @@
 	configVersion int64
 	body          []byte
 	// parts are the parts of the prompt, and one that identifies the request.
-	parts   []quarantine.Part
-	arrived time.Time
+	parts []quarantine.Part
+	// identity is the same for each attempt of the caller.
+	identity uint64
+	arrived  time.Time
 	// deadline is when the route's timeout or the caller's own limit is reached,
 	// whichever is earlier.
 	deadline time.Time
@@ -132,7 +136,8 @@
 		return
 	}
 	if route.Kind != routetable.KindBatch {
-		r.parts = append(r.parts, quarantine.RequestPart(HostName(in.Host), in.Method, in.RequestURI, r.body))
+		whole := quarantine.RequestPart(HostName(in.Host), in.Method, in.RequestURI, r.body)
+		r.parts, r.identity = append(r.parts, whole), xxhash.Sum64String(string(whole))
 		if r.refuseQuarantined() {
 			return
 		}
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -19,6 +19,8 @@
 	// minRemaining is the least time before the deadline at which another attempt
 	// is made.
 	minRemaining = 20 * time.Millisecond
+	// firstTokenTime is how long before its caller gives up a request must get a slot.
+	firstTokenTime = 50 * time.Millisecond
 	// defaultObjective is the objective of a route that sets none.
 	defaultObjective = 300 * time.Millisecond
 )
@@ -53,7 +55,7 @@
 	}
 	target, wait := r.h.Placer.Place(ctx, &placement.Query{
 		Service: r.route.Pick(uint64(began.UnixNano())), Tried: r.tried, Arrived: r.arrived,
-		Objective: r.objective(), MaxWait: r.maxWait(), Urgent: urgent,
+		Objective: r.objective(), MaxWait: r.maxWait(), Urgent: urgent, Identity: r.identity,
 	})
 	now := time.Now()
 	r.placementTime += now.Sub(began)
@@ -81,11 +83,11 @@
 
 // maxWait is how long after its arrival the request may wait for a slot.
 func (r *request) maxWait() time.Duration {
-	maxWait := r.deadline.Sub(r.arrived) - minRemaining
+	maxWait := r.deadline.Sub(r.arrived)
 	if r.route.CallerIdleTimeout > 0 {
 		maxWait = min(maxWait, r.route.CallerIdleTimeout)
 	}
-	return maxWait
+	return maxWait - firstTokenTime
 }
 
 // send sends the request to the replica that place returned.
@@ -202,11 +204,15 @@
 	// minRetryAfter is the least time after which a refused caller should retry. A
 	// slot of a model engine becomes free about every 90 ms.
 	minRetryAfter = 200 * time.Millisecond
-	// retryJitter spreads the retries of callers that were refused at the same
-	// time.
-	retryJitter = 300 * time.Millisecond
+	// minRetryJitter and retryJitterShare spread the retries of callers that were
+	// refused at the same time: over that share of the wait, and not over less than
+	// that time.
+	minRetryJitter   = 300 * time.Millisecond
+	retryJitterShare = 0.5
 )
 
 func (r *request) retryAfter() time.Duration {
-	return max(minRetryAfter, r.expectedWait) + time.Duration(r.arrived.UnixNano()%int64(retryJitter))
+	wait := max(minRetryAfter, r.expectedWait)
+	jitter := max(minRetryJitter, time.Duration(retryJitterShare*float64(wait)))
+	return wait + time.Duration(r.arrived.UnixNano()%int64(jitter))
 }
--- a/internal/placement/hub.go
+++ b/internal/placement/hub.go
@@ -74,8 +74,10 @@
 	sentNotices   sentNotices // with the totals
 	dispatchedAt  time.Time
 	// dispatchDue is set while a dispatch is scheduled, see dispatchSoon.
-	dispatchDue    bool
-	queuedSinceLog int // requests queued since the last log line
+	dispatchDue bool
+	// queuedSinceLog and rejectedSinceLog are the requests queued and rejected since the
+	// last log line.
+	queuedSinceLog, rejectedSinceLog int
 }
 
 func newHub(o *Options, sendPreemption func(core.NodeID, core.ReplicaID)) *hub {
@@ -190,8 +192,11 @@
 		state.lastMessageAt = now
 		var assigned *assignment
 		answer, assigned = state.place(from, &req, now)
-		if answer.Outcome == outcomeQueued {
+		switch answer.Outcome {
+		case outcomeQueued:
 			state.queuedSinceLog++
+		case outcomeRejected:
+			state.rejectedSinceLog++
 		}
 		return h.preparePreemption(state, assigned)
 	})
@@ -331,16 +336,32 @@
 		return func() {}
 	}
 	sendGrants, sendTotals := h.dispatch(state, now), func() {}
+	sendRejections := h.prepareRejections(state, now)
 	if now.Sub(state.totalsSentAt) >= max(minTotalsInterval, time.Duration(len(state.nodes))*totalsIntervalPerNode) {
 		state.totalsSentAt = now
 		sendTotals = h.prepareTotals(g, state, now)
 	}
 	return func() {
 		sendGrants()
+		sendRejections()
 		sendTotals()
 	}
 }
 
+// prepareRejections rejects the queued requests that cannot be served in time. The
+// function returned tells their nodes and is called without the lock.
+func (h *hub) prepareRejections(state *groupState, now time.Time) func() {
+	rejected := state.rejectHopeless(now)
+	state.rejectedSinceLog += len(rejected)
+	return func() {
+		for _, r := range rejected {
+			if err := h.transport.Send(r.node, kindGrant, &grantNotice{RequestID: r.id, RejectedFor: r.wait}); err != nil {
+				h.log.Info("cannot send a rejection; the node will ask again", "node", r.node, "error", err)
+			}
+		}
+	}
+}
+
 // prepareTotals encodes the totals of a group. The function returned sends them
 // to the nodes that report to this hub and is called without the lock.
 func (h *hub) prepareTotals(g group, state *groupState, now time.Time) func() {
@@ -350,10 +371,11 @@
 		sum := state.sum(r.id)
 		message.Replicas = append(message.Replicas, replicaCounts{ID: r.id, Online: sum.online + state.pendingByReplica[r.id], Batch: sum.batch})
 	}
-	if state.queuedSinceLog > 0 {
-		h.log.Info("requests were queued for a slot", "count", state.queuedSinceLog, "waiting", len(state.queue), "replicas", len(state.replicas),
-			"service_ms", int64(state.serviceTime.mean*1e3))
-		state.queuedSinceLog = 0
+	if state.queuedSinceLog+state.rejectedSinceLog > 0 {
+		f := state.forecast()
+		h.log.Info("requests were queued for a slot", "count", state.queuedSinceLog, "rejected", state.rejectedSinceLog, "waiting", len(state.queue),
+			"replicas", len(state.replicas), "service_ms", int64(state.serviceTime.mean*1e3), "per_second", f.throughput, "spare_per_second", f.spare)
+		state.queuedSinceLog, state.rejectedSinceLog = 0, 0
 	}
 	body, err := msgpack.Marshal(message)
 	if err != nil {
--- a/internal/placement/messages.go
+++ b/internal/placement/messages.go
@@ -112,6 +112,8 @@
 	Waited    time.Duration `msgpack:"w"`
 	Objective time.Duration `msgpack:"o"`
 	MaxWait   time.Duration `msgpack:"p"`
+	// Identity is the same when the caller sends the request again, or 0.
+	Identity uint64 `msgpack:"y,omitempty"`
 	// Urgent is set for a stream that resumes after an interruption.
 	Urgent bool `msgpack:"u,omitempty"`
 	// Batch is set for an item of a job. DueIn is the time until the item is
@@ -144,11 +146,14 @@
 	ExpectedWait time.Duration `msgpack:"w,omitempty"`
 }
 
-// grantNotice tells a node which replica its queued request got.
+// grantNotice tells a node which replica its queued request got, or that it is
+// rejected.
 type grantNotice struct {
 	RequestID uint64         `msgpack:"i"`
 	Replica   core.ReplicaID `msgpack:"r"`
 	GrantID   uint64         `msgpack:"g"`
+	// RejectedFor is the expected wait of a request that is rejected, else 0.
+	RejectedFor time.Duration `msgpack:"w,omitempty"`
 }
 
 // withdrawal cancels a queued request or returns an unused grant.
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -42,6 +42,8 @@
 	// time after which the caller gives up, both since the arrival.
 	Objective time.Duration
 	MaxWait   time.Duration
+	// Identity is the same when the caller sends the request again, or 0.
+	Identity uint64
 	// Urgent is set for a stream that resumes after an interruption.
 	Urgent bool
 	// Class distinguishes online requests from items of jobs. DueIn is the
@@ -161,8 +163,9 @@
 		case outcomeRejected:
 			return grantNotice{}, max(answer.ExpectedWait, time.Millisecond), nil
 		case outcomeQueued:
-			if grant, err := receiveGrant(ctx, grants, q.retryInterval()); err != nil || grant.Replica != "" {
-				return grant, 0, err
+			grant, err := receiveGrant(ctx, grants, q.retryInterval())
+			if err != nil || grant.Replica != "" || grant.RejectedFor > 0 {
+				return grant, grant.RejectedFor, err
 			}
 		default:
 			return grantNotice{}, 0, errNoReplica
@@ -198,7 +201,7 @@
 	defer cancel()
 	var answer placementResponse
 	err := s.Transport.Call(ctx, hub, kindRequest, &placementRequest{
-		Group: g, ID: id, DataCentre: s.Nodes.Self().DataCentre, Urgent: q.Urgent,
+		Group: g, ID: id, DataCentre: s.Nodes.Self().DataCentre, Identity: q.Identity, Urgent: q.Urgent,
 		Excluded: append(ejected, tried...), NumEjected: len(ejected),
 		Waited: time.Since(q.Arrived), Objective: q.Objective, MaxWait: q.MaxWait,
 		Batch: q.Class == core.ClassBatch, DueIn: q.DueIn, Late: q.Late,
--- a/internal/placement/queue.go
+++ b/internal/placement/queue.go
@@ -24,6 +24,9 @@
 	startBy     time.Time
 	abandonedAt time.Time
 	urgent      bool
+	identity    uint64
+	// returning is set if the request was rejected and its caller has sent it again.
+	returning bool
 	// batch is set for an item of a job, which is due at dueAt. willMissDue is
 	// set if it cannot be done by then.
 	batch       bool
@@ -38,16 +41,17 @@
 		excluded[id] = true
 	}
 	return &queuedRequest{
-		node: node, id: req.ID, dc: req.DataCentre, excluded: excluded, arrivedAt: arrivedAt, urgent: req.Urgent,
+		node: node, id: req.ID, dc: req.DataCentre, excluded: excluded, arrivedAt: arrivedAt, urgent: req.Urgent, identity: req.Identity,
 		startBy:     arrivedAt.Add(time.Duration(float64(req.Objective) * onTimeShare)),
 		abandonedAt: arrivedAt.Add(req.MaxWait),
 		batch:       req.Batch, dueAt: now.Add(req.DueIn), willMissDue: req.Late,
 	}
 }
 
-// before reports whether q gets a slot before o. Resumed streams come first,
-// then requests that can still start on time, then late requests, each in order
-// of arrival: a request that is late anyway takes no slot from one that is not.
+// before reports whether q gets a slot before o. Resumed streams come first, then
+// requests that were rejected before, whose callers may not come a third time, then
+// requests that can still start on time, then late requests, each in order of arrival:
+// a request that is late anyway takes no slot from one that is not.
 // Items of jobs come last, ordered by their due time, and those that will miss
 // it come behind the other items.
 func (q *queuedRequest) before(o *queuedRequest, now time.Time) bool {
@@ -63,6 +67,9 @@
 	if q.urgent != o.urgent {
 		return q.urgent
 	}
+	if q.returning != o.returning {
+		return q.returning
+	}
 	if a, b := q.late(now), o.late(now); a != b {
 		return b
 	}
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -84,13 +84,15 @@
 	queue            []*queuedRequest
 	lastGrantID      uint64
 	serviceTime      serviceTimeEstimator
+	demand           demand
+	rejected         rejectedRequests
 }
 
 func newScheduler() *scheduler {
 	return &scheduler{
 		ledger: newLedger(), grants: make(map[uint64]pendingGrant),
 		pendingByReplica: make(map[core.ReplicaID]int), slowdowns: make(map[core.ReplicaID]slowdownReport),
-		untracked: make(map[core.ReplicaID]untrackedLoad), ejectionVotes: newEjectionVotes(), limits: newRateLimits(),
+		untracked: make(map[core.ReplicaID]untrackedLoad), ejectionVotes: newEjectionVotes(), limits: newRateLimits(), rejected: make(rejectedRequests),
 	}
 }
 
@@ -102,6 +104,9 @@
 		return *existing, nil
 	}
 	q := newQueuedRequest(node, req, now)
+	if !q.batch && !q.urgent {
+		q.returning = s.rejected.take(q.identity, now)
+	}
 	if !slices.ContainsFunc(s.queue, func(o *queuedRequest) bool { return o.before(q, now) }) {
 		if r, preempts := s.openings(now).choose(q, s.headroom()); r != nil {
 			assigned := s.assign(q, r, preempts, now)
@@ -111,8 +116,8 @@
 	if !slices.ContainsFunc(s.replicas, func(r replicaSlots) bool { return !q.excludes(r.id) }) {
 		return placementResponse{Outcome: outcomeNoReplica}, nil
 	}
-	if wait := s.expectedWait(); !q.batch && now.Add(wait).After(q.abandonedAt) {
-		return placementResponse{Outcome: outcomeRejected, ExpectedWait: wait}, nil
+	if expected, least := s.expectedWait(q, now); q.hopeless(expected, now) {
+		return placementResponse{Outcome: outcomeRejected, ExpectedWait: s.recordRejection(q, expected, least, now)}, nil
 	}
 	s.queue = append(s.queue, q)
 	return placementResponse{Outcome: outcomeQueued}, nil
@@ -173,6 +178,7 @@
 	s.limits.take(r.id, now)
 	if !q.batch {
 		s.serviceTime.grantedSinceSample++
+		s.demand.observe()
 	}
 	return &assignment{queuedRequest: q, replica: r.id, grantID: s.lastGrantID, preempts: preempts}
 }
@@ -268,6 +274,8 @@
 func (s *scheduler) expire(now time.Time) {
 	s.ledger.expire(now)
 	s.ejectionVotes.expire(now)
+	s.rejected.expire(now)
+	s.demand.update(now)
 	busy := 0
 	for grantID, g := range s.grants {
 		switch {
@@ -283,16 +291,16 @@
 	s.serviceTime.sample(busy, s.nodeChanges, now)
 }
 
-// expectedWait estimates how long a new online request would wait behind all
-// that are queued.
-func (s *scheduler) expectedWait() time.Duration {
-	online := 0
-	for _, q := range s.queue {
-		if !q.batch {
-			online++
+// expectedWait estimates how long a new request would wait behind those that are queued
+// before it, and how long it would wait if no others came.
+func (s *scheduler) expectedWait(q *queuedRequest, now time.Time) (expected, least time.Duration) {
+	before := 0
+	for _, o := range s.queue {
+		if !o.batch && !q.before(o, now) {
+			before++
 		}
 	}
-	return time.Duration(float64(online+1) / s.throughput() * float64(time.Second))
+	return s.forecast().wait(before, q, now)
 }
 
 // throughput estimates how many online requests a second the replicas take: what their
