--- a/bench/soak/options.go
+++ b/bench/soak/options.go
@@ -14,6 +14,9 @@
 	Nodes, Engines, PlainServices int
 	// FaultDuration is how long faults are injected.
 	FaultDuration time.Duration
+	// Notices adds a phase after the faults in which engines say in responses that they
+	// take few requests or are leaving.
+	Notices bool
 	// Crashes adds a phase after the faults in which requests crash engines.
 	Crashes bool
 	// RecoveryTimeout is the time after the faults within which every accepted job
@@ -25,6 +28,6 @@
 func DefaultOptions(binary, dir string, seed uint64) Options {
 	return Options{
 		Binary: binary, Dir: dir, Seed: seed, Nodes: 4, Engines: 4, PlainServices: 2,
-		FaultDuration: 12 * time.Second, RecoveryTimeout: 60 * time.Second, Crashes: true,
+		FaultDuration: 12 * time.Second, RecoveryTimeout: 60 * time.Second, Notices: true, Crashes: true,
 	}
 }
--- a/bench/soak/run.go
+++ b/bench/soak/run.go
@@ -49,6 +49,13 @@
 	if err := f.run(faultCtx); err != nil {
 		oracle.addViolation("%v", err)
 	}
+	if o.Notices {
+		time.Sleep(contactTime)
+		phase := &noticePhase{testbed: tb, oracle: oracle, rng: rand.New(rand.NewPCG(o.Seed, 3)), log: f.log}
+		if err := phase.run(); err != nil {
+			return report, err
+		}
+	}
 	if o.Crashes {
 		time.Sleep(contactTime)
 		phase := &crashPhase{testbed: tb, clients: clients, oracle: oracle, rng: rand.New(rand.NewPCG(o.Seed, 2)), log: f.log}
--- a/bench/soak/testbed.go
+++ b/bench/soak/testbed.go
@@ -104,6 +104,17 @@
 	return b, tb.register(b, "ready")
 }
 
+// readyEngines returns the engines that are registered as ready.
+func (tb *testbed) readyEngines() []*backend {
+	var out []*backend
+	for _, b := range tb.backends {
+		if b.service == "models" && !b.draining {
+			out = append(out, b)
+		}
+	}
+	return out
+}
+
 func (tb *testbed) register(b *backend, state string) error {
 	b.draining = state != "ready"
 	return tb.store.RegisterAt(b.Replica, b.proxy.address(), b.service, "dc-a", state)
