End a stream without IDs that breaks off, instead of beginning it anew

A stream of a resumable route whose events have no IDs breaks off; the next replica is asked without an event to resume after, and the caller gets the beginning twice in one response.

Cause: that a stream can be resumed was taken from its route alone. A stream is resumed after the last ID, and there is none.

Change: once something without an ID was forwarded, other than a comment of an event stream, no further replica is asked, and silence does not end the stream sooner.

--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -37,12 +37,15 @@
 	hasLastEvent bool
 	// resumed is set while the response of a further replica is forwarded.
 	resumed bool
+	// unnumbered is set once something without an ID was forwarded, other than a comment
+	// of an event stream. No replica can resume the stream after it.
+	unnumbered bool
 }
 
 // serveStream serves a request whose response is an event stream.
 func (r *request) serveStream(ctx context.Context) Outcome {
 	s := &streamRelay{r: r, out: http.NewResponseController(r.w), lastEvent: NoResume}
-	for r.mayRetry() {
+	for r.mayRetry() && !s.unnumbered {
 		outcome, done := s.attempt(ctx)
 		if done {
 			return outcome
@@ -154,7 +157,7 @@
 				s.r.stopWatch() // the run has begun without a crash
 				a.run.RecordEvent(time.Now())
 				a.response.RecordProgress()
-				if watchdog.Stop() {
+				if watchdog.Stop() && !s.unnumbered {
 					watchdog.Reset(s.stallTimeout())
 				}
 			}
@@ -189,6 +192,8 @@
 				return errEventOrder
 			}
 			s.lastEvent, s.hasLastEvent = e.ID, true
+		} else if !e.IsComment() || !a.response.EventStream() {
+			s.unnumbered = true
 		}
 		s.sendHeader(a)
 		wrote = true
--- a/internal/placement/openings.go
+++ b/internal/placement/openings.go
@@ -30,7 +30,7 @@
 
 // takesItems reports whether items may go to the replica. One with a limit gets only
 // those that cost no online request its token.
-func (o *opening) takesItems() bool { return o.settled && full(o.tokens) }
+func (o *opening) takesItems() bool { return o.settled && bucketFull(o.tokens) }
 
 // usable reports whether the replica can take a request.
 func (o *opening) usable() bool { return o.tokens > 0 && (o.free() > 0 || o.preemptible()) }
@@ -111,8 +111,8 @@
 // before reports whether a request goes to r rather than to o, if both have a free
 // slot.
 func (r *opening) before(o *opening, q *queuedRequest) bool {
-	if full(r.tokens) != full(o.tokens) {
-		return full(r.tokens)
+	if bucketFull(r.tokens) != bucketFull(o.tokens) {
+		return bucketFull(r.tokens)
 	}
 	return r.score(q) < o.score(q)
 }
--- a/internal/placement/ratelimits.go
+++ b/internal/placement/ratelimits.go
@@ -69,9 +69,9 @@
 	return int(bucket.TokensAt(now))
 }
 
-// full reports whether the bucket of a replica with a number of tokens is full: those
-// that come next are lost unless one is used.
-func full(tokens int) bool { return tokens >= limitBurst }
+// bucketFull reports whether the bucket of a replica with a number of tokens is full:
+// those that come next are lost unless one is used.
+func bucketFull(tokens int) bool { return tokens >= limitBurst }
 
 // take takes a token for a request.
 func (l *rateLimits) take(id core.ReplicaID, now time.Time) {
--- a/internal/replica/registry.go
+++ b/internal/replica/registry.go
@@ -113,6 +113,7 @@
 	g.view.Store(v)
 }
 
+// republish publishes a view without a replica that has said that it is leaving.
 func (g *Registry) republish() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
