--- a/internal/placement/hub.go
+++ b/internal/placement/hub.go
@@ -117,39 +117,6 @@
 	return state
 }
 
-// groupReplicas returns the replicas of a group that this node has not ejected, or
-// all of them if it has ejected all. previous is the last such list.
-func groupReplicas(previous []replicaSlots, g group, ready []*replica.Replica, now time.Time) []replicaSlots {
-	usableSince := make(map[core.ReplicaID]time.Time, len(previous))
-	for _, r := range previous {
-		usableSince[r.id] = r.usableSince
-	}
-	out := make([]replicaSlots, 0, len(previous))
-	add := func(r *replica.Replica) {
-		info := r.Info()
-		if groupOf(g.Service, info.ID, g.Count) != g {
-			return
-		}
-		since, ok := usableSince[info.ID]
-		if !ok {
-			since = now
-		}
-		limit, _ := r.Limit()
-		out = append(out, replicaSlots{id: info.ID, dc: info.DataCentre, slots: max(1, info.Slots), limit: limit.Limit, usableSince: since})
-	}
-	for _, r := range ready {
-		if !r.Ejected(now) {
-			add(r)
-		}
-	}
-	if len(out) == 0 {
-		for _, r := range ready {
-			add(r)
-		}
-	}
-	return out
-}
-
 // handleProbe answers a node that wants to know whether this hub is available
 // again.
 func (h *hub) handleProbe(context.Context, core.NodeID, []byte) ([]byte, error) {
