Count a stream's wait for another replica from its last event

What callers saw: a stream that had lasted for about 2 s was cut when its replica broke off or fell silent and no slot was free at that moment.

Cause: how long a request may wait for a slot was counted from its arrival, also when it is resumed. Callers wait for the next event as long as for the first one, 2 s at least, but a stream of that age had no time left at the hub, which rejected it as hopeless.

Change: the time runs from the last event that the caller was sent.

TestLongStreamWaitsForASlotToResume failed before (cut after four of six events) and passes now, three times with the race detector.

--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -75,6 +75,9 @@
 	// identity is the same for each attempt of the caller.
 	identity uint64
 	arrived  time.Time
+	// lastProgress is when the caller was sent the last event of a stream, or when the
+	// request arrived.
+	lastProgress time.Time
 	// deadline is when the route's timeout or the caller's own limit is reached,
 	// whichever is earlier.
 	deadline time.Time
@@ -126,7 +129,7 @@
 		refuse(w, http.StatusNotFound, "no_route", 0)
 		return
 	}
-	r := &request{h: h, w: w, in: in, reqInfo: reqInfo, parts: reqInfo.PromptParts, route: route, configVersion: table.Version, arrived: arrived, outcome: OutcomeBroken}
+	r := &request{h: h, w: w, in: in, reqInfo: reqInfo, parts: reqInfo.PromptParts, route: route, configVersion: table.Version, arrived: arrived, lastProgress: arrived, outcome: OutcomeBroken}
 	r.deadline = arrived.Add(r.timeout())
 	if r.refuseQuarantined() {
 		return
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -81,11 +81,12 @@
 	return defaultObjective
 }
 
-// maxWait is how long after its arrival the request may wait for a slot.
+// maxWait is how long after its arrival the request may wait for a slot. Callers of a
+// stream wait for its next event as long as for the first one.
 func (r *request) maxWait() time.Duration {
 	maxWait := r.deadline.Sub(r.arrived)
-	if r.route.CallerIdleTimeout > 0 {
-		maxWait = min(maxWait, r.route.CallerIdleTimeout)
+	if idle := r.route.CallerIdleTimeout; idle > 0 {
+		maxWait = min(maxWait, r.lastProgress.Add(idle).Sub(r.arrived))
 	}
 	return maxWait - firstTokenTime
 }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -203,6 +203,7 @@
 		return nil
 	})
 	if wrote {
+		s.r.lastProgress = time.Now()
 		if flushErr := s.out.Flush(); err == nil && flushErr != nil {
 			err = errCallerWrite
 		}
