Keep a request at a silent replica until another one is granted

What callers saw: the answer of a sound replica that was silent for a second or so was cut in the middle, or replaced by 502.

Cause: a node ended the attempt after 1.2 s without an event, or 0.9 s without a whole response, and asked for another replica only then. If none was granted, because all slots were taken, all replicas were tried or there was one only, the run that would have gone on was lost.

Change: the silence only starts the search for another replica (standby.go). The attempt ends when one is granted; if the replica goes on before, the search ends and a late grant is given back.

TestSilentReplicaDoesNotEndItsAnswer failed before in seven of nine cases and passes now; platform/nodetest passes with the race detector. Three tests of the search itself, 20 runs each, pass.

--- a/internal/forward/buffered.go
+++ b/internal/forward/buffered.go
@@ -15,9 +15,10 @@
 	// it is sent to the caller. If such a response is truncated, the request can
 	// still be retried. The usual body has less than 1 KiB.
 	maxBufferedBody = 256 << 10
-	// attemptTimeout limits one attempt as long as another replica may be tried. It
-	// is over five times the usual response time of a service that does not stream.
-	attemptTimeout = 900 * time.Millisecond
+	// standbyAfter is the time without a complete response after which another replica
+	// may take the request over. It is over five times the usual response time of a
+	// service that does not stream.
+	standbyAfter = 900 * time.Millisecond
 )
 
 var errReplicaTimeout = errors.New("replica did not respond in time")
@@ -27,13 +28,15 @@
 func (r *request) serveBuffered(ctx context.Context) Outcome {
 	var last *bufferedResponse
 	for r.mayRetry() {
-		target := r.place(ctx, false)
+		target := r.nextReplica(ctx)
 		if target == nil {
 			break
 		}
-		attemptCtx, cancel := r.attemptContext(ctx)
+		attemptCtx, cancel := context.WithCancelCause(ctx)
+		standby := r.newStandby(ctx, target, standbyAfter, func() { cancel(errReplicaTimeout) })
 		response := r.readBuffered(r.send(attemptCtx, target, NoResume))
-		cancel()
+		r.granted = standby.stop()
+		cancel(nil)
 		if response == nil {
 			continue
 		}
@@ -48,15 +51,6 @@
 	return r.respondFailure(ctx)
 }
 
-// attemptContext returns the context of one attempt. It has a timeout if the request
-// may run at another replica afterwards.
-func (r *request) attemptContext(ctx context.Context) (context.Context, context.CancelFunc) {
-	if !r.route.Retryable() || r.runs+1 >= r.route.MaxAttempts {
-		return context.WithCancel(ctx)
-	}
-	return context.WithTimeoutCause(ctx, attemptTimeout, errReplicaTimeout)
-}
-
 // bufferedResponse is a response that was read from a replica.
 type bufferedResponse struct {
 	status int
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -103,7 +103,10 @@
 	// it is that of a request whose handler panics.
 	attempt *attempt
 	// run observes the next attempt.
-	run     *quarantine.Run
+	run *quarantine.Run
+	// granted is the replica that takes the request over from a silent one. The request
+	// is counted on its load.
+	granted *replica.Replica
 	outcome Outcome
 }
 
@@ -156,6 +159,7 @@
 	if r.attempt != nil {
 		r.attempt.release()
 	}
+	r.releaseGranted()
 	r.h.Counters.End(r.route.Name, r.outcome, time.Since(r.arrived))
 	r.logOutcome()
 }
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -48,21 +48,32 @@
 
 // place chooses a replica for the next attempt and counts the request on its load.
 // It returns nil if no replica is available, or no attempt or time is left.
-func (r *request) place(ctx context.Context, urgent bool) *replica.Replica {
+func (r *request) place(ctx context.Context) *replica.Replica {
 	began := time.Now()
 	if r.sends >= maxSends || r.deadline.Sub(began) < minRemaining || ctx.Err() != nil {
 		return nil
 	}
-	target, wait := r.h.Placer.Place(ctx, &placement.Query{
-		Service: r.route.Pick(uint64(began.UnixNano())), Tried: r.tried, Arrived: r.arrived,
-		Objective: r.objective(), MaxWait: r.maxWait(), Urgent: urgent, Identity: r.identity,
-	})
-	now := time.Now()
-	r.placementTime += now.Sub(began)
+	target, wait := r.h.Placer.Place(ctx, r.query(began))
+	r.placementTime += time.Since(began)
 	r.expectedWait = wait
 	if target == nil {
 		return nil
 	}
+	return r.admit(target)
+}
+
+// query describes the request to the placer.
+func (r *request) query(now time.Time) *placement.Query {
+	return &placement.Query{
+		Service: r.route.Pick(uint64(now.UnixNano())), Tried: r.tried, Arrived: r.arrived,
+		Objective: r.objective(), MaxWait: r.maxWait(r.lastProgress), Urgent: r.headerSent, Identity: r.identity,
+	}
+}
+
+// admit prepares an attempt at a replica that was placed. It releases the replica and
+// returns nil if the request must not be sent.
+func (r *request) admit(target *replica.Replica) *replica.Replica {
+	now := time.Now()
 	r.busy, r.slowdown = target.EstimatedLoad(now), target.Slowdown(now)
 	run, ok := r.h.Quarantine.Begin(r.parts, target)
 	if !ok { // another request is the trial
@@ -73,6 +84,24 @@
 	return target
 }
 
+// nextReplica returns the replica that took the request over from a silent one, or
+// places the request.
+func (r *request) nextReplica(ctx context.Context) *replica.Replica {
+	if granted := r.granted; granted != nil {
+		r.granted = nil
+		return r.admit(granted)
+	}
+	return r.place(ctx)
+}
+
+// releaseGranted gives back a replica to which the request was not sent.
+func (r *request) releaseGranted() {
+	if r.granted != nil {
+		r.granted.End(core.ClassOnline)
+		r.granted = nil
+	}
+}
+
 // objective is the target time from arrival to the start of the response.
 func (r *request) objective() time.Duration {
 	if r.route.Objective > 0 {
@@ -81,12 +110,13 @@
 	return defaultObjective
 }
 
-// maxWait is how long after its arrival the request may wait for a slot. Callers of a
-// stream wait for its next event as long as for the first one.
-func (r *request) maxWait() time.Duration {
+// maxWait is how long after its arrival the request may wait for a slot if the caller
+// was last sent something at a time. Callers of a stream wait for its next event as long
+// as for the first one.
+func (r *request) maxWait(lastProgress time.Time) time.Duration {
 	maxWait := r.deadline.Sub(r.arrived)
 	if idle := r.route.CallerIdleTimeout; idle > 0 {
-		maxWait = min(maxWait, r.lastProgress.Add(idle).Sub(r.arrived))
+		maxWait = min(maxWait, lastProgress.Add(idle).Sub(r.arrived))
 	}
 	return maxWait - firstTokenTime
 }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -16,7 +16,8 @@
 	streamBuffer = 4 << 10
 	// streamStallShare is the part of the pause after which callers disconnect in
 	// which a complete event must arrive. After that, a resumable stream is resumed
-	// at another replica, which has the rest of the time for its first event.
+	// at another replica, if there is one, which has the rest of the time for its first
+	// event.
 	streamStallShare = 0.6
 )
 
@@ -61,7 +62,7 @@
 // false if another attempt may be made.
 func (s *streamRelay) attempt(ctx context.Context) (Outcome, bool) {
 	r := s.r
-	target := r.place(ctx, r.headerSent)
+	target := r.nextReplica(ctx)
 	if target == nil {
 		if !r.headerSent {
 			return r.respondFailure(ctx), true
@@ -70,8 +71,8 @@
 	}
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watchdog := s.watchdog(cancel)
-	defer watchdog.Stop()
+	standby := r.newStandby(ctx, target, s.stallTimeout(), func() { cancel(errReplicaTimeout) })
+	defer func() { r.granted = standby.stop() }()
 	a := r.send(attemptCtx, target, s.lastEvent)
 	switch {
 	case a.err != nil:
@@ -91,7 +92,7 @@
 		return "", false
 	}
 	s.resumed = s.hasLastEvent
-	err := s.copy(a, watchdog)
+	err := s.copy(a, standby)
 	if !errors.Is(err, errCallerWrite) && context.Cause(attemptCtx) == nil {
 		a.run.RecordEnd(err, a.response.Framed)
 	}
@@ -116,19 +117,6 @@
 	return time.Duration(streamStallShare * float64(s.r.route.CallerIdleTimeout))
 }
 
-// watchdog returns a timer that cancels the attempt when it receives no event for
-// the stall timeout. The timer is stopped if no other replica may resume the
-// stream.
-func (s *streamRelay) watchdog(cancel context.CancelCauseFunc) *time.Timer {
-	r := s.r
-	if !r.route.CanResume || r.runs+1 >= r.route.MaxAttempts || s.stallTimeout() <= 0 {
-		timer := time.NewTimer(time.Hour)
-		timer.Stop()
-		return timer
-	}
-	return time.AfterFunc(s.stallTimeout(), func() { cancel(errReplicaTimeout) })
-}
-
 // handleNonStream handles a response without the status of a stream, 200. It
 // passes an error response on if the caller has received nothing yet.
 func (s *streamRelay) handleNonStream(a *attempt) (Outcome, bool) {
@@ -146,7 +134,7 @@
 
 // copy forwards events until the stream ends. It returns nil only for a complete
 // stream.
-func (s *streamRelay) copy(a *attempt, watchdog *time.Timer) error {
+func (s *streamRelay) copy(a *attempt, standby *standby) error {
 	var splitter sse.Splitter
 	buf := make([]byte, streamBuffer)
 	for {
@@ -157,8 +145,9 @@
 				s.r.stopWatch() // the run has begun without a crash
 				a.run.RecordEvent(time.Now())
 				a.response.RecordProgress()
-				if watchdog.Stop() && !s.unnumbered {
-					watchdog.Reset(s.stallTimeout())
+				standby.recordProgress(s.r.lastProgress)
+				if s.unnumbered {
+					standby.disable()
 				}
 			}
 			if addErr != nil {
