Offer a stopping node's jobs to all live nodes, not to two

What callers saw: items of jobs were late during a roll of all nodes. Their output so far was lost, and the job was idle until the lease of its owner had ended and another node had claimed it.

Cause: a stopping node asked two nodes to take a job. In a roll several nodes stop at the same time, and those two were often among them.

Change: all live nodes are asked in turn, until one takes the job or the time for it is over. One that stops refuses within milliseconds.

--- a/internal/jobs/handover.go
+++ b/internal/jobs/handover.go
@@ -22,9 +22,6 @@
 	kindHandover = "jobs.handover"
 	// handoverTimeout bounds the call: three calls to the store of a few ms each.
 	handoverTimeout = time.Second
-	// handoverCandidates is the number of nodes that are asked to take a job. A
-	// node that was asked may be stopping, too.
-	handoverCandidates = 2
 	// quiesceTimeout bounds the wait for the runs and the commit of a job that is
 	// handed over.
 	quiesceTimeout = 500 * time.Millisecond
@@ -95,6 +92,9 @@
 		return
 	}
 	for _, candidate := range h.candidates(job.entry.ID) {
+		if ctx.Err() != nil {
+			return
+		}
 		callCtx, cancel := context.WithTimeout(ctx, handoverTimeout)
 		err := h.messenger.Call(callCtx, candidate.ID, kindHandover, message, nil)
 		cancel()
@@ -110,8 +110,9 @@
 	}
 }
 
-// candidates returns the live nodes that are asked to take a job: those that
-// rendezvous hashing would choose after this one has left.
+// candidates returns the live nodes, in the order in which they are asked to take a
+// job: rendezvous hashing would choose the first one after this node has left. Any of
+// them may be stopping, too.
 func (h *handovers) candidates(job string) []nodes.Record {
 	var out []nodes.Record
 	for owner, record := range h.view().Alive {
@@ -121,7 +122,7 @@
 	}
 	score := func(record *nodes.Record) uint64 { return claimScore(job, record.Owner()) }
 	slices.SortFunc(out, func(a, b nodes.Record) int { return cmp.Compare(score(&b), score(&a)) })
-	return out[:min(handoverCandidates, len(out))]
+	return out
 }
 
 // claimScore ranks the nodes that may claim a job; the highest one does.
