Let items run on until another node takes their job

What callers saw: items were late during a roll of all nodes. A job was idle for two seconds and more at a time, and its items began anew.

Cause: a stopping node ended the runs of its jobs first and asked other nodes afterwards. In a roll all nodes that it knows may be stopping, while others are back that it learns of with its next read of the table of nodes. It then dropped its jobs, which waited until its lease had ended and another node claimed them. It also went on to claim jobs while it stopped, and read them again every 0.5 s.

Change: a stopping node asks first, every 200 ms until one takes the job, and ends the runs only then. Jobs that are submitted to it meanwhile run as well and are passed on after its last request. It marks its row, so that it claims nothing and is not asked.

The second case of TestStopHandsJobsOver failed before (the items began anew) and passes now, three runs with the race detector.

--- a/internal/jobs/handover.go
+++ b/internal/jobs/handover.go
@@ -4,12 +4,14 @@
 	"cmp"
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"gentiantide.example/gentiantide/internal/contain"
 	"gentiantide.example/gentiantide/internal/core"
 	"gentiantide.example/gentiantide/internal/infra"
 	"gentiantide.example/gentiantide/internal/nodes"
@@ -18,10 +20,21 @@
 
 const (
 	// kindHandover is the kind of the call with which a stopping node passes a job
-	// on.
+	// on, and kindOffer that of the question whether another one takes jobs.
 	kindHandover = "jobs.handover"
-	// handoverTimeout bounds the call: three calls to the store of a few ms each.
+	kindOffer    = "jobs.offer"
+	// offerTimeout bounds the question, which takes a few ms between data centres.
+	offerTimeout = 300 * time.Millisecond
+	// handoverTimeout bounds the handover: three calls to the store of a few ms each.
 	handoverTimeout = time.Second
+	// handoverRetryInterval is the pause before all nodes are asked again. In a roll
+	// of the whole fleet all that a node knows may be stopping, while others are back
+	// that it learns of with its next read of the table of nodes.
+	handoverRetryInterval = 200 * time.Millisecond
+	// handoverSettleTime is how long a job stays idle after a handover that failed: the
+	// new owner may have written itself into the row all the same, which this node
+	// learns with the next changes of the rows.
+	handoverSettleTime = time.Second
 	// quiesceTimeout bounds the wait for the runs and the commit of a job that is
 	// handed over.
 	quiesceTimeout = 500 * time.Millisecond
@@ -59,55 +72,70 @@
 	view      func() *nodes.View
 }
 
-// passOn passes all jobs on, each to the node that would claim it. Jobs that no node
-// takes stay with the runner.
+// passOn passes all jobs on, each to the node that would claim it. Their items run on
+// until another node takes the job, or ctx ends.
 func (h *handovers) passOn(ctx context.Context) {
-	r := h.runner
-	r.mu.Lock()
-	r.stopping = true
-	jobs := make([]*ownedJob, 0, len(r.jobs))
-	for _, job := range r.jobs {
-		jobs = append(jobs, job)
-	}
-	r.mu.Unlock()
-	r.cancelSearches()
-	done := make(chan struct{})
-	for _, job := range jobs {
-		go func() {
-			defer func() { done <- struct{}{} }()
+	var wait sync.WaitGroup
+	for _, job := range h.runner.ownedJobs() {
+		wait.Go(func() {
+			defer contain.Recover(h.runner.log, "handover of job", job.entry.ID)
 			h.pass(ctx, job)
-		}()
-	}
-	for range jobs {
-		<-done
+		})
 	}
+	wait.Wait()
 }
 
-// pass passes one job on.
+// pass passes one job on. It returns when the job is complete or has another owner, or
+// when ctx ends.
 func (h *handovers) pass(ctx context.Context, job *ownedJob) {
+	for h.runner.executes(job) && !h.passOnce(ctx, job) {
+		if !sleep(ctx, handoverRetryInterval) {
+			h.runner.log.Info("job not handed over", "job", job.entry.ID, "reason", "no other node took it in time")
+			return
+		}
+	}
+}
+
+// passOnce asks each live node once and reports whether one has taken the job.
+func (h *handovers) passOnce(ctx context.Context, job *ownedJob) bool {
+	for _, candidate := range h.candidates(job.entry.ID) {
+		if err := h.call(ctx, candidate.ID, kindOffer, offerTimeout, nil); err != nil {
+			h.runner.log.Debug("node takes no jobs", "node", candidate.ID, "error", err)
+			continue
+		}
+		return h.passTo(ctx, job, &candidate)
+	}
+	return false
+}
+
+// passTo ends the runs of a job and passes it to a node. If that fails, the job runs on
+// here, unless the node has become its owner.
+func (h *handovers) passTo(ctx context.Context, job *ownedJob, to *nodes.Record) bool {
 	r := h.runner
 	message, ok := r.quiesce(ctx, job)
+	defer r.resume(job)
 	if !ok {
 		r.log.Info("job not handed over", "job", job.entry.ID, "reason", "its commit is not done")
-		return
+		return false
 	}
-	for _, candidate := range h.candidates(job.entry.ID) {
-		if ctx.Err() != nil {
-			return
-		}
-		callCtx, cancel := context.WithTimeout(ctx, handoverTimeout)
-		err := h.messenger.Call(callCtx, candidate.ID, kindHandover, message, nil)
-		cancel()
-		if err == nil {
-			r.mu.Lock()
-			if r.jobs[job.entry.ID] == job {
-				r.drop(job, "handed over to "+candidate.Owner())
-			}
-			r.mu.Unlock()
-			return
+	err := h.call(ctx, to.ID, kindHandover, handoverTimeout, message)
+	if err == nil {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if r.jobs[job.entry.ID] == job {
+			r.drop(job, "handed over to "+to.Owner())
 		}
-		r.log.Info("job not handed over", "job", job.entry.ID, "node", candidate.ID, "error", err)
+		return true
 	}
+	r.log.Info("job not handed over", "job", job.entry.ID, "node", to.ID, "error", err)
+	sleep(ctx, handoverSettleTime)
+	return false
+}
+
+func (h *handovers) call(ctx context.Context, to core.NodeID, kind string, timeout time.Duration, message any) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return h.messenger.Call(ctx, to, kind, message, nil)
 }
 
 // candidates returns the live nodes, in the order in which they are asked to take a
@@ -116,7 +144,7 @@
 func (h *handovers) candidates(job string) []nodes.Record {
 	var out []nodes.Record
 	for owner, record := range h.view().Alive {
-		if owner != h.runner.owner && record.Address != "" {
+		if owner != h.runner.owner && record.Address != "" && !record.Stopping {
 			out = append(out, record)
 		}
 	}
@@ -135,6 +163,7 @@
 	ctx, cancel := context.WithTimeout(ctx, quiesceTimeout)
 	defer cancel()
 	r.mu.Lock()
+	job.handingOver = true
 	for task := range job.running {
 		task.cancel(errPreempted) // its output is kept
 	}
@@ -149,6 +178,14 @@
 	}
 }
 
+// resume lets the items of a job run again that was not handed over.
+func (r *Runner) resume(job *ownedJob) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	job.handingOver = false
+	r.wakeDispatch()
+}
+
 // handoverMessage returns the message that passes a job on, or nil while it has runs
 // or results that are not committed, or if the runner no longer has it.
 func (r *Runner) handoverMessage(job *ownedJob) *handover {
@@ -170,6 +207,14 @@
 	return message
 }
 
+// handleOffer says whether this node takes jobs.
+func (h *handovers) handleOffer(context.Context, core.NodeID, []byte) ([]byte, error) {
+	if h.runner.refusesJobs() {
+		return nil, errStopping
+	}
+	return nil, nil
+}
+
 // handleHandover takes a job from a stopping node.
 func (h *handovers) handleHandover(ctx context.Context, from core.NodeID, body []byte) ([]byte, error) {
 	var message handover
@@ -177,10 +222,7 @@
 		return nil, err
 	}
 	r := h.runner
-	r.mu.Lock()
-	stopping := r.stopping
-	r.mu.Unlock()
-	if stopping {
+	if r.refusesJobs() {
 		return nil, errStopping
 	}
 	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
--- a/internal/jobs/orphanclaimer.go
+++ b/internal/jobs/orphanclaimer.go
@@ -34,6 +34,9 @@
 // different views may both try to claim a job; only one of the writes succeeds.
 func (c *orphanClaimer) claimOrphans(ctx context.Context, view *nodes.View) {
 	r := c.runner
+	if r.refusesJobs() {
+		return
+	}
 	orphans := r.cache.Select(func(e *Entry) bool {
 		if e.State != StateOpen || !c.assignedHere(e.ID, view) {
 			return false
@@ -86,11 +89,15 @@
 	c.mu.Unlock()
 }
 
-// assignedHere reports whether rendezvous hashing assigns a job to this node.
+// assignedHere reports whether rendezvous hashing assigns a job to this node. Nodes that
+// are stopping claim none.
 func (c *orphanClaimer) assignedHere(job string, view *nodes.View) bool {
 	var best string
 	var bestScore uint64
-	for owner := range view.Alive {
+	for owner, record := range view.Alive {
+		if record.Stopping {
+			continue
+		}
 		if score := claimScore(job, owner); best == "" || score > bestScore {
 			best, bestScore = owner, score
 		}
--- a/internal/jobs/ownedjob.go
+++ b/internal/jobs/ownedjob.go
@@ -15,6 +15,8 @@
 	// committed is the number of results already in the table.
 	committed  int
 	committing bool
+	// handingOver is set while the job is passed to another node. Its items do not run.
+	handingOver bool
 }
 
 // remaining returns the number of items without a committed result.
--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -54,8 +55,10 @@
 	jobs          map[string]*ownedJob
 	searches      map[core.DeploymentID]int // running searches for slots, by service
 	meanTokenTime *meanTokenTime
-	stopping      bool
-	wg            sync.WaitGroup
+	// leaving is set while the node takes no jobs from other nodes, because it is about to
+	// stop. stopped is set when no more items are started.
+	leaving, stopped bool
+	wg               sync.WaitGroup
 }
 
 func newRunner(s *store, cache *JobCache, o *Options) *Runner {
@@ -106,7 +109,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if _, known := r.jobs[entry.ID]; known || r.stopping {
+	if _, known := r.jobs[entry.ID]; known || r.stopped {
 		return
 	}
 	// The row may have changed while the items and results were read. The call
@@ -140,6 +143,34 @@
 	return ok
 }
 
+// executes reports whether this node executes the job.
+func (r *Runner) executes(job *ownedJob) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.jobs[job.entry.ID] == job
+}
+
+// ownedJobs returns the jobs that this node executes.
+func (r *Runner) ownedJobs() []*ownedJob {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Collect(maps.Values(r.jobs))
+}
+
+// refuseJobs makes the node take no more jobs from other nodes. Those that callers submit
+// to it are still executed.
+func (r *Runner) refuseJobs() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leaving = true
+}
+
+func (r *Runner) refusesJobs() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.leaving
+}
+
 // RowsChanged handles changed job rows. It drops jobs that are no longer open or
 // have another owner.
 func (r *Runner) RowsChanged(entries []Entry) {
@@ -170,7 +201,7 @@
 	clock, known := r.clock()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.stopping {
+	if r.stopped {
 		return
 	}
 	wanted := make(map[core.DeploymentID]int)
@@ -216,7 +247,7 @@
 	clock, _ := r.clock()
 	for _, task := range r.readyItems(time.Now(), clock) {
 		route, status := r.exec.route(task)
-		if status == routeFound && route.HasBackend(q.Service) && !r.exec.quarantined(task) && !r.stopping {
+		if status == routeFound && route.HasBackend(q.Service) && !r.exec.quarantined(task) && !r.stopped {
 			r.startItem(task, route, target)
 			r.wakeDispatch() // a further search may start now
 			return
@@ -239,6 +270,9 @@
 func (r *Runner) readyItems(now time.Time, clock time.Duration) []*itemTask {
 	var all []*itemTask
 	for _, job := range r.jobs {
+		if job.handingOver {
+			continue
+		}
 		for _, task := range job.pending {
 			if !task.notBefore.After(now) {
 				all = append(all, task)
@@ -331,7 +365,7 @@
 // and drops the remaining jobs. Other nodes take these over.
 func (r *Runner) Stop(ctx context.Context) {
 	r.mu.Lock()
-	r.stopping = true
+	r.leaving, r.stopped = true, true
 	r.mu.Unlock()
 	r.cancelSearches()
 	done := make(chan struct{})
--- a/internal/jobs/service.go
+++ b/internal/jobs/service.go
@@ -76,6 +76,7 @@
 	cache.Notify = runner.RowsChanged
 	if o.Messenger != nil {
 		service.handovers = &handovers{runner: runner, messenger: o.Messenger, view: o.Nodes.View}
+		o.Messenger.Handle(kindOffer, service.handovers.handleOffer)
 		o.Messenger.Handle(kindHandover, service.handovers.handleHandover)
 	}
 	return service
@@ -116,12 +117,26 @@
 // Victims returns the items that Preempt would choose; see Runner.Victims.
 func (s *Service) Victims() map[core.ReplicaID]placement.Victim { return s.runner.Victims() }
 
-// Stop passes the jobs on to other nodes, and stops the execution of those that no
-// node takes; see Runner.Stop. While the store does not answer, no node can take any.
-func (s *Service) Stop(ctx context.Context) {
+// itemDrainTimeout is how long items may run on, when the node stops, whose jobs could
+// not be passed on. Other nodes resume them after this node's lease has ended.
+const itemDrainTimeout = 3 * time.Second
+
+// PassOn takes no more jobs from other nodes and passes the jobs on to them. It returns
+// when that is done or ctx ends; until then, and for jobs that are submitted to this node
+// later, items run on. While the store does not answer, no node can take any.
+func (s *Service) PassOn(ctx context.Context) {
+	s.runner.refuseJobs()
 	if s.handovers != nil && !s.nodes.Failing() {
 		s.handovers.passOn(ctx)
 	}
+}
+
+// Stop passes the remaining jobs on and stops the execution of those that no node takes;
+// see Runner.Stop.
+func (s *Service) Stop(ctx context.Context) {
+	s.PassOn(ctx)
+	ctx, cancel := context.WithTimeout(ctx, itemDrainTimeout)
+	defer cancel()
 	s.runner.Stop(ctx)
 }
 
--- a/internal/nodes/directory.go
+++ b/internal/nodes/directory.go
@@ -64,6 +64,7 @@
 	// restored is when a renewal succeeded again after a failed one.
 	restored monotime.AtomicTime
 	failing  atomic.Bool
+	stopping atomic.Bool
 	// mu is held by renew and Leave, so that no renewal undoes Leave.
 	mu   sync.Mutex
 	left bool
@@ -189,6 +190,13 @@
 	return max(minRenewInterval, time.Duration(nodes)*renewIntervalPerNode)
 }
 
+// MarkStopping tells the other nodes, with a renewal of the lease that is due at once,
+// that this one is stopping.
+func (d *Directory) MarkStopping() {
+	d.stopping.Store(true)
+	d.RenewSoon()
+}
+
 // Leave ends this node's lease, so that other nodes take over its jobs at once.
 // If a later run of the process has written the row since, the row stays and
 // the error is infra.ErrConflict.
@@ -224,6 +232,7 @@
 	}
 	sharedState := takeSharedState(&set)
 	record := d.self
+	record.Stopping = d.stopping.Load()
 	record.Until = set.Clock + leaseRenewals*renewInterval(len(set.Rows))
 	value, err := msgpack.Marshal(&record)
 	if err != nil {
--- a/internal/nodes/record.go
+++ b/internal/nodes/record.go
@@ -17,6 +17,8 @@
 	DataCentre core.DataCentre `msgpack:"data_centre"`
 	// CPUCores is the node's CPU share, in cores.
 	CPUCores float64 `msgpack:"processor,omitempty"`
+	// Stopping is set while the process stops. It still serves, and takes no jobs.
+	Stopping bool `msgpack:"stopping,omitempty"`
 	// Until is the time of the store's clock at which the node's lease ends.
 	Until time.Duration `msgpack:"until"`
 }
--- a/internal/platformnode/stop.go
+++ b/internal/platformnode/stop.go
@@ -10,9 +10,6 @@
 	// readiness check starts to fail. The load balancer checks once per second and
 	// removes a node after two failed checks.
 	OutOfRotationDelay = 2300 * time.Millisecond
-	// itemDrainTimeout is how long running items may continue. The remaining items
-	// are resumed by other nodes after this node's lease has ended.
-	itemDrainTimeout = 3 * time.Second
 	// exitMargin is the part of the stop grace period reserved for the exit.
 	exitMargin = 700 * time.Millisecond
 	// leaveTimeout bounds the write that ends the node's lease.
@@ -25,13 +22,16 @@
 func (n *Node) stop(callers *callerServers) {
 	n.stopping.Store(true)
 	n.placer.Stop()
+	n.nodes.MarkStopping()
 	deadline := time.Now().Add(max(n.OutOfRotationDelay, n.settings.StopGrace-exitMargin))
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
-	leaveDone := make(chan struct{})
+	jobsCtx, cancelJobs := context.WithDeadline(ctx, deadline.Add(-leaveTimeout))
+	defer cancelJobs()
+	passedOn := make(chan struct{})
 	go func() {
-		defer close(leaveDone)
-		n.leaveFleet(ctx)
+		defer close(passedOn)
+		n.jobs.PassOn(jobsCtx)
 	}()
 	select {
 	case <-ctx.Done():
@@ -41,19 +41,18 @@
 		n.log.Warn("closing connections with requests in progress at the end of the stop grace period", "in_flight", n.counters.InFlight(), "error", err)
 		callers.Close()
 	}
-	<-leaveDone
+	<-passedOn
+	n.jobs.Stop(jobsCtx)
+	n.leaveFleet()
 	n.log.Info("stopped", "in_flight", n.counters.InFlight())
 }
 
-// leaveFleet drains the batch work and ends the node's lease, so that other nodes
-// take over the remaining jobs.
-func (n *Node) leaveFleet(ctx context.Context) {
-	itemsCtx, cancel := context.WithTimeout(ctx, itemDrainTimeout)
+// leaveFleet ends the node's lease, so that other nodes take over the jobs that were not
+// handed over.
+func (n *Node) leaveFleet() {
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
-	n.jobs.Stop(itemsCtx)
-	leaveCtx, cancel := context.WithTimeout(ctx, leaveTimeout)
-	defer cancel()
-	if err := n.nodes.Leave(leaveCtx); err != nil {
+	if err := n.nodes.Leave(ctx); err != nil {
 		n.log.Warn("node lease could not be ended and will lapse", "error", err)
 	}
 }
