Read the software version of replicas, and place requests by it

Replicas of several versions of their software may serve side by side in one service. A stream, or an item with partial output, must go on at the version that began it, so a placement request can now name the version that its replica must have.

The version is a field of the placement request, and hubs read the versions from their registry. The list of excluded replicas would have done without a change of the hub, but in a service of 150 replicas it holds 75 IDs, about 1 KiB with each request, and it is wrong when the hub knows newer registrations than the node. The votes for ejections are not affected, as the list has no further entries. A hub of an earlier build ignores the field: the node checks the replica that it is granted, and if that has another version, it asks once more with the replicas of the other versions excluded.

A registration with another version shows another process, like one with another start, and resets what is known of the replica.

--- a/internal/core/id.go
+++ b/internal/core/id.go
@@ -21,6 +21,11 @@
 // fleet.
 type ReplicaID string
 
+// SoftwareVersion is the version of the software of a backend server, for example
+// "v1". Replicas of several versions may serve side by side, and versions have no
+// order. The empty version is one of its own.
+type SoftwareVersion string
+
 // JobID identifies a batch job.
 type JobID string
 
--- a/internal/discovery/registryupdater.go
+++ b/internal/discovery/registryupdater.go
@@ -100,7 +100,7 @@
 	u.mu.Unlock()
 	u.registry.Put(info)
 	u.log.Info("replica registered", "replica", id, "service", info.Service, "address", info.Address,
-		"leaving", info.Leaving, "started", info.Started, "version", row.Version)
+		"leaving", info.Leaving, "started", info.Started, "software", string(info.Version), "version", row.Version)
 }
 
 // unregister handles a registration that no longer exists. During and shortly
--- a/internal/placement/messages.go
+++ b/internal/placement/messages.go
@@ -105,6 +105,8 @@
 	// NumEjected is the number of leading entries of Excluded that the node has
 	// ejected.
 	NumEjected int `msgpack:"a,omitempty"`
+	// Version, if set, is the version of the software that the replica must have.
+	Version *core.SoftwareVersion `msgpack:"q,omitempty"`
 	// Waited is how long the request has waited, Objective the time in which
 	// its response should begin, and MaxWait the time after which its caller
 	// gives up, all since its arrival. They are sent as durations because the
--- a/internal/placement/openings.go
+++ b/internal/placement/openings.go
@@ -93,7 +93,7 @@
 	var free, occupied *opening
 	for _, r := range o.list {
 		switch {
-		case q.excludes(r.id), q.batch && !r.takesItems():
+		case q.excludes(&r.replicaSlots), q.batch && !r.takesItems():
 		case r.free() > 0:
 			if free == nil || r.before(free, q) {
 				free = r
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -36,6 +36,8 @@
 	Service core.DeploymentID
 	// Tried are the replicas that the request must not return to.
 	Tried []core.ReplicaID
+	// Version, if set, is the version of the software that the replica must have.
+	Version *core.SoftwareVersion
 	// Arrived is when the request arrived at this node.
 	Arrived time.Time
 	// Objective is the time in which the response should begin, and MaxWait the
@@ -81,7 +83,7 @@
 	defer s.localMu.Unlock()
 	now := time.Now()
 	choice := &replica.Query{
-		Service: q.Service, DataCentre: s.Nodes.Self().DataCentre, Now: now, Tried: q.Tried,
+		Service: q.Service, DataCentre: s.Nodes.Self().DataCentre, Now: now, Tried: q.Tried, Version: q.Version,
 		MayUse: func(r *replica.Replica) bool { return s.mayUseLocally(r, now) },
 	}
 	if q.Class == core.ClassBatch {
@@ -120,7 +122,22 @@
 		}
 		s.sendWithdrawal(hub, g, id)
 		tried = append(tried, grant.Replica)
+		if q.Version != nil {
+			tried = s.appendOtherVersions(tried, q)
+		}
+	}
+}
+
+// appendOtherVersions adds the replicas of a service that have not the version of the
+// query. A hub of an earlier build does not read the version of a request, and would
+// grant one replica after the other.
+func (s *Service) appendOtherVersions(tried []core.ReplicaID, q *Query) []core.ReplicaID {
+	for _, r := range s.Registry.Ready(q.Service) {
+		if info := r.Info(); !info.HasVersion(q.Version) && !slices.Contains(tried, info.ID) {
+			tried = append(tried, info.ID)
+		}
 	}
+	return tried
 }
 
 // ejectedReplicas returns the replicas of a service that this node has ejected,
@@ -202,7 +219,7 @@
 	var answer placementResponse
 	err := s.Transport.Call(ctx, hub, kindRequest, &placementRequest{
 		Group: g, ID: id, DataCentre: s.Nodes.Self().DataCentre, Identity: q.Identity, Urgent: q.Urgent,
-		Excluded: append(ejected, tried...), NumEjected: len(ejected),
+		Excluded: append(ejected, tried...), NumEjected: len(ejected), Version: q.Version,
 		Waited: time.Since(q.Arrived), Objective: q.Objective, MaxWait: q.MaxWait,
 		Batch: q.Class == core.ClassBatch, DueIn: q.DueIn, Late: q.Late,
 	}, &answer)
@@ -210,10 +227,11 @@
 }
 
 // acceptGrant counts the request as in flight at the replica. It returns nil
-// if, by what this node knows, the replica takes no new work.
+// if, by what this node knows, the replica takes no new work or has another version
+// than the query asks for: the hub may know of an earlier process of the replica.
 func (s *Service) acceptGrant(hub core.NodeID, g group, q *Query, grant grantNotice) *replica.Replica {
 	r := s.Registry.Get(grant.Replica)
-	if r == nil || r.Leaving() || r.Info().Service != q.Service || slices.Contains(q.Tried, grant.Replica) {
+	if r == nil || r.Leaving() || r.Info().Service != q.Service || !r.Info().HasVersion(q.Version) || slices.Contains(q.Tried, grant.Replica) {
 		return nil
 	}
 	s.mu.Lock()
--- a/internal/placement/queue.go
+++ b/internal/placement/queue.go
@@ -17,6 +17,8 @@
 	id       uint64
 	dc       core.DataCentre
 	excluded map[core.ReplicaID]bool
+	// version, if set, is the version of the software that the replica must have.
+	version *core.SoftwareVersion
 	// arrivedAt is when the request arrived at its node.
 	arrivedAt time.Time
 	// startBy is the latest start that is on time. abandonedAt is when the
@@ -41,7 +43,7 @@
 		excluded[id] = true
 	}
 	return &queuedRequest{
-		node: node, id: req.ID, dc: req.DataCentre, excluded: excluded, arrivedAt: arrivedAt, urgent: req.Urgent, identity: req.Identity,
+		node: node, id: req.ID, dc: req.DataCentre, excluded: excluded, version: req.Version, arrivedAt: arrivedAt, urgent: req.Urgent, identity: req.Identity,
 		startBy:     arrivedAt.Add(time.Duration(float64(req.Objective) * onTimeShare)),
 		abandonedAt: arrivedAt.Add(req.MaxWait),
 		batch:       req.Batch, dueAt: now.Add(req.DueIn), willMissDue: req.Late,
@@ -79,4 +81,6 @@
 func (q *queuedRequest) late(now time.Time) bool { return now.After(q.startBy) }
 
 // excludes reports whether the request must not go to a replica.
-func (q *queuedRequest) excludes(id core.ReplicaID) bool { return q.excluded[id] }
+func (q *queuedRequest) excludes(r *replicaSlots) bool {
+	return q.excluded[r.id] || q.version != nil && *q.version != r.version
+}
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -35,10 +35,11 @@
 
 // replicaSlots is a replica with its number of slots.
 type replicaSlots struct {
-	id    core.ReplicaID
-	dc    core.DataCentre
-	slots int
-	limit replica.Limit
+	id      core.ReplicaID
+	dc      core.DataCentre
+	version core.SoftwareVersion
+	slots   int
+	limit   replica.Limit
 	// usableSince is when the hub began to use the replica, or used it again after
 	// it was ejected.
 	usableSince time.Time
@@ -113,7 +114,7 @@
 			return placementResponse{Outcome: outcomeGranted, Replica: assigned.replica, GrantID: assigned.grantID}, assigned
 		}
 	}
-	if !slices.ContainsFunc(s.replicas, func(r replicaSlots) bool { return !q.excludes(r.id) }) {
+	if !slices.ContainsFunc(s.replicas, func(r replicaSlots) bool { return !q.excludes(&r) }) {
 		return placementResponse{Outcome: outcomeNoReplica}, nil
 	}
 	if expected, least := s.expectedWait(q, now); q.hopeless(expected, now) {
--- a/internal/replica/choose.go
+++ b/internal/replica/choose.go
@@ -29,6 +29,8 @@
 	Now        time.Time
 	// Tried lists replicas that must not be chosen again.
 	Tried []core.ReplicaID
+	// Version, if set, is the version of the software that the replica must have.
+	Version *core.SoftwareVersion
 	// MinFreeSlots, if positive, is the least number of free slots that the
 	// replica must have.
 	MinFreeSlots int
@@ -66,7 +68,7 @@
 	}
 	for i, compared := 0, 0; i < len(ready) && compared < limit; i++ {
 		r := ready[(offset+i*step)%len(ready)]
-		if q.tried(r) || r.Ejected(q.Now) != ejected || q.MayUse != nil && !q.MayUse(r) {
+		if q.tried(r) || !r.Info().HasVersion(q.Version) || r.Ejected(q.Now) != ejected || q.MayUse != nil && !q.MayUse(r) {
 			continue
 		}
 		busy := r.EstimatedLoad(q.Now)
--- a/internal/replica/registry.go
+++ b/internal/replica/registry.go
@@ -37,8 +37,9 @@
 	return r
 }
 
-// Put adds a replica or updates its registration. A change of the process start
-// or the address resets the state that is kept about the replica.
+// Put adds a replica or updates its registration. A change of the process start, of
+// the address or of the software's version resets the state that is kept about the
+// replica, as it shows another process.
 func (g *Registry) Put(info Info) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -55,7 +56,7 @@
 		return
 	}
 	old.info.Store(&info)
-	if before.Started != info.Started || before.Address != info.Address {
+	if before.Started != info.Started || before.Address != info.Address || before.Version != info.Version {
 		old.reset()
 	}
 	g.publish()
--- a/internal/replica/registry_test.go
+++ b/internal/replica/registry_test.go
@@ -3,6 +3,7 @@
 import (
 	"strconv"
 	"testing"
+	"time"
 
 	"github.com/onsi/gomega"
 
@@ -44,3 +45,14 @@
 		})
 	}
 }
+
+// Guards against a new process of a replica that is ejected for the failures of the one
+// before, if its registration does not name its start.
+func TestAnotherVersionIsAnotherProcess(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := NewRegistry()
+	r.Put(Info{ID: "r", Service: "m", Version: "v1"})
+	r.Get("r").RecordFailure(time.Now())
+	r.Put(Info{ID: "r", Service: "m", Version: "v2"})
+	g.Expect(r.Get("r").Ejected(time.Now())).To(gomega.BeFalse())
+}
