Resume a stream only at the version that began it

What callers saw: streams whose replica broke them off went on at a replica of another software version of the service. What two versions write does not fit together, so the text that a caller got was wrong from that event on.

Cause: a resumed stream was placed like any other request; neither the node nor the hub looked at versions.

Change: the request remembers the service and the version of the replica whose header was sent to the caller, as they were registered when the request was sent to it, and asks for a replica of these. If none is available, the connection is broken off, so that the caller can take the stream up. Until something of the stream was passed on, any version will do. The service counts, too: on a split route a stream could go on at another service.

A replica may start again with another version under its ID and address. If its registration changes while a stream runs, events that come afterwards may be from either process: a replica that resumes a stream then counts as failed for it, and a stream that it began is passed on to its end, but not resumed.

Tests, all in version_test.go: TestStreamResumesAtItsVersion, TestStreamWithoutReplicaOfItsVersionIsBrokenOff, TestStreamOfUnknownVersionIsNotResumed, TestResumedStreamRefusesAnotherVersion and TestStreamResumesAtItsService failed before; TestStreamWithoutEventBeginsAtAnyVersion guards the rest.

--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -79,9 +79,12 @@
 	// whichever is earlier.
 	deadline time.Time
 
-	tried []core.ReplicaID
-	sends int // attempts sent to replicas
-	runs  int // attempts that may have run
+	// begunAt, if set, is the software of the replica that began the stream. No other
+	// one may go on with it.
+	begunAt *replica.Software
+	tried   []core.ReplicaID
+	sends   int // attempts sent to replicas
+	runs    int // attempts that may have run
 	// busy and slowdown are the estimated load and the slowdown of the last chosen
 	// replica.
 	busy     float64
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -25,13 +25,22 @@
 	defaultObjective = 300 * time.Millisecond
 )
 
+// errOtherSoftware is the error of an attempt whose replica has started again with
+// another version, so that its events would not fit to those of the stream.
+var errOtherSoftware = errors.New("replica has started again with other software")
+
 // attempt is one request to one replica and its result.
 type attempt struct {
 	replica  *replica.Replica
 	response *replica.Response
 	run      *quarantine.Run
 	sent     time.Time
-	started  int64 // the start of the replica's process when the request was sent
+	// started is the start of the replica's process, and software what it runs, by its
+	// registration when the request was sent.
+	started  int64
+	software replica.Software
+	// resumes is set if the attempt goes on with a stream that another one began.
+	resumes  bool
 	info     ResponseInfo
 	err      error
 	released bool
@@ -46,6 +55,10 @@
 	return a.info.NotRun
 }
 
+// restarted reports whether the replica has registered with other software since the
+// request was sent to it. What comes from it since then may be from either process.
+func (a *attempt) restarted() bool { return a.replica.Info().Software() != a.software }
+
 // place chooses a replica for the next attempt and counts the request on its load.
 // It returns nil if no replica is available, or no attempt or time is left.
 func (r *request) place(ctx context.Context, urgent bool) *replica.Replica {
@@ -53,10 +66,16 @@
 	if r.sends >= maxSends || r.deadline.Sub(began) < minRemaining || ctx.Err() != nil {
 		return nil
 	}
-	target, wait := r.h.Placer.Place(ctx, &placement.Query{
-		Service: r.route.Pick(uint64(began.UnixNano())), Tried: r.tried, Arrived: r.arrived,
+	query := &placement.Query{
+		Tried: r.tried, Arrived: r.arrived,
 		Objective: r.objective(), MaxWait: r.maxWait(), Urgent: urgent, Identity: r.identity,
-	})
+	}
+	if r.begunAt != nil {
+		query.Service, query.Version = r.begunAt.Service, &r.begunAt.Version
+	} else {
+		query.Service = r.route.Pick(uint64(began.UnixNano()))
+	}
+	target, wait := r.h.Placer.Place(ctx, query)
 	now := time.Now()
 	r.placementTime += now.Sub(began)
 	r.expectedWait = wait
@@ -96,8 +115,13 @@
 	info := target.Info()
 	r.tried = append(r.tried, info.ID)
 	r.sends++
-	a := &attempt{replica: target, run: r.run, sent: now, started: info.Started}
+	a := &attempt{replica: target, run: r.run, sent: now, started: info.Started, software: info.Software(), resumes: r.begunAt != nil}
 	r.attempt = a
+	if r.begunAt != nil && a.software != *r.begunAt {
+		a.err = errOtherSoftware
+		a.release()
+		return a
+	}
 	a.response, a.err = target.Send(ctx, &replica.Request{
 		ID: r.reqInfo.ID, Method: r.in.Method, Target: r.in.RequestURI, Host: r.in.Host,
 		Header: r.h.Codec.ReplicaHeader(r.in.Header, SendOptions{
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -40,12 +40,15 @@
 	// unnumbered is set once something without an ID was forwarded, other than a comment
 	// of an event stream. No replica can resume the stream after it.
 	unnumbered bool
+	// softwareUnknown is set once it is not known any more which version began the
+	// stream. No replica can resume it.
+	softwareUnknown bool
 }
 
 // serveStream serves a request whose response is an event stream.
 func (r *request) serveStream(ctx context.Context) Outcome {
 	s := &streamRelay{r: r, out: http.NewResponseController(r.w), lastEvent: NoResume}
-	for r.mayRetry() && !s.unnumbered {
+	for r.mayRetry() && !s.unnumbered && !s.softwareUnknown {
 		outcome, done := s.attempt(ctx)
 		if done {
 			return outcome
@@ -66,6 +69,8 @@
 		if !r.headerSent {
 			return r.respondFailure(ctx), true
 		}
+		r.h.Log.Info("stream broken off", "request", r.reqInfo.ID, "reason", "no replica of its software to resume it",
+			"service", string(r.begunAt.Service), "software", string(r.begunAt.Version), "last_event", s.lastEvent)
 		return s.abort(ctx), true
 	}
 	attemptCtx, cancel := context.WithCancelCause(ctx)
@@ -92,7 +97,8 @@
 	}
 	s.resumed = s.hasLastEvent
 	err := s.copy(a, watchdog)
-	if !errors.Is(err, errCallerWrite) && context.Cause(attemptCtx) == nil {
+	otherSoftware := errors.Is(err, errOtherSoftware)
+	if !errors.Is(err, errCallerWrite) && !otherSoftware && context.Cause(attemptCtx) == nil {
 		a.run.RecordEnd(err, a.response.Framed)
 	}
 	a.release()
@@ -103,11 +109,11 @@
 	case errors.Is(err, errCallerWrite) || r.in.Context().Err() != nil:
 		return OutcomeCallerGone, true
 	}
-	if ctx.Err() == nil {
+	if ctx.Err() == nil && !otherSoftware {
 		a.replica.RecordFailure(time.Now())
 	}
 	r.h.Log.Info("stream interrupted", "request", r.reqInfo.ID, "replica", a.replica.Info().ID,
-		"last_event", s.lastEvent, "error", err, "cause", context.Cause(attemptCtx))
+		"last_event", s.lastEvent, "software", string(a.software.Version), "error", err, "cause", context.Cause(attemptCtx))
 	return "", false
 }
 
@@ -186,6 +192,9 @@
 		case s.resumed && !e.HasID && !e.IsComment():
 			return errEventOrder
 		}
+		if err := s.checkSoftware(a); err != nil {
+			return err
+		}
 		progress = progress || !e.IsComment()
 		if e.HasID {
 			if s.hasLastEvent && e.ID != s.lastEvent+1 {
@@ -210,6 +219,21 @@
 	return progress, err
 }
 
+// checkSoftware returns an error if what comes from the replica may be of another version
+// than the stream.
+func (s *streamRelay) checkSoftware(a *attempt) error {
+	switch {
+	case !s.r.route.CanResume || s.softwareUnknown || !a.restarted():
+		return nil
+	case a.resumes || !s.r.headerSent:
+		return errOtherSoftware
+	}
+	s.softwareUnknown = true
+	s.r.h.Log.Info("version that began a stream is not known any more", "request", s.r.reqInfo.ID, "replica", a.replica.Info().ID,
+		"software", string(a.software.Version), "registered", string(a.replica.Info().Version))
+	return nil
+}
+
 // sendHeader sends the response header of the first replica that sent an event.
 // Later calls do nothing.
 func (s *streamRelay) sendHeader(a *attempt) {
@@ -217,6 +241,7 @@
 		return
 	}
 	s.r.headerSent = true
+	s.r.begunAt = &a.software
 	s.r.firstByte = time.Since(s.r.arrived)
 	s.r.h.Codec.CallerHeader(s.r.w.Header(), a.response.Header)
 	s.r.w.WriteHeader(a.response.Status)
