--- a/internal/forward/standby_test.go
+++ b/internal/forward/standby_test.go
@@ -102,7 +102,7 @@
 		g := gomega.NewWithT(t)
 		st := newStandbyTest(500*time.Millisecond, 0)
 		time.Sleep(testSilence + 200*time.Millisecond) // the search has begun
-		st.standby.recordProgress(time.Now())
+		st.standby.recordProgress(time.Now(), &replica.Software{Service: "models", Version: "v1"})
 		time.Sleep(testSilence - time.Millisecond)
 		g.Expect(st.replaced.Load()).To(gomega.BeZero())
 		g.Expect(st.load()).To(gomega.Equal(0))
@@ -110,6 +110,7 @@
 		synctest.Wait()
 		g.Expect(st.placer.sent()).To(gomega.HaveLen(2))
 		g.Expect(st.placer.sent()[1].Urgent).To(gomega.BeTrue())
+		g.Expect(*st.placer.sent()[1].Version).To(gomega.Equal(core.SoftwareVersion("v1")))
 		g.Expect(st.standby.stop()).To(gomega.BeNil())
 		synctest.Wait()
 		g.Expect(st.replaced.Load()).To(gomega.BeZero())
