Tell all nodes when a hub stops and when it has started

What callers saw: during a roll of all nodes items got no slots for a second or two at each change of a hub, and were late.

Cause: a stopping node refused to place requests from the signal on, and each node found that out by a request that failed. Nodes changed at different times, so that two hubs granted the same slots, and the next hub could not know the work of all nodes. It therefore placed no items for a second; with several nodes stopping at a time the role moved ten times in a roll. The same happened when the node was back.

Change: the hub goes on until its node has served its last request, then tells all nodes, which report to the next hub at once and move their queued requests there; a started hub makes itself known in the same way.

TestNodesLearnOfAStoppingHubFromItself, TestQueuedRequestMovesToTheNextHub and TestNodesUseAStartedHubAtOnce fail without the announcement (trial); TestHubPlacesItemsSoonAfterAnAnnouncedChange guards the shorter time.

--- a/internal/placement/group_test.go
+++ b/internal/placement/group_test.go
@@ -28,7 +28,7 @@
 	count := groupCount(replicas)
 	total := 0
 	for i := range count {
-		list := groupReplicas(nil, group{Service: "m", Index: i, Count: count}, registry.Ready("m"), time.Now())
+		list := groupReplicas(nil, group{Service: "m", Index: i, Count: count}, registry.Ready("m"), time.Now(), time.Now())
 		g.Expect(len(list)).To(gomega.And(gomega.BeNumerically(">", groupSize/2), gomega.BeNumerically("<", 2*groupSize)))
 		total += len(list)
 	}
@@ -63,14 +63,14 @@
 		registry.Put(replica.Info{ID: id, Service: "m", Slots: 8})
 	}
 	start := time.Now()
-	list := groupReplicas(nil, testGroup, registry.Ready("m"), start)
+	list := groupReplicas(nil, testGroup, registry.Ready("m"), start, start)
 	registry.Get("r1").RecordFailure(start)
 	ejected := start.Add(10 * time.Millisecond)
-	list = groupReplicas(list, testGroup, registry.Ready("m"), ejected)
+	list = groupReplicas(list, testGroup, registry.Ready("m"), ejected, ejected)
 	g.Expect(list).To(gomega.HaveLen(1))
 	again := start.Add(time.Minute)
 	since := make(map[core.ReplicaID]time.Time)
-	for _, r := range groupReplicas(list, testGroup, registry.Ready("m"), again) {
+	for _, r := range groupReplicas(list, testGroup, registry.Ready("m"), again, again) {
 		since[r.id] = r.usableSince
 	}
 	g.Expect(since).To(gomega.Equal(map[core.ReplicaID]time.Time{"r0": start, "r1": again}))
--- a/internal/placement/groupreplicas.go
+++ b/internal/placement/groupreplicas.go
@@ -8,8 +8,9 @@
 )
 
 // groupReplicas returns the replicas of a group that this node has not ejected, or
-// all of them if it has ejected all. previous is the last such list.
-func groupReplicas(previous []replicaSlots, g group, ready []*replica.Replica, now time.Time) []replicaSlots {
+// all of them if it has ejected all. previous is the last such list, and newSince is since
+// when those count as usable that are not in it.
+func groupReplicas(previous []replicaSlots, g group, ready []*replica.Replica, now, newSince time.Time) []replicaSlots {
 	usableSince := make(map[core.ReplicaID]time.Time, len(previous))
 	for _, r := range previous {
 		usableSince[r.id] = r.usableSince
@@ -22,7 +23,7 @@
 		}
 		since, ok := usableSince[info.ID]
 		if !ok {
-			since = now
+			since = newSince
 		}
 		limit, _ := r.Limit()
 		out = append(out, replicaSlots{id: info.ID, dc: info.DataCentre, version: info.Version, slots: max(1, info.Slots), limit: limit.Limit, usableSince: since})
--- a/internal/placement/hub.go
+++ b/internal/placement/hub.go
@@ -56,8 +56,10 @@
 	// announce makes this node known to the other hubs of a group.
 	firstHub func(group) *nodes.Record
 	announce func(group)
-	log      *slog.Logger
-	stopping atomic.Bool
+	// announced reports whether all nodes were just told that the group's hub changes.
+	announced func(group, time.Time) bool
+	log       *slog.Logger
+	stopping  atomic.Bool
 	// groupAdded gets an entry when a group is added.
 	groupAdded chan struct{}
 
@@ -112,7 +114,11 @@
 		if h.firstHub(g) != nil {
 			state.limits.share = secondHubShare
 		}
-		state.setReplicas(groupReplicas(state.replicas, g, ready, now), now)
+		newSince := now
+		if !ok && h.announced(g, now) {
+			newSince = now.Add(announcedSettleTime - replicaSettleTime)
+		}
+		state.setReplicas(groupReplicas(state.replicas, g, ready, now, newSince), now)
 	}
 	return state
 }
@@ -259,6 +265,9 @@
 // notifies their nodes and is called without the lock.
 func (h *hub) dispatch(state *groupState, now time.Time) func() {
 	state.dispatchedAt = now
+	if h.stopping.Load() {
+		return func() {} // the nodes ask the next hub
+	}
 	assigned := state.dispatch(now)
 	if len(assigned) == 0 {
 		return func() {}
--- /dev/null
+++ b/internal/placement/hubchange_test.go
@@ -0,0 +1,120 @@
+package placement
+
+import (
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"gentiantide.example/gentiantide/internal/core"
+	"gentiantide.example/gentiantide/internal/nodes"
+	"gentiantide.example/gentiantide/internal/peer"
+	"gentiantide.example/gentiantide/internal/replica"
+)
+
+// announcedFleet is a fleet whose nodes have made themselves known as hubs.
+func announcedFleet(t *testing.T, replicas []replica.Info, ids ...core.NodeID) *fleet {
+	f := newFleet(t, replicas, ids...)
+	for _, n := range f.nodes {
+		<-n.startAnnounced
+	}
+	return f
+}
+
+// others returns the nodes but one.
+func (f *fleet) others(except core.NodeID) []core.NodeID {
+	var out []core.NodeID
+	for id := range f.nodes {
+		if id != except {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// reported returns the nodes whose work a hub knows.
+func (h *hub) reported(g group) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.groups[g] == nil {
+		return 0
+	}
+	return len(h.groups[g].ledger.nodes)
+}
+
+// Guards against a stop of a hub that each node finds out by a request that fails, and
+// against a next hub that does not know the work of nodes without new requests: it would
+// grant slots that are taken. No request is made after the stop.
+func TestNodesLearnOfAStoppingHubFromItself(t *testing.T) {
+	f := announcedFleet(t, oneReplica(8), "a", "b", "c", "d")
+	hub := f.hub()
+	for _, id := range f.others(hub) {
+		f.Expect(<-f.place(t.Context(), id)).NotTo(gomega.BeNil())
+	}
+	next := f.nodes[f.others(hub)[0]].candidates.Load().hubs(testGroup)[1]
+	f.nodes[hub].Stop(t.Context())
+	for _, id := range f.others(hub) {
+		f.Expect(f.nodes[id].usableHubs(testGroup)[0]).To(gomega.Equal(next))
+	}
+	f.Eventually(func() int { return f.nodes[next].hub.reported(testGroup) }, testTimeout, "5ms").Should(gomega.Equal(len(f.others(hub))))
+}
+
+// Guards against a queued request that waits at a hub that has stopped.
+func TestQueuedRequestMovesToTheNextHub(t *testing.T) {
+	f := announcedFleet(t, oneReplica(1), "a", "b", "c")
+	hub := f.hub()
+	id := f.others(hub)[0]
+	held := <-f.place(t.Context(), id)
+	waits := f.place(t.Context(), id)
+	f.Eventually(func() int { return f.nodes[hub].hub.queueLength(testGroup) }, testTimeout, "1ms").Should(gomega.Equal(1))
+	n := f.nodes[id]
+	n.mu.Lock()
+	f.Expect(n.grantChans).To(gomega.HaveLen(1))
+	var before uint64
+	for request := range n.grantChans {
+		before = request
+	}
+	n.mu.Unlock()
+	f.nodes[hub].Stop(t.Context())
+	f.Eventually(func() bool {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		return len(n.grantChans) == 1 && n.grantChans[before] == nil
+	}, testTimeout, "1ms").Should(gomega.BeTrue())
+	held.End(core.ClassOnline)
+	f.Eventually(waits, testTimeout).Should(gomega.Receive(gomega.Not(gomega.BeNil())))
+}
+
+// Guards against a hub that places no items for a second after an announced change: it
+// knows the work of all nodes by then.
+func TestHubPlacesItemsSoonAfterAnAnnouncedChange(t *testing.T) {
+	g, log := gomega.NewWithT(t), slog.New(slog.DiscardHandler)
+	registry := replica.NewRegistry()
+	registry.Put(oneReplica(8)[0])
+	now := time.Now()
+	for announced, settled := range map[bool]time.Time{false: now.Add(replicaSettleTime), true: now.Add(announcedSettleTime)} {
+		h := newHub(&Options{Transport: peer.New("a", log), Registry: registry, Log: log}, nil)
+		h.firstHub = func(group) *nodes.Record { return nil }
+		h.announced = func(group, time.Time) bool { return announced }
+		state := h.ensureGroup(testGroup, now)
+		g.Expect(state.replicas[0].usableSince.Add(replicaSettleTime)).To(gomega.Equal(settled))
+	}
+}
+
+// Guards against nodes that go on using other hubs after the first one has started: each
+// would learn of it at another time.
+func TestNodesUseAStartedHubAtOnce(t *testing.T) {
+	f := announcedFleet(t, oneReplica(8), "a", "b", "c")
+	hub := f.hub()
+	f.Expect(<-f.place(t.Context(), hub)).NotTo(gomega.BeNil())
+	f.nodes[hub].Stop(t.Context())
+	for _, id := range f.others(hub) {
+		f.Expect(f.nodes[id].usableHubs(testGroup)).NotTo(gomega.ContainElement(hub))
+	}
+	f.nodes[hub].hub.stopping.Store(false) // its next process
+	f.nodes[hub].announceStart(t.Context())
+	for _, id := range f.others(hub) {
+		f.Expect(f.nodes[id].usableHubs(testGroup)[0]).To(gomega.Equal(hub))
+	}
+}
--- a/internal/placement/messages.go
+++ b/internal/placement/messages.go
@@ -156,6 +156,8 @@
 	GrantID   uint64         `msgpack:"g"`
 	// RejectedFor is the expected wait of a request that is rejected, else 0.
 	RejectedFor time.Duration `msgpack:"w,omitempty"`
+	// moved is set, within the node, if the request must ask the next hub.
+	moved bool
 }
 
 // withdrawal cancels a queued request or returns an unused grant.
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -107,7 +107,7 @@
 	sent := s.sentCounts[g]
 	s.mu.Unlock()
 	if sent == nil || sent.hub != hub {
-		s.sendCounts(g, hub, s.Victims(), time.Now())
+		s.reportTo(ctx, hub, g)
 	}
 	tried := slices.Clone(q.Tried)
 	for {
@@ -160,9 +160,9 @@
 // awaitGrant asks a hub for a replica and waits for the grant. For a request
 // that is rejected it returns the expected wait instead.
 func (s *Service) awaitGrant(ctx context.Context, hub core.NodeID, g group, q *Query, id uint64, tried []core.ReplicaID) (grantNotice, time.Duration, error) {
-	grants := make(chan grantNotice, 1)
+	waiting := &waitingRequest{hub: hub, grants: make(chan grantNotice, 1)}
 	s.mu.Lock()
-	s.grantChans[id] = grants
+	s.grantChans[id] = waiting
 	s.mu.Unlock()
 	defer func() {
 		s.mu.Lock()
@@ -180,7 +180,10 @@
 		case outcomeRejected:
 			return grantNotice{}, max(answer.ExpectedWait, time.Millisecond), nil
 		case outcomeQueued:
-			grant, err := receiveGrant(ctx, grants, q.retryInterval())
+			grant, err := receiveGrant(ctx, waiting.grants, q.retryInterval())
+			if grant.moved {
+				return grantNotice{}, 0, errHubStopped
+			}
 			if err != nil || grant.Replica != "" || grant.RejectedFor > 0 {
 				return grant, grant.RejectedFor, err
 			}
@@ -257,14 +260,10 @@
 		return nil, err
 	}
 	s.mu.Lock()
-	grants := s.grantChans[g.RequestID]
+	waiting := s.grantChans[g.RequestID]
 	s.mu.Unlock()
-	if grants == nil {
-		return nil, nil
-	}
-	select {
-	case grants <- g:
-	default: // the hub sent the grant twice
+	if waiting != nil {
+		waiting.notify(g)
 	}
 	return nil, nil
 }
--- a/internal/placement/ratelimits_test.go
+++ b/internal/placement/ratelimits_test.go
@@ -181,10 +181,10 @@
 		}
 	}
 	use()
-	f.nodes[first].Stop() // the next one takes over
+	f.nodes[first].Stop(f.t.Context()) // the next one takes over
 	use()
 	for _, n := range f.nodes {
-		n.Stop()
+		n.Stop(f.t.Context())
 	}
 	use() // without a hub
 	elapsed := time.Since(began).Seconds()
@@ -232,7 +232,7 @@
 	for _, n := range f.nodes {
 		f.Eventually(n.registry.Get("r").Leaving, testTimeout, "1ms").Should(gomega.BeTrue())
 	}
-	f.nodes[first].Stop()
+	f.nodes[first].Stop(f.t.Context())
 	for id := range f.nodes {
 		f.Expect((<-f.place(t.Context(), id)).Info().ID).To(gomega.Equal(core.ReplicaID("other")))
 	}
--- a/internal/placement/service.go
+++ b/internal/placement/service.go
@@ -56,6 +56,8 @@
 	lastRequestID atomic.Uint64
 	localMu       sync.Mutex // held while this node chooses a replica without a hub
 	localShares   localShares
+	// startAnnounced is closed when this node has made itself known as a hub.
+	startAnnounced chan struct{}
 
 	mu sync.Mutex
 	// peerAddresses are the addresses that the transport has been given.
@@ -63,9 +65,10 @@
 	// downHubs are the hubs that did not answer and have not answered a probe
 	// since.
 	downHubs map[core.NodeID]*downHub
-	// grantChans are the channels of the requests that wait for a grant, by
-	// request ID.
-	grantChans map[uint64]chan grantNotice
+	// grantChans are the requests that wait for a grant, by request ID.
+	grantChans map[uint64]*waitingRequest
+	// announcedAt is when all nodes were last told of a change of a group's hub.
+	announcedAt map[group]time.Time
 	// sentCounts is the state of the reports to hubs, by group.
 	sentCounts   map[group]*sentCounts
 	lastSequence uint64
@@ -86,15 +89,16 @@
 func New(o Options) *Service {
 	s := &Service{
 		Options: o, runID: rand.Uint64(), peerAddresses: make(map[core.NodeID]string), downHubs: make(map[core.NodeID]*downHub),
-		grantChans: make(map[uint64]chan grantNotice), sentCounts: make(map[group]*sentCounts), localShares: make(localShares),
+		grantChans: make(map[uint64]*waitingRequest), announcedAt: make(map[group]time.Time), sentCounts: make(map[group]*sentCounts), localShares: make(localShares), startAnnounced: make(chan struct{}),
 	}
 	// Starts at a random number, because a hub may still have requests from an
 	// earlier run of this node.
 	s.lastRequestID.Store(rand.Uint64())
 	s.candidates.Store(newHubCandidates(o.Nodes.View(), o.Nodes.Self()))
 	s.hub = newHub(&s.Options, s.sendPreemption)
-	s.hub.firstHub, s.hub.announce = s.firstHub, s.announce
+	s.hub.firstHub, s.hub.announce, s.hub.announced = s.firstHub, s.announce, s.recentlyAnnounced
 	o.Transport.Handle(kindHub, s.handleHub)
+	o.Transport.Handle(kindHubChange, s.handleHubChange)
 	o.Transport.Handle(kindGrant, s.handleGrant)
 	o.Transport.Handle(kindTotals, s.handleTotals)
 	o.Transport.Handle(kindPreempt, s.handlePreemption)
@@ -108,6 +112,7 @@
 	go s.hub.run(ctx)
 	refresh := time.NewTicker(maxCountsInterval)
 	defer refresh.Stop()
+	announced := false
 	for {
 		select {
 		case <-ctx.Done():
@@ -119,6 +124,13 @@
 			s.updateNodes()
 			s.probeDownHubs(ctx, time.Now())
 		}
+		if !announced && s.KnowsNodes() && len(s.Registry.All()) > 0 {
+			announced = true
+			go func() {
+				defer close(s.startAnnounced)
+				s.announceStart(ctx)
+			}()
+		}
 		s.sendAllCounts(time.Now())
 		// Batches the changes that arrive in the meantime.
 		pause := time.NewTimer(minCountsInterval)
@@ -131,10 +143,6 @@
 	}
 }
 
-// Stop makes the hub of this node refuse placement requests. Other nodes then
-// ask the next hub.
-func (s *Service) Stop() { s.hub.stopping.Store(true) }
-
 // KnowsNodes reports whether the service knows any node that can be a hub.
 func (s *Service) KnowsNodes() bool { return len(s.candidates.Load().records) > 0 }
 
@@ -204,6 +212,20 @@
 	}
 }
 
+// reportTo gives a hub that this node has not used before the counts of a group, and
+// returns when the hub has them: it would grant slots that this node occupies otherwise.
+func (s *Service) reportTo(ctx context.Context, hub core.NodeID, g group) {
+	c := s.dueCounts(g, hub, s.Victims(), time.Now())
+	if c == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, hubCallTimeout)
+	defer cancel()
+	if err := s.Transport.Call(ctx, hub, kindCounts, c, nil); err != nil {
+		s.Log.Debug("cannot send counts to the hub", "node", hub, "error", err)
+	}
+}
+
 // dueCounts returns the counts to send to a hub now, or nil.
 func (s *Service) dueCounts(g group, to core.NodeID, victims map[core.ReplicaID]Victim, now time.Time) *nodeCounts {
 	s.mu.Lock()
--- a/internal/placement/service_test.go
+++ b/internal/placement/service_test.go
@@ -142,14 +142,14 @@
 	hub := f.hub()
 	other := f.nodes[[]core.NodeID{"a", "b", "c"}[(slices.Index([]core.NodeID{"a", "b", "c"}, hub)+1)%3]]
 	f.Expect(<-f.place(t.Context(), other.Transport.Self())).NotTo(gomega.BeNil())
-	f.nodes[hub].Stop()
+	f.nodes[hub].Stop(f.t.Context())
 	f.Expect(<-f.place(t.Context(), other.Transport.Self())).NotTo(gomega.BeNil())
 	f.Expect(other.usableHubs(testGroup)).NotTo(gomega.ContainElement(hub))
 	f.nodes[hub].transport.Close()
 	f.Expect(<-f.place(t.Context(), other.Transport.Self())).NotTo(gomega.BeNil())
 	for _, n := range f.nodes { // no hub answers any more
 		n.transport.Block(func(core.NodeID) bool { return true })
-		n.Stop()
+		n.Stop(f.t.Context())
 	}
 	f.Expect(<-f.place(t.Context(), other.Transport.Self())).NotTo(gomega.BeNil())
 }
@@ -162,7 +162,7 @@
 		{ID: "r1", Service: "m", DataCentre: "dc-a", Slots: 8}, {ID: "r2", Service: "m", DataCentre: "dc-a", Slots: 8},
 	}
 	f := newFleet(t, replicas, "a")
-	f.nodes["a"].Stop()
+	f.nodes["a"].Stop(f.t.Context())
 	var wait sync.WaitGroup
 	for range 16 {
 		wait.Go(func() {
--- a/internal/placement/version_test.go
+++ b/internal/placement/version_test.go
@@ -38,7 +38,7 @@
 			f := newFleet(t, versioned(6), "a", "b")
 			for _, n := range f.nodes {
 				if stopped {
-					n.Stop()
+					n.Stop(f.t.Context())
 				}
 			}
 			for range 5 {
@@ -67,7 +67,7 @@
 	}
 	f.start("b", unaware)
 	a, b := f.nodes["a"], f.nodes["b"]
-	a.Stop()
+	a.Stop(f.t.Context())
 	f.Eventually(func() int { a.updateNodes(); return len(a.candidates.Load().records) }, testTimeout, "10ms").Should(gomega.Equal(2))
 	r := f.placeVersion("a", "v1")
 	f.Expect(r).NotTo(gomega.BeNil())
--- a/internal/platformnode/stop.go
+++ b/internal/platformnode/stop.go
@@ -21,7 +21,6 @@
 // in progress. Batch work is handed over at the same time.
 func (n *Node) stop(callers *callerServers) {
 	n.stopping.Store(true)
-	n.placer.Stop()
 	n.nodes.MarkStopping()
 	deadline := time.Now().Add(max(n.OutOfRotationDelay, n.settings.StopGrace-exitMargin))
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
@@ -43,6 +42,7 @@
 	}
 	<-passedOn
 	n.jobs.Stop(jobsCtx)
+	n.placer.Stop(context.Background()) // other nodes used this hub until now
 	n.leaveFleet()
 	n.log.Info("stopped", "in_flight", n.counters.InFlight())
 }
