Resume an item only at the version that made its output so far

What callers saw: the text of an item was joined from the output of two software versions when its stream broke off, when it was preempted, or when its node stopped and passed the job on.

Cause: an item went to any replica of its service, with the last event that it had received; neither the item nor the message that passes a job on named the version.

Change: an item knows the service and the version that made its output, and passes them on with it. While it waits for them, it has searches of its own, which ask the hub for that version; other items use the slots of the others. It begins anew, at any version, if no replica of its version takes work any more, or when it has waited for 2 s or, if that is longer, for the time that its output took: waiting then costs at most as much as beginning anew, and output is thrown away only when a replica of another version has a slot for the item. Output that a node of an earlier build passes on names no version and is not used. A node of an earlier build that takes a job over still joins it with anything: that ends when all nodes run this build.

If a replica registers with another version while an item runs there, the output may be of either one, and the item begins anew. The replica is not ejected for it.

--- a/internal/jobs/commit_test.go
+++ b/internal/jobs/commit_test.go
@@ -42,7 +42,7 @@
 	self := nodes.Record{ID: core.NodeID(id), Lifetime: lifetime}
 	placer := &localPlacer{registry: replica.NewRegistry()}
 	runner := newRunner(s, cache, &Options{
-		Executor: exec, Placer: placer, Nodes: nodes.NewDirectory(rows, self, log), Clock: rows.Clock, Log: log,
+		Executor: exec, Placer: placer, Registry: placer.registry, Nodes: nodes.NewDirectory(rows, self, log), Clock: rows.Clock, Log: log,
 	})
 	cache.Notify = runner.RowsChanged
 	return &fixture{WithT: gomega.NewWithT(t), rows: rows, store: s, runner: runner, registry: placer.registry}
--- a/internal/jobs/executor.go
+++ b/internal/jobs/executor.go
@@ -135,10 +135,14 @@
 // sendItem sends the item to the replica, from the last received event on, and
 // reads the response.
 func (e *Executor) sendItem(ctx context.Context, run *itemRun, target *replica.Replica) (runOutcome, error) {
-	task, started, sent := run.task, target.Info().Started, time.Now()
+	task, info, sent := run.task, target.Info(), time.Now()
+	run.target, run.software = target, info.Software()
+	if task.begunAt != nil && *task.begunAt != run.software {
+		return outcomeDeclined, errOtherSoftware
+	}
 	response, err := target.Send(ctx, &replica.Request{
 		ID: task.item.ID, Method: http.MethodPost, Target: task.item.Path, Host: task.job.entry.Host,
-		Header: e.Codec.ReplicaHeader(task.item.header(), forward.SendOptions{Replica: target.Info().ID, ResumeAfter: task.lastEvent}),
+		Header: e.Codec.ReplicaHeader(task.item.header(), forward.SendOptions{Replica: info.ID, ResumeAfter: task.lastEvent}),
 		Body:   task.item.Body, HasBody: true, MatchResponse: e.Codec.ResponseMatcher(task.item.ID),
 	})
 	if err != nil {
@@ -148,12 +152,16 @@
 		return outcomeBroken, err
 	}
 	defer response.Close()
-	info := e.Codec.ParseResponse(response.Status, response.Header)
-	info.Record(target, started, sent, task.item.ID, e.Log)
-	if info.NotRun || response.Status != http.StatusOK || !info.Signed {
-		return e.classifyResponse(response, info)
+	responseInfo := e.Codec.ParseResponse(response.Status, response.Header)
+	responseInfo.Record(target, info.Started, sent, task.item.ID, e.Log)
+	if responseInfo.NotRun || response.Status != http.StatusOK || !responseInfo.Signed {
+		return e.classifyResponse(response, responseInfo)
 	}
 	err = run.readEvents(response)
+	if errors.Is(err, errOtherSoftware) {
+		task.dropOutput() // the events of this run may be of either version
+		return outcomeDeclined, err
+	}
 	if ctx.Err() == nil {
 		run.observed.RecordEnd(err, response.Framed)
 	}
--- a/internal/jobs/handover.go
+++ b/internal/jobs/handover.go
@@ -14,6 +14,7 @@
 	"gentiantide.example/gentiantide/internal/infra"
 	"gentiantide.example/gentiantide/internal/nodes"
 	"gentiantide.example/gentiantide/internal/peer"
+	"gentiantide.example/gentiantide/internal/replica"
 )
 
 const (
@@ -51,6 +52,8 @@
 	LastEvent int64         `msgpack:"l"`
 	RunTime   time.Duration `msgpack:"t"`
 	Failures  int           `msgpack:"f"`
+	// Software made the output. It is nil if there is none yet.
+	Software *replica.Software `msgpack:"s,omitempty"`
 }
 
 // handovers passes the jobs of a stopping node to others and takes theirs. The new
@@ -163,7 +166,7 @@
 			break
 		}
 		message.Items = append(message.Items, itemProgress{
-			Item: task.item.ID, EventData: task.eventData, LastEvent: task.lastEvent, RunTime: task.runTime, Failures: task.failures,
+			Item: task.item.ID, EventData: task.eventData, LastEvent: task.lastEvent, RunTime: task.runTime, Failures: task.failures, Software: task.begunAt,
 		})
 	}
 	return message
--- a/internal/jobs/itemrun.go
+++ b/internal/jobs/itemrun.go
@@ -20,6 +20,9 @@
 	stopWatch func()
 	// watchdog cancels the run when no event has arrived for the stall timeout.
 	watchdog *time.Timer
+	// target is the replica, and software what it ran when the item was sent to it.
+	target   *replica.Replica
+	software replica.Software
 }
 
 // end releases what the run holds.
@@ -39,8 +42,11 @@
 		if n > 0 {
 			progress := false
 			addErr := splitter.Add(buf[:n], func(e sse.Event) error {
+				if run.restarted() {
+					return errOtherSoftware
+				}
 				progress = progress || !e.IsComment()
-				return run.task.addEvent(e)
+				return run.addEvent(e)
 			})
 			if progress {
 				run.recordProgress(response)
@@ -56,6 +62,9 @@
 			if len(splitter.Pending()) > 0 || !sure {
 				return io.ErrUnexpectedEOF
 			}
+			if run.restarted() {
+				return errOtherSoftware
+			}
 			return nil
 		}
 		if err != nil {
@@ -64,6 +73,23 @@
 	}
 }
 
+// restarted reports whether the replica has registered with another version since the
+// item was sent to it. What comes from it since then may be from either process.
+func (run *itemRun) restarted() bool { return run.target.Info().Software() != run.software }
+
+// addEvent appends one event to the output.
+func (run *itemRun) addEvent(e sse.Event) error {
+	task, events := run.task, len(run.task.eventData)
+	if err := task.addEvent(e); err != nil {
+		return err
+	}
+	if len(task.eventData) > events {
+		task.begunAt = &run.software
+		task.newEvents++
+	}
+	return nil
+}
+
 // recordProgress records that a complete event has arrived.
 func (run *itemRun) recordProgress(response *replica.Response) {
 	run.stopWatch() // the run has begun without a crash
--- a/internal/jobs/itemtask.go
+++ b/internal/jobs/itemtask.go
@@ -17,8 +17,10 @@
 	// once it was logged that one of them is quarantined.
 	parts []quarantine.Part
 	held  bool
-	// eventData is the data of the events received so far, in order.
+	// eventData is the data of the events received so far, in order, and begunAt the
+	// software that made them, or nil.
 	eventData [][]byte
+	begunAt   *replica.Software
 	// textBytes is the total length of eventData.
 	textBytes int
 	// lastEvent is the ID of the last event received, or forward.NoResume.
@@ -31,6 +33,10 @@
 	failures int
 	// notBefore is the earliest time at which the item may be sent again.
 	notBefore time.Time
+	// newEvents is the number of events that the present run has received. progressAt
+	// is when the last run ended that received any.
+	newEvents  int
+	progressAt time.Time
 	// replica and cancel are set while the item runs. replica is nil once the run
 	// has been chosen for preemption.
 	replica *replica.Replica
--- a/internal/jobs/ownedjob.go
+++ b/internal/jobs/ownedjob.go
@@ -1,6 +1,9 @@
 package jobs
 
-import "context"
+import (
+	"context"
+	"time"
+)
 
 // ownedJob is a job that this node executes. It is guarded by the runner's
 // mutex.
@@ -31,18 +34,25 @@
 }
 
 // applyProgress gives the pending items the output so far that a former owner has
-// received.
-func (j *ownedJob) applyProgress(progress []itemProgress) {
+// received. Output without the version that made it, from an owner of an earlier build,
+// is not used: no replica can go on with it.
+func (j *ownedJob) applyProgress(progress []itemProgress, now time.Time) {
 	byItem := make(map[string]*itemProgress, len(progress))
 	for i := range progress {
 		byItem[progress[i].Item] = &progress[i]
 	}
 	for _, task := range j.pending {
-		if p := byItem[task.item.ID]; p != nil {
-			task.eventData, task.lastEvent, task.runTime, task.failures = p.EventData, p.LastEvent, p.RunTime, p.Failures
-			for _, data := range p.EventData {
-				task.textBytes += len(data)
-			}
+		p := byItem[task.item.ID]
+		if p == nil {
+			continue
+		}
+		task.failures = p.Failures
+		if p.Software == nil {
+			continue
+		}
+		task.eventData, task.lastEvent, task.runTime, task.begunAt, task.progressAt = p.EventData, p.LastEvent, p.RunTime, p.Software, now
+		for _, data := range p.EventData {
+			task.textBytes += len(data)
 		}
 	}
 }
--- a/internal/jobs/placement_test.go
+++ b/internal/jobs/placement_test.go
@@ -38,7 +38,7 @@
 func (p *localPlacer) Place(ctx context.Context, q *placement.Query) (*replica.Replica, time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	r := p.registry.Choose(&replica.Query{Service: q.Service, Now: time.Now(), MinFreeSlots: localFreeSlots})
+	r := p.registry.Choose(&replica.Query{Service: q.Service, Version: q.Version, Now: time.Now(), MinFreeSlots: localFreeSlots})
 	if r != nil {
 		r.Begin(q.Class)
 	}
@@ -87,7 +87,7 @@
 	f.Eventually(placed, eventuallyTimeout, "2ms").Should(gomega.Equal([]int{most, most}))
 	f.Consistently(placed, "50ms", "2ms").Should(gomega.Equal([]int{most, most}))
 	f.runner.mu.Lock()
-	f.Expect(f.runner.searches["m"]).To(gomega.BeNumerically("<=", maxSearches))
+	f.Expect(f.runner.searches[searchKey{software: replica.Software{Service: "m"}}]).To(gomega.BeNumerically("<=", maxSearches))
 	f.runner.mu.Unlock()
 	f.runner.mu.Lock()
 	f.runner.drop(job, "test ends")
--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -45,14 +45,15 @@
 	log   *slog.Logger
 	wake  chan struct{}
 
-	placer Placer
+	placer   Placer
+	registry *replica.Registry
 	// searchCtx bounds all searches. Stop cancels it.
 	searchCtx      context.Context
 	cancelSearches context.CancelFunc
 
 	mu            sync.Mutex
 	jobs          map[string]*ownedJob
-	searches      map[core.DeploymentID]int // running searches for slots, by service
+	searches      map[searchKey]int // running searches for slots
 	meanTokenTime *meanTokenTime
 	stopping      bool
 	wg            sync.WaitGroup
@@ -61,8 +62,8 @@
 func newRunner(s *store, cache *JobCache, o *Options) *Runner {
 	self := o.Nodes.Self()
 	r := &Runner{
-		store: s, cache: cache, exec: o.Executor, placer: o.Placer, owner: self.Owner(), clock: o.Clock, log: o.Log,
-		wake: make(chan struct{}, 1), jobs: make(map[string]*ownedJob), meanTokenTime: newMeanTokenTime(), searches: make(map[core.DeploymentID]int),
+		store: s, cache: cache, exec: o.Executor, placer: o.Placer, registry: o.Registry, owner: self.Owner(), clock: o.Clock, log: o.Log,
+		wake: make(chan struct{}, 1), jobs: make(map[string]*ownedJob), meanTokenTime: newMeanTokenTime(), searches: make(map[searchKey]int),
 	}
 	r.searchCtx, r.cancelSearches = context.WithCancel(context.Background())
 	return r
@@ -122,7 +123,7 @@
 			job.pending = append(job.pending, r.exec.newTask(job, &items[i]))
 		}
 	}
-	job.applyProgress(progress)
+	job.applyProgress(progress, time.Now())
 	// The longest items go first, so that no long item runs alone at the end.
 	slices.SortStableFunc(job.pending, func(a, b *itemTask) int { return cmp.Compare(b.item.Tokens, a.item.Tokens) })
 	r.jobs[entry.ID] = job
@@ -173,7 +174,7 @@
 	if r.stopping {
 		return
 	}
-	wanted := make(map[core.DeploymentID]int)
+	wanted := make(map[searchKey]int)
 	for _, task := range r.readyItems(now, clock) {
 		if known && clock > task.job.entry.AbandonAt {
 			r.abandon(task, "past the time at which unfinished items are abandoned")
@@ -190,33 +191,41 @@
 		if r.exec.quarantined(task) {
 			continue
 		}
-		service := route.Pick(rand.Uint64())
-		wanted[service]++
-		if wanted[service] <= r.searches[service] || r.searches[service] >= maxSearches {
+		var key searchKey
+		if r.waitsForSoftware(task, route, now) {
+			key = searchKey{software: *task.begunAt, bound: true}
+		} else {
+			key.software.Service = route.Pick(rand.Uint64())
+		}
+		wanted[key]++
+		if wanted[key] <= r.searches[key] || r.searches[key] >= maxSearches {
 			continue
 		}
-		r.searches[service]++
-		go r.placeNext(&placement.Query{
-			Service: service, Class: core.ClassBatch, Arrived: now, MaxWait: searchTimeout,
-			DueIn: task.job.entry.Due - clock, Late: !r.meanTokenTime.canMeetDue(task, clock),
-		})
+		r.searches[key]++
+		q := key.query()
+		q.Arrived, q.MaxWait, q.DueIn, q.Late = now, searchTimeout, task.job.entry.Due-clock, !r.meanTokenTime.canMeetDue(task, clock)
+		go r.placeNext(key, q)
 	}
 }
 
 // placeNext waits for a replica and starts an item there: the first in placement
-// order at that time, which may not be the item that the search began for.
-func (r *Runner) placeNext(q *placement.Query) {
+// order at that time that may go there, which may not be the item that the search
+// began for.
+func (r *Runner) placeNext(key searchKey, q *placement.Query) {
 	target := r.search(q)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.searches[q.Service]--
+	if r.searches[key]--; r.searches[key] <= 0 {
+		delete(r.searches, key)
+	}
 	if target == nil {
 		return // the next dispatch searches again
 	}
 	clock, _ := r.clock()
-	for _, task := range r.readyItems(time.Now(), clock) {
+	now, software := time.Now(), target.Info().Software()
+	for _, task := range r.readyItems(now, clock) {
 		route, status := r.exec.route(task)
-		if status == routeFound && route.HasBackend(q.Service) && !r.exec.quarantined(task) && !r.stopping {
+		if status == routeFound && route.HasBackend(q.Service) && r.mayRunAt(task, route, software, now) && !r.exec.quarantined(task) && !r.stopping {
 			r.startItem(task, route, target)
 			r.wakeDispatch() // a further search may start now
 			return
@@ -263,15 +272,20 @@
 	task.job.removePending(task)
 	task.job.running[task] = struct{}{}
 	ctx, cancel := context.WithCancelCause(task.job.ctx)
-	task.replica, task.cancel, task.started = target, cancel, time.Now()
+	task.replica, task.cancel, task.started, task.newEvents = target, cancel, time.Now(), 0
+	if software := target.Info().Software(); task.begunAt != nil && *task.begunAt != software {
+		r.log.Info("item begins anew", "job", task.job.entry.ID, "item", task.item.ID, "reason", "no replica of the version that made its output",
+			"software", string(task.begunAt.Version), "now", string(software.Version), "last_event", task.lastEvent, "waited_ms", time.Since(task.progressAt).Milliseconds())
+		task.dropOutput()
+		task.runTime = 0
+	}
 	r.wg.Add(1)
 	go func() {
 		defer r.wg.Done()
 		defer cancel(nil)
-		events := len(task.eventData)
 		outcome := r.runContained(ctx, task, target)
 		target.End(core.ClassBatch)
-		r.handleOutcome(task, route, outcome, len(task.eventData) > events)
+		r.handleOutcome(task, route, outcome, task.newEvents > 0)
 	}()
 }
 
@@ -292,8 +306,12 @@
 	defer r.wakeDispatch()
 	job := task.job
 	delete(job.running, task)
-	if progressed {
+	switch {
+	case progressed:
 		task.runTime += now.Sub(task.started)
+		task.progressAt = now
+	case task.begunAt == nil:
+		task.runTime = 0 // the output was dropped
 	}
 	task.replica, task.cancel, task.started = nil, nil, time.Time{}
 	if r.jobs[job.entry.ID] != job || outcome == outcomeStopped {
--- a/internal/jobs/service.go
+++ b/internal/jobs/service.go
@@ -27,6 +27,8 @@
 	Objects  infra.Objects
 	Executor *Executor
 	Placer   Placer
+	// Registry lists the replicas that the Placer places items at.
+	Registry *replica.Registry
 	// Messenger passes jobs on to other nodes when this one stops. If nil, they are
 	// claimed after the node's lease has ended.
 	Messenger peer.Messenger
--- a/internal/platformnode/node.go
+++ b/internal/platformnode/node.go
@@ -128,7 +128,7 @@
 	})
 	n.jobs = jobs.New(jobs.Options{
 		Table: n.store, Objects: n.store, Nodes: n.nodes, Clock: n.store.Clock, JobRetention: settings.JobRetention, Log: log,
-		Placer: n.placer, Messenger: n.peers,
+		Placer: n.placer, Registry: n.registry, Messenger: n.peers,
 		Executor: &jobs.Executor{Codec: platform.HeaderCodec{}, Routes: &n.configs.Table, Quarantine: n.quarantine, Log: log},
 	})
 	n.jobsAPI = &platform.JobsAPI{Jobs: n.jobs}
--- a/internal/replica/software.go
+++ b/internal/replica/software.go
@@ -5,8 +5,8 @@
 // Software is what a replica runs. Only replicas with the same software can go on with
 // each other's output; the versions of two services cannot be compared.
 type Software struct {
-	Service core.DeploymentID
-	Version core.SoftwareVersion
+	Service core.DeploymentID    `msgpack:"s"`
+	Version core.SoftwareVersion `msgpack:"v"`
 }
 
 // Software returns what the replica runs.
