Let requests pass one that is queued for another software version

What callers saw: up to 20 ms of delay for a request that found a free slot, while a resumed stream was queued at the hub for a replica of its version; and the same for items, of which many wait for a version while two serve.

Cause: a new request is queued if any queued request comes before it, whatever slots that one can use. Nearly all requests could use any slot before they could name a version.

Change: a request gets its slot at once if all that are queued before it name a version, and none of them may use that slot.

Test: TestQueuedStreamOfAVersionHoldsUpNoOthers failed before.

--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -108,11 +108,9 @@
 	if !q.batch && !q.urgent {
 		q.returning = s.rejected.take(q.identity, now)
 	}
-	if !slices.ContainsFunc(s.queue, func(o *queuedRequest) bool { return o.before(q, now) }) {
-		if r, preempts := s.openings(now).choose(q, s.headroom()); r != nil {
-			assigned := s.assign(q, r, preempts, now)
-			return placementResponse{Outcome: outcomeGranted, Replica: assigned.replica, GrantID: assigned.grantID}, assigned
-		}
+	if r, preempts := s.openingFor(q, now); r != nil {
+		assigned := s.assign(q, r, preempts, now)
+		return placementResponse{Outcome: outcomeGranted, Replica: assigned.replica, GrantID: assigned.grantID}, assigned
 	}
 	if !slices.ContainsFunc(s.replicas, func(r replicaSlots) bool { return !q.excludes(&r) }) {
 		return placementResponse{Outcome: outcomeNoReplica}, nil
@@ -124,6 +122,27 @@
 	return placementResponse{Outcome: outcomeQueued}, nil
 }
 
+// openingFor returns the replica that a new request gets at once, or nil. No request that
+// is queued before it may be able to use the slot: those that wait for a version of the
+// software do not hold up others at other versions.
+func (s *scheduler) openingFor(q *queuedRequest, now time.Time) (r *opening, preempts bool) {
+	var ahead []*queuedRequest
+	for _, o := range s.queue {
+		if !o.before(q, now) {
+			continue
+		}
+		if o.version == nil {
+			return nil, false
+		}
+		ahead = append(ahead, o)
+	}
+	r, preempts = s.openings(now).choose(q, s.headroom())
+	if r == nil || slices.ContainsFunc(ahead, func(o *queuedRequest) bool { return !o.excludes(&r.replicaSlots) }) {
+		return nil, false
+	}
+	return r, preempts
+}
+
 // lookup returns the state of a request that is queued or has an unconfirmed
 // grant, or nil.
 func (s *scheduler) lookup(node core.NodeID, id uint64) *placementResponse {
--- a/internal/placement/version_test.go
+++ b/internal/placement/version_test.go
@@ -98,3 +98,44 @@
 	g.Expect(msgpack.Unmarshal(data, &got)).To(gomega.Succeed())
 	g.Expect(got.Version).To(gomega.BeNil())
 }
+
+// newTwoVersions returns a scheduler with a replica of version v1 without a free slot,
+// and one of version v2 with one.
+func newTwoVersions(now time.Time) *scheduler {
+	s := newScheduler()
+	s.setReplicas([]replicaSlots{
+		{id: "r0", dc: "dc-a", slots: 1, version: "v1"},
+		{id: "r1", dc: "dc-a", slots: 1, version: "v2"},
+	}, now)
+	s.receiveCounts("b", &nodeCounts{Replicas: []replicaCounts{{ID: "r0", Online: 1}}}, now)
+	return s
+}
+
+// versionRequest is a request of a resumed stream for a version.
+func versionRequest(id uint64, version core.SoftwareVersion) *placementRequest {
+	req := testRequest(id)
+	req.Urgent, req.Version = true, &version
+	return req
+}
+
+// Guards against requests that wait although a slot is free for them, because a resumed
+// stream that is queued before them waits for another version. A slot that it may use
+// must stay its own.
+func TestQueuedStreamOfAVersionHoldsUpNoOthers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Now()
+	s := newTwoVersions(now)
+	answer, _ := s.place("a", versionRequest(1, "v1"), now)
+	g.Expect(answer.Outcome).To(gomega.Equal(outcomeQueued))
+	answer, _ = s.place("a", testRequest(2), now)
+	g.Expect(answer.Outcome).To(gomega.Equal(outcomeGranted))
+	g.Expect(answer.Replica).To(gomega.Equal(core.ReplicaID("r1")))
+
+	s.receiveCounts("b", &nodeCounts{Sequence: 1}, now) // the slot of r0 is free
+	answer, _ = s.place("a", testRequest(3), now)
+	g.Expect(answer.Outcome).To(gomega.Equal(outcomeQueued))
+	assigned := s.dispatch(now)
+	g.Expect(assigned).To(gomega.HaveLen(1))
+	g.Expect(assigned[0].id).To(gomega.Equal(uint64(1)))
+	g.Expect(assigned[0].replica).To(gomega.Equal(core.ReplicaID("r0")))
+}
