Take a stream out of the queue when no replica of its version is left

What callers saw: a stream that was broken off and queued for a replica of its version, when the last of these left, stayed silent for up to the pause after which its caller gives up, instead of being broken off for its caller to take up.

Cause: whether a request can be placed at all was checked only when it arrived at the hub.

Change: the hub drops such requests from its queue; their nodes, which ask again every 300 ms (items: every second), then learn that it knows no replica, and try the other hubs and their own registry as for a new request.

Test: TestQueuedStreamOfAVersionThatIsGone failed before.

--- a/internal/placement/admission.go
+++ b/internal/placement/admission.go
@@ -28,6 +28,7 @@
 // their callers give up: others have come before them since they were queued, or the
 // replicas take less than was expected.
 func (s *scheduler) rejectHopeless(now time.Time) []rejection {
+	s.queue = slices.DeleteFunc(s.queue, func(q *queuedRequest) bool { return q.version != nil && !s.placeable(q) }) // its node asks again, and is told then
 	if len(s.queue) == 0 {
 		return nil
 	}
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -112,7 +112,7 @@
 		assigned := s.assign(q, r, preempts, now)
 		return placementResponse{Outcome: outcomeGranted, Replica: assigned.replica, GrantID: assigned.grantID}, assigned
 	}
-	if !slices.ContainsFunc(s.replicas, func(r replicaSlots) bool { return !q.excludes(&r) }) {
+	if !s.placeable(q) {
 		return placementResponse{Outcome: outcomeNoReplica}, nil
 	}
 	if expected, least := s.expectedWait(q, now); q.hopeless(expected, now) {
@@ -122,6 +122,11 @@
 	return placementResponse{Outcome: outcomeQueued}, nil
 }
 
+// placeable reports whether the group has a replica that a request may go to.
+func (s *scheduler) placeable(q *queuedRequest) bool {
+	return slices.ContainsFunc(s.replicas, func(r replicaSlots) bool { return !q.excludes(&r) })
+}
+
 // openingFor returns the replica that a new request gets at once, or nil. No request that
 // is queued before it may be able to use the slot: those that wait for a version of the
 // software do not hold up others at other versions.
--- a/internal/placement/version_test.go
+++ b/internal/placement/version_test.go
@@ -139,3 +139,20 @@
 	g.Expect(assigned[0].id).To(gomega.Equal(uint64(1)))
 	g.Expect(assigned[0].replica).To(gomega.Equal(core.ReplicaID("r0")))
 }
+
+// Guards against a resumed stream that stays queued until its caller gives up, although
+// the last replica of its version has gone: its node must learn of it, so that it can
+// break the stream off.
+func TestQueuedStreamOfAVersionThatIsGone(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Now()
+	s := newTwoVersions(now)
+	answer, _ := s.place("a", versionRequest(1, "v1"), now)
+	g.Expect(answer.Outcome).To(gomega.Equal(outcomeQueued))
+	s.rejectHopeless(now)
+	g.Expect(s.queue).To(gomega.HaveLen(1))
+	s.setReplicas(s.replicas[1:], now)
+	s.rejectHopeless(now)
+	answer, _ = s.place("a", versionRequest(1, "v1"), now) // nodes ask again while they wait
+	g.Expect(answer.Outcome).To(gomega.Equal(outcomeNoReplica))
+}
