Queue a resumed stream for as long as its caller waits

What callers saw: a stream that had run for longer than the pause after which its caller gives up, 2 s or more, was broken off when its replica failed and no slot was free at that moment.

Cause: the hub was told that the caller waits for that pause from the arrival of the request on, so that it rejected the request at once.

Change: the pause counts from the last event.

--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -96,6 +96,8 @@
 	// firstByte is the time from arrival to the first byte of the response.
 	firstByte  time.Duration
 	headerSent bool // the caller was sent the response header
+	// lastEventAt is when the caller was sent the last event of a stream, or zero.
+	lastEventAt time.Time
 	// stopWatch ends the watch that cancels the request when one of its parts is
 	// quarantined.
 	stopWatch func()
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -100,11 +100,16 @@
 	return defaultObjective
 }
 
-// maxWait is how long after its arrival the request may wait for a slot.
+// maxWait is how long after its arrival the request may wait for a slot. The caller of a
+// stream waits for each event anew.
 func (r *request) maxWait() time.Duration {
 	maxWait := r.deadline.Sub(r.arrived)
 	if r.route.CallerIdleTimeout > 0 {
-		maxWait = min(maxWait, r.route.CallerIdleTimeout)
+		lastSign := r.arrived
+		if !r.lastEventAt.IsZero() {
+			lastSign = r.lastEventAt
+		}
+		maxWait = min(maxWait, lastSign.Add(r.route.CallerIdleTimeout).Sub(r.arrived))
 	}
 	return maxWait - firstTokenTime
 }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -211,6 +211,9 @@
 		}
 		return nil
 	})
+	if progress {
+		s.r.lastEventAt = time.Now()
+	}
 	if wrote {
 		if flushErr := s.out.Flush(); err == nil && flushErr != nil {
 			err = errCallerWrite
