Begin an item without event IDs anew instead of joining two runs

What callers saw: the text of an item whose events had no IDs held the first events twice, when its stream had broken off.

Cause: such an item cannot be resumed and runs from its start, but the output of the broken run was kept.

Change: a run that begins at the first event drops the output so far.

Test: TestItemWithoutEventIDsBeginsAnew failed before ("one two one two three").

--- a/internal/jobs/executor.go
+++ b/internal/jobs/executor.go
@@ -137,6 +137,9 @@
 func (e *Executor) sendItem(ctx context.Context, run *itemRun, target *replica.Replica) (runOutcome, error) {
 	task, info, sent := run.task, target.Info(), time.Now()
 	run.target, run.software = target, info.Software()
+	if task.lastEvent == forward.NoResume {
+		task.dropOutput() // of events without IDs: the replica begins with the first one
+	}
 	if task.begunAt != nil && *task.begunAt != run.software {
 		return outcomeDeclined, errOtherSoftware
 	}
