--- a/internal/jobs/software.go
+++ b/internal/jobs/software.go
@@ -17,10 +17,11 @@
 // made it. After a while, or if there is none, it begins anew at any version.
 
 // minSoftwareWait is how long an item with partial output waits for a replica of its
-// software at least, while one is registered. That is one whole search for a slot. An
+// software at least, while one is registered. Items wait for seconds for any slot when
+// requests take most of them; with 2 s a quarter of the resumed items began anew. An
 // item that has run for longer waits for as long as it has run, so that waiting costs at
 // most as much as beginning anew.
-const minSoftwareWait = searchTimeout
+const minSoftwareWait = 4 * time.Second
 
 var errOtherSoftware = errors.New("replica has started again with other software")
 
