Quarantine only parts that the nodes were asked about

What callers saw: nothing yet; found by reading. A sound request could be refused for a minute.

Cause: a hub decides on its suspects after it has asked all nodes for harmless runs. Crashes that were reported meanwhile may make a suspect of another part, and it could be quarantined although no node was asked about it.

Change: a suspect that was not asked about is asked about first. All suspects are in the question, in several if need be, and each once.

TestOnlyPartsThatWereAskedAboutAreQuarantined fails without the check (trial); TestQuestionNamesEachSuspectOnce guards the question.

--- a/internal/quarantine/evaluate.go
+++ b/internal/quarantine/evaluate.go
@@ -47,13 +47,31 @@
 			time.Sleep(min(wait, evaluationInterval)) // further crashes may change the suspects
 			continue
 		}
-		anyProof := s.askWitnesses(append(asked, candidates...))
-		if !s.decideOnSuspects(asked, anyProof) {
+		parts := questionParts(asked, candidates)
+		if !s.decideOnSuspects(parts, s.askWitnesses(parts)) {
 			return
 		}
 	}
 }
 
+// questionParts returns the parts that the nodes are asked about: all suspects, and as
+// many of the other candidates as one question holds, which may be suspects next.
+func questionParts(suspects, candidates []*candidate) []Part {
+	var parts []Part
+	for _, c := range suspects {
+		parts = append(parts, c.part)
+	}
+	for _, c := range candidates {
+		if len(parts) >= maxWitnessParts {
+			break
+		}
+		if !slices.Contains(parts, c.part) {
+			parts = append(parts, c.part)
+		}
+	}
+	return parts
+}
+
 // firstDue returns when the first of the candidates can be decided on.
 func firstDue(candidates []*candidate) time.Time {
 	first := candidates[0].dueAt()
@@ -73,11 +91,17 @@
 
 // askWitnesses asks all nodes for harmless runs with the parts and acquits these
 // parts. It returns when the latest harmless run with any part began.
-func (s *Service) askWitnesses(candidates []*candidate) (anyProof time.Time) {
-	request := witnessRequest{}
-	for _, c := range candidates[:min(len(candidates), maxWitnessParts)] {
-		request.Parts = append(request.Parts, c.part)
+func (s *Service) askWitnesses(parts []Part) (anyProof time.Time) {
+	for question := range slices.Chunk(parts, maxWitnessParts) {
+		if at := s.ask(&witnessRequest{Parts: question}); at.After(anyProof) {
+			anyProof = at
+		}
 	}
+	return anyProof
+}
+
+// ask is askWitnesses for the parts of one question.
+func (s *Service) ask(request *witnessRequest) (anyProof time.Time) {
 	ids := []core.NodeID{s.Messenger.Self()}
 	for _, record := range s.View().Alive {
 		if record.ID != s.Messenger.Self() {
@@ -88,7 +112,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	for _, id := range ids {
-		go s.askWitness(ctx, id, &request, answers)
+		go s.askWitness(ctx, id, request, answers)
 	}
 	for range ids {
 		answer := <-answers
@@ -129,8 +153,8 @@
 
 // decideOnSuspects quarantines the first suspect that is convincing, after the
 // witnesses have spoken. It reports whether the candidates must be looked at again: a
-// part was quarantined, a suspect is not due yet, or others are suspected than before.
-func (s *Service) decideOnSuspects(asked []*candidate, anyProof time.Time) bool {
+// part was quarantined, a suspect is not due yet, or one was not among the asked parts.
+func (s *Service) decideOnSuspects(asked []Part, anyProof time.Time) bool {
 	now := time.Now()
 	chosen, again := s.chooseSuspect(asked, anyProof, now)
 	if chosen == nil {
@@ -150,20 +174,19 @@
 }
 
 // chooseSuspect returns the suspect to quarantine and takes its crashes out of the
-// tally. If there is none, it reports whether to look again.
-func (s *Service) chooseSuspect(asked []*candidate, anyProof, now time.Time) (chosen *candidate, again bool) {
+// tally. If there is none, it reports whether to look again. Further crashes may have
+// made a suspect of a part that the witnesses were not asked about; it may be harmless.
+func (s *Service) chooseSuspect(asked []Part, anyProof, now time.Time) (chosen *candidate, again bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	current := suspects(s.tally.candidates())
-	for _, c := range current {
+	for _, c := range suspects(s.tally.candidates()) {
 		switch {
-		case now.Before(c.dueAt()):
+		case now.Before(c.dueAt()), !slices.Contains(asked, c.part):
 			again = true
 		case c.convincing(anyProof):
 			s.tally.explain(c.part)
 			return c, true
 		}
 	}
-	samePart := func(a, b *candidate) bool { return a.part == b.part }
-	return nil, len(current) > 0 && (again || !slices.EqualFunc(asked, current, samePart))
+	return nil, again
 }
--- a/internal/quarantine/service_test.go
+++ b/internal/quarantine/service_test.go
@@ -349,3 +349,35 @@
 		f.Expect(f.quarantinedRequests([]Part{popular})).To(gomega.Equal(0))
 	})
 }
+
+// Guards against a sound part that is quarantined because crashes that were reported
+// while the nodes were asked made a suspect of it: nobody was asked about it.
+func TestOnlyPartsThatWereAskedAboutAreQuarantined(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newTestFleet(t, 1)
+	s := f.services["n0"]
+	s.mu.Lock()
+	now := crashSeries(&s.tally, time.Now().Add(-2*observationTime), 5, 100*time.Millisecond, func(i int) []Part { return []Part{"bad", own(i)} })
+	s.mu.Unlock()
+	now = now.Add(observationTime)
+	chosen, again := s.chooseSuspect([]Part{"other"}, now, now)
+	g.Expect(chosen).To(gomega.BeNil())
+	g.Expect(again).To(gomega.BeTrue())
+	chosen, _ = s.chooseSuspect([]Part{"bad"}, now, now)
+	g.Expect(chosen.part).To(gomega.Equal(Part("bad")))
+}
+
+// Guards against a suspect that is left out of the question to the nodes, and against
+// one that is named twice in place of another candidate.
+func TestQuestionNamesEachSuspectOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	candidates := make([]*candidate, 2*maxWitnessParts)
+	for i := range candidates {
+		candidates[i] = &candidate{part: own(i)}
+	}
+	few := questionParts(candidates[:2], candidates)
+	g.Expect(few).To(gomega.HaveLen(maxWitnessParts))
+	g.Expect(few[:3]).To(gomega.Equal([]Part{own(0), own(1), own(2)}))
+	many := questionParts(candidates[:maxWitnessParts+3], candidates)
+	g.Expect(many).To(gomega.HaveLen(maxWitnessParts + 3))
+}
