Show apart in the dump what registration and responses say of leaving

says_leaving showed either, which its name did not say, so that operators could not tell whether the store or the replica itself had said it.

--- a/internal/platformnode/statedump.go
+++ b/internal/platformnode/statedump.go
@@ -35,9 +35,9 @@
 	replica.Info
 	Busy    float64 `json:"busy"`
 	Avoided bool    `json:"avoided"`
-	// SaysLeaving is set if the replica is leaving by its registration or by what it
-	// said in a response.
-	SaysLeaving bool `json:"says_leaving"`
+	// SaidLeaving is set if the replica has said in a response that it is leaving.
+	// Leaving, of its registration, is what the store says.
+	SaidLeaving bool `json:"said_leaving"`
 	// LimitPerSecond is the request rate that the replica names, and absent if it names
 	// none.
 	LimitPerSecond *float64 `json:"limit_per_second,omitempty"`
@@ -60,7 +60,7 @@
 	}
 	state.Jobs, state.ItemsPending, state.ItemsRunning = n.jobs.Counts()
 	for _, r := range n.registry.All() {
-		shown := dumpReplica{Info: *r.Info(), Busy: r.EstimatedLoad(now), Avoided: r.Ejected(now), SaysLeaving: r.Leaving()}
+		shown := dumpReplica{Info: *r.Info(), Busy: r.EstimatedLoad(now), Avoided: r.Ejected(now), SaidLeaving: r.SaidLeaving()}
 		if limit, ok := r.Limit(); ok && limit.Named {
 			shown.LimitPerSecond = &limit.PerSecond
 		}
