Keep a silent stream that no other replica of its version can go on with

Cause: a stream that is silent for so long is cancelled to resume it at another replica. Since a stream goes on only at its version, there may be none.

Change: the attempt is cancelled only if a replica of the same software that was not tried and is not ejected takes requests. Otherwise the caller decides how long to wait.

--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -41,6 +41,9 @@
 	// none, it returns nil and the time after which a slot may be free, or 0 if that
 	// is unknown.
 	Place(ctx context.Context, q *placement.Query) (*replica.Replica, time.Duration)
+	// Serves reports whether a replica with some software takes requests, other than
+	// those that were tried.
+	Serves(software replica.Software, tried []core.ReplicaID) bool
 }
 
 // Handler serves callers' requests.
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -6,8 +6,11 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
+	"sync/atomic"
 	"time"
 
+	"gentiantide.example/gentiantide/internal/replica"
 	"gentiantide.example/gentiantide/internal/sse"
 )
 
@@ -43,6 +46,8 @@
 	// softwareUnknown is set once it is not known any more which version began the
 	// stream. No replica can resume it.
 	softwareUnknown bool
+	// begun is set once something was forwarded, from when on the software is fixed.
+	begun atomic.Bool
 }
 
 // serveStream serves a request whose response is an event stream.
@@ -75,7 +80,7 @@
 	}
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watchdog := s.watchdog(cancel)
+	watchdog := s.watchdog(target, cancel)
 	defer watchdog.Stop()
 	a := r.send(attemptCtx, target, s.lastEvent)
 	switch {
@@ -124,15 +129,24 @@
 
 // watchdog returns a timer that cancels the attempt when it receives no event for
 // the stall timeout. The timer is stopped if no other replica may resume the
-// stream.
-func (s *streamRelay) watchdog(cancel context.CancelCauseFunc) *time.Timer {
+// stream. If none can when it ends, as no other one has the software, it is left to the
+// caller how long to wait.
+func (s *streamRelay) watchdog(target *replica.Replica, cancel context.CancelCauseFunc) *time.Timer {
 	r := s.r
 	if !r.route.CanResume || r.runs+1 >= r.route.MaxAttempts || s.stallTimeout() <= 0 {
 		timer := time.NewTimer(time.Hour)
 		timer.Stop()
 		return timer
 	}
-	return time.AfterFunc(s.stallTimeout(), func() { cancel(errReplicaTimeout) })
+	info := target.Info()
+	software, tried := info.Software(), append(slices.Clone(r.tried), info.ID)
+	return time.AfterFunc(s.stallTimeout(), func() {
+		if s.begun.Load() && !r.h.Placer.Serves(software, tried) {
+			r.h.Log.Info("silent stream kept", "request", r.reqInfo.ID, "replica", info.ID, "reason", "no other replica of its software", "software", string(software.Version))
+			return
+		}
+		cancel(errReplicaTimeout)
+	})
 }
 
 // handleNonStream handles a response without the status of a stream, 200. It
@@ -245,6 +259,7 @@
 	}
 	s.r.headerSent = true
 	s.r.begunAt = &a.software
+	s.begun.Store(true)
 	s.r.firstByte = time.Since(s.r.arrived)
 	s.r.h.Codec.CallerHeader(s.r.w.Header(), a.response.Header)
 	s.r.w.WriteHeader(a.response.Status)
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -77,6 +77,16 @@
 	return s.placeLocally(q), 0
 }
 
+// Serves reports whether a replica with some software takes requests, by what this node
+// knows, other than those that were tried.
+func (s *Service) Serves(software replica.Software, tried []core.ReplicaID) bool {
+	now := time.Now()
+	return slices.ContainsFunc(s.Registry.Ready(software.Service), func(r *replica.Replica) bool {
+		info := r.Info()
+		return info.Software() == software && !r.Ejected(now) && !slices.Contains(tried, info.ID)
+	})
+}
+
 // placeLocally chooses a replica without a hub, by what this node knows.
 func (s *Service) placeLocally(q *Query) *replica.Replica {
 	s.localMu.Lock() // concurrent placements must see each other's work
