Take a stream up only at the software version that began it

Callers got streams whose first events came from one software version of the replicas and whose rest came from another, when they took a stream up at a node that did not know it: after all nodes were killed, or simply at another node. The ID of the attempt that began the stream (Resumes) was not read, and nothing outlived a node that says at which version a stream began.

Each service now has a row with its base version. A stream of a resumable route that begins at another version is recorded before its first event reaches the caller; the write runs beside the prefill. A take-up goes to replicas of the version that the node remembers, that the record names, or, without a record, of the base version, and is refused with 503 if the version cannot be found now or has no replica. Streams at the base version cost no call to the store.

--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -18,6 +18,7 @@
 	"gentiantide.example/gentiantide/internal/quarantine"
 	"gentiantide.example/gentiantide/internal/replica"
 	"gentiantide.example/gentiantide/internal/routetable"
+	"gentiantide.example/gentiantide/internal/streamversion"
 )
 
 const (
@@ -55,6 +56,9 @@
 	// Submit accepts a batch job. The request body was read before the call.
 	Submit func(w http.ResponseWriter, in *http.Request, reqInfo *RequestInfo, route *routetable.Route, body []byte) Outcome
 	Placer Placer
+	// Versions keeps streams that callers take up at one version of the replicas'
+	// software.
+	Versions Versions
 	// Quarantine refuses requests that crash replicas.
 	Quarantine *quarantine.Service
 	Log        *slog.Logger
@@ -79,6 +83,13 @@
 	// whichever is earlier.
 	deadline time.Time
 
+	// service is the only one that may run the request, or empty if the route decides
+	// for each attempt.
+	service core.DeploymentID
+	// recording records the version at which a new stream begins; it is nil for other
+	// requests. notRecorded is set after that failed.
+	recording   *streamversion.Recording
+	notRecorded bool
 	// begunAt, if set, is the software of the replica that began the stream. No other
 	// one may go on with it.
 	begunAt *replica.Software
@@ -156,6 +167,9 @@
 	if r.attempt != nil {
 		r.attempt.release()
 	}
+	if r.recording != nil {
+		r.recording.End()
+	}
 	r.h.Counters.End(r.route.Name, r.outcome, time.Since(r.arrived))
 	r.logOutcome()
 }
--- a/internal/forward/requestinfo.go
+++ b/internal/forward/requestinfo.go
@@ -13,6 +13,11 @@
 	// CallerTimeout is how long the caller waits for the response, counted from
 	// when it sent the request. 0 means that the caller set no deadline.
 	CallerTimeout time.Duration
+	// TakesUp is set if the caller has received the first events of the stream in an
+	// earlier attempt. Began is the ID of the attempt that brought the first of them, or
+	// empty if the caller does not name it.
+	TakesUp bool
+	Began   string
 	// PromptParts are the parts of the prompt that other requests may share.
 	PromptParts []quarantine.Part
 }
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -73,7 +73,7 @@
 	if r.begunAt != nil {
 		query.Service, query.Version = r.begunAt.Service, &r.begunAt.Version
 	} else {
-		query.Service = r.route.Pick(uint64(began.UnixNano()))
+		query.Service, query.Version = r.pickService(began), r.preferredVersion()
 	}
 	target, wait := r.h.Placer.Place(ctx, query)
 	now := time.Now()
@@ -122,6 +122,9 @@
 		a.release()
 		return a
 	}
+	if r.recording != nil {
+		r.recording.Send(info.Version)
+	}
 	a.response, a.err = target.Send(ctx, &replica.Request{
 		ID: r.reqInfo.ID, Method: r.in.Method, Target: r.in.RequestURI, Host: r.in.Host,
 		Header: r.h.Codec.ReplicaHeader(r.in.Header, SendOptions{
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -47,6 +47,9 @@
 
 // serveStream serves a request whose response is an event stream.
 func (r *request) serveStream(ctx context.Context) Outcome {
+	if !r.prepareVersion(ctx) {
+		return OutcomeRefused
+	}
 	s := &streamRelay{r: r, out: http.NewResponseController(r.w), lastEvent: NoResume}
 	for r.mayRetry() && !s.unnumbered && !s.softwareUnknown {
 		outcome, done := s.attempt(ctx)
@@ -64,7 +67,7 @@
 // false if another attempt may be made.
 func (s *streamRelay) attempt(ctx context.Context) (Outcome, bool) {
 	r := s.r
-	target := r.place(ctx, r.headerSent)
+	target := r.place(ctx, r.headerSent || r.reqInfo.TakesUp && r.route.CanResume)
 	if target == nil {
 		if !r.headerSent {
 			return r.respondFailure(ctx), true
@@ -96,7 +99,12 @@
 		return "", false
 	}
 	s.resumed = s.hasLastEvent
-	err := s.copy(a, watchdog)
+	err := s.copy(attemptCtx, a, watchdog)
+	if errors.Is(err, errNotRecorded) {
+		a.release()
+		r.h.Log.Info("stream ended before its first event", "request", r.reqInfo.ID, "replica", a.replica.Info().ID, "software", string(a.software.Version), "error", err)
+		return "", false
+	}
 	otherSoftware := errors.Is(err, errOtherSoftware)
 	if !errors.Is(err, errCallerWrite) && !otherSoftware && context.Cause(attemptCtx) == nil {
 		a.run.RecordEnd(err, a.response.Framed)
@@ -152,13 +160,13 @@
 
 // copy forwards events until the stream ends. It returns nil only for a complete
 // stream.
-func (s *streamRelay) copy(a *attempt, watchdog *time.Timer) error {
+func (s *streamRelay) copy(ctx context.Context, a *attempt, watchdog *time.Timer) error {
 	var splitter sse.Splitter
 	buf := make([]byte, streamBuffer)
 	for {
 		n, err := a.response.Read(buf)
 		if n > 0 {
-			progress, addErr := s.relayEvents(a, &splitter, buf[:n])
+			progress, addErr := s.relayEvents(ctx, a, &splitter, buf[:n])
 			if progress {
 				s.r.stopWatch() // the run has begun without a crash
 				a.run.RecordEvent(time.Now())
@@ -183,7 +191,7 @@
 // relayEvents forwards the events that p completes, and reports whether any of them
 // is more than a comment. Event IDs must increase by 1, also across attempts, and what
 // resumes a stream must have them: an error that a replica sends instead has none.
-func (s *streamRelay) relayEvents(a *attempt, splitter *sse.Splitter, p []byte) (progress bool, err error) {
+func (s *streamRelay) relayEvents(ctx context.Context, a *attempt, splitter *sse.Splitter, p []byte) (progress bool, err error) {
 	wrote := false
 	err = splitter.Add(p, func(e sse.Event) error {
 		switch {
@@ -192,6 +200,9 @@
 		case s.resumed && !e.HasID && !e.IsComment():
 			return errEventOrder
 		}
+		if err := s.r.awaitRecord(ctx, a); err != nil {
+			return err
+		}
 		if err := s.checkSoftware(a); err != nil {
 			return err
 		}
--- a/internal/platformnode/node.go
+++ b/internal/platformnode/node.go
@@ -29,6 +29,7 @@
 	"gentiantide.example/gentiantide/internal/quarantine"
 	"gentiantide.example/gentiantide/internal/replica"
 	"gentiantide.example/gentiantide/internal/routetable"
+	"gentiantide.example/gentiantide/internal/streamversion"
 	"gentiantide.example/gentiantide/internal/watch"
 	"gentiantide.example/gentiantide/platform"
 )
@@ -65,6 +66,7 @@
 	peers        *peer.Transport
 	placer       *placement.Service
 	quarantine   *quarantine.Service
+	versions     *streamversion.Service
 	forward      *forward.Handler
 	counters     *forward.Counters
 	configGauges *configGauges
@@ -73,7 +75,7 @@
 	metrics         http.Handler
 	metricsCloser   io.Closer
 	// routingWatchers follow the tables that a node needs to serve requests: the
-	// configuration and the replicas.
+	// configuration, the replicas and the versions of the services.
 	routingWatchers []*watch.Watcher
 	configWatcher   *watch.Watcher
 	jobWatcher      *watch.Watcher
@@ -136,11 +138,17 @@
 	n.configGauges = newConfigGauges(scope)
 	n.limitedReplicas = scope.Gauge("replicas_limited")
 	n.configWatcher = n.configs.Watcher(n.store)
+	registrations := n.replicas.Watcher(n.store, platform.ReplicaTable)
+	self := n.nodes.Self()
+	n.versions = streamversion.New(streamversion.Options{
+		Store: n.store, Clock: n.store.Clock, Registry: n.registry, Registrations: registrations, View: n.nodes.View,
+		Self: self.Owner(), LongestLife: n.longestStream, Log: log, Scope: scope,
+	})
 	n.forward = &forward.Handler{
 		Codec: platform.HeaderCodec{}, Placer: n.placer, Routes: &n.configs.Table, RoutesAge: n.configWatcher.ContactAge,
-		Submit: n.jobsAPI.Submit, Quarantine: n.quarantine, Log: log, Counters: n.counters,
+		Submit: n.jobsAPI.Submit, Quarantine: n.quarantine, Versions: n.versions, Log: log, Counters: n.counters,
 	}
-	n.routingWatchers = []*watch.Watcher{n.configWatcher, n.replicas.Watcher(n.store, platform.ReplicaTable)}
+	n.routingWatchers = []*watch.Watcher{n.configWatcher, registrations, n.versions.Watcher()}
 	n.jobWatcher = watch.New(n.store, jobs.JobsTable, jobs.Partitions(), n.jobs.JobCache, log)
 	n.jobWatcher.Interval = jobRowsInterval
 }
@@ -172,6 +180,7 @@
 	go n.nodes.Run(ctx)
 	go n.jobs.Run(ctx)
 	go n.placer.Run(ctx)
+	go n.versions.Run(ctx)
 	go n.monitor(ctx)
 	n.waitForStop(signals)
 	n.stop(callers)
@@ -222,6 +231,15 @@
 	return server
 }
 
+// longestStream returns the longest time that a route gives a stream that callers may
+// take up.
+func (n *Node) longestStream() time.Duration {
+	if table := n.configs.Table.Load(); table != nil {
+		return table.LongestResumable()
+	}
+	return 0
+}
+
 // callerLimits returns the limits in the operator's configuration.
 func (n *Node) callerLimits() routetable.Limits {
 	if table := n.configs.Table.Load(); table != nil {
--- a/internal/platformnode/statedump.go
+++ b/internal/platformnode/statedump.go
@@ -6,6 +6,7 @@
 	"gentiantide.example/gentiantide/internal/contain"
 	"gentiantide.example/gentiantide/internal/httpapi/operators"
 	"gentiantide.example/gentiantide/internal/replica"
+	"gentiantide.example/gentiantide/internal/streamversion"
 )
 
 // dumpState is the state of the process as shown by the state dump.
@@ -28,6 +29,8 @@
 	Nodes        []string      `json:"nodes"`
 	// Quarantine are the parts of prompts that crash replicas.
 	Quarantine []operators.QuarantinedPart `json:"quarantine"`
+	// StreamVersions are the versions of the services' software at which streams began.
+	StreamVersions streamversion.Dump `json:"stream_versions"`
 }
 
 // dumpReplica is one replica in the state dump.
@@ -70,5 +73,6 @@
 		state.Nodes = append(state.Nodes, owner)
 	}
 	state.Quarantine = operatorsQuarantine{n.quarantine}.List()
+	state.StreamVersions = n.versions.Dump()
 	return state
 }
--- a/internal/routetable/table.go
+++ b/internal/routetable/table.go
@@ -3,6 +3,7 @@
 import (
 	"sort"
 	"strings"
+	"time"
 )
 
 // Table is one version of the routing configuration.
@@ -48,3 +49,17 @@
 	}
 	return n
 }
+
+// LongestResumable returns the longest timeout of the routes whose streams callers may
+// take up.
+func (t *Table) LongestResumable() time.Duration {
+	longest := time.Duration(0)
+	for _, list := range t.byHost {
+		for _, r := range list {
+			if r.Kind == KindStream && r.CanResume {
+				longest = max(longest, r.Timeout)
+			}
+		}
+	}
+	return longest
+}
