Read from the store what a recent copy cannot say about a stream's version

A node whose copy of the versions is three seconds old may not know one that was listed a moment ago, if its connection to the store has just gone silent; it took a stream that began at the new version up at the only one that it knew. A take-up now always reads either the row of the service or that of the stream. Callers that return together share the reads. After two minutes without the store a node no longer begins streams at the base version without a record.

TestStreamNeverGoesOnAtAnotherVersion found it and failed before.

--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -240,6 +240,9 @@
 		return errOtherSoftware
 	}
 	s.softwareUnknown = true
+	if s.r.recording != nil {
+		s.r.recording.Doubt()
+	}
 	s.r.h.Log.Info("version that began a stream is not known any more", "request", s.r.reqInfo.ID, "replica", a.replica.Info().ID,
 		"software", string(a.software.Version), "registered", string(a.replica.Info().Version))
 	return nil
--- a/internal/streamversion/memory.go
+++ b/internal/streamversion/memory.go
@@ -17,32 +17,32 @@
 	streams map[streamKey]remembered
 }
 
+// remembered is one stream: its version, unless that is unknown, when it began, and when
+// no caller takes it up any more.
 type remembered struct {
 	version core.SoftwareVersion
+	unknown bool
 	at      time.Time
 	until   time.Time
 }
 
 func newMemory() *memory { return &memory{streams: make(map[streamKey]remembered)} }
 
-// put remembers the version of a stream until a time.
-func (m *memory) put(key streamKey, version core.SoftwareVersion, now, until time.Time) {
+// put remembers a stream.
+func (m *memory) put(key streamKey, r remembered) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if _, known := m.streams[key]; known || len(m.streams) < maxRemembered {
-		m.streams[key] = remembered{version: version, at: now, until: until}
+		m.streams[key] = r
 	}
 }
 
-// get returns the version of a stream and how long ago it was remembered.
-func (m *memory) get(key streamKey, now time.Time) (version core.SoftwareVersion, age time.Duration, ok bool) {
+// get returns a stream, if it is remembered.
+func (m *memory) get(key streamKey, now time.Time) (remembered, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	r, ok := m.streams[key]
-	if !ok || now.After(r.until) {
-		return "", 0, false
-	}
-	return r.version, now.Sub(r.at), true
+	return r, ok && !now.After(r.until)
 }
 
 // expire removes streams that no caller takes up any more.
--- a/internal/streamversion/pendingstream.go
+++ b/internal/streamversion/pendingstream.go
@@ -18,9 +18,11 @@
 	// begunClock is when the row was first sent, and untilClock is until, both by the
 	// store's clock; 0 before that.
 	begunClock, untilClock time.Duration
-	// wanted is the version that the row must have, and writes counts the changes of it.
-	wanted core.SoftwareVersion
-	writes int
+	// wanted is the version that the row must have. unknown is set if the row must say that
+	// the version is not known. writes counts the changes of both.
+	wanted  core.SoftwareVersion
+	unknown bool
+	writes  int
 	// row is the version of the row in the store as far as it is known, and 0 if there is
 	// none. stored is the value of writes that the row reflects.
 	row    uint64
--- a/internal/streamversion/recording.go
+++ b/internal/streamversion/recording.go
@@ -32,14 +32,12 @@
 func (r *Recording) Send(version core.SoftwareVersion) {
 	r.version = version
 	if r.stream == nil {
-		versions, _ := r.s.table.get(r.service)
-		clock, known := r.s.Clock()
-		if versions != nil && versions.unrecorded(version, clock, known) {
+		if r.s.unrecorded(r.service, version) {
 			return
 		}
 		r.stream = r.s.newPendingStream(r.service, r.key, r.until)
 	}
-	r.s.record(r.stream, version)
+	r.s.record(r.stream, version, false)
 }
 
 // Await returns when the version of the stream can be found by all nodes, or the error
@@ -57,7 +55,18 @@
 // Deliver notes that the first event is sent to the caller.
 func (r *Recording) Deliver() {
 	r.delivered = true
-	r.s.memory.put(r.key, r.version, time.Now(), r.until)
+	r.s.memory.put(r.key, remembered{version: r.version, at: time.Now(), until: r.until})
+}
+
+// Doubt notes that the stream, which the caller receives, may have begun at another
+// version: the replica has registered with one since the request was sent to it. Nobody
+// may take the stream up.
+func (r *Recording) Doubt() {
+	r.s.memory.put(r.key, remembered{unknown: true, at: time.Now(), until: r.until})
+	if r.stream == nil {
+		r.stream = r.s.newPendingStream(r.service, r.key, r.until)
+	}
+	r.s.record(r.stream, r.version, true)
 }
 
 // Unrecorded notes that the first event is sent to the caller although the row is not
--- a/internal/streamversion/resolve.go
+++ b/internal/streamversion/resolve.go
@@ -20,8 +20,9 @@
 )
 
 var (
-	errNoVersions = errors.New("versions of the service are not known")
-	errNoStream   = errors.New("request does not name the attempt that began the stream")
+	errNoVersions  = errors.New("versions of the service are not known")
+	errVersionLost = errors.New("replica may have changed its version before the first event")
+	errNoStream    = errors.New("request does not name the attempt that began the stream")
 )
 
 // Resolve returns the origin of a stream of a service, for a caller that takes it up.
@@ -51,16 +52,23 @@
 }
 
 func (s *Service) resolve(ctx context.Context, service core.DeploymentID, request string) (Origin, error) {
-	key := newStreamKey(service, request)
-	if version, age, ok := s.memory.get(key, time.Now()); ok && request != "" {
-		return Origin{Version: version, Source: SourceMemory, Age: age}, nil
+	key, now := newStreamKey(service, request), time.Now()
+	if r, ok := s.memory.get(key, now); ok && request != "" {
+		if r.unknown {
+			return Origin{}, errVersionLost
+		}
+		return Origin{Version: r.version, Source: SourceMemory, Age: now.Sub(r.at)}, nil
 	}
-	if !s.fresh(time.Now()) {
-		if err := s.readVersions(ctx, service); err != nil {
+	// A recent copy that lists several versions is good enough: a change of the base
+	// version is settled before streams rely on it. One that lists a single version may
+	// lack another that streams began at a moment ago, which only the store can tell.
+	versions, _ := s.table.get(service)
+	if !s.fresh(now) || versions == nil || len(versions.Others) == 0 {
+		if err := s.readCurrent(ctx, service); err != nil {
 			return Origin{}, err
 		}
+		versions, _ = s.table.get(service)
 	}
-	versions, _ := s.table.get(service)
 	switch {
 	case versions == nil:
 		return Origin{}, errNoVersions
@@ -69,16 +77,24 @@
 	case request == "":
 		return Origin{}, errNoStream
 	}
+	return s.lookUp(ctx, key, versions.Base)
+}
+
+// lookUp reads the row of a stream. Without one, the stream began at the base version.
+func (s *Service) lookUp(ctx context.Context, key streamKey, base core.SoftwareVersion) (Origin, error) {
 	set, err := s.store.Range(ctx, singleRow(key.row()))
 	if err != nil {
 		return Origin{}, err
 	}
 	if len(set.Rows) == 0 {
-		return Origin{Version: versions.Base, Source: SourceBase}, nil
+		return Origin{Version: base, Source: SourceBase}, nil
 	}
 	var row streamRow
 	if err := msgpack.Unmarshal(set.Rows[0].Value, &row); err != nil {
 		return Origin{}, errors.Wrap(err, "decode the record of a stream")
 	}
+	if row.Unknown {
+		return Origin{}, errVersionLost
+	}
 	return Origin{Version: row.Version, Source: SourceRecord, Age: set.Clock - row.Begun}, nil
 }
--- a/internal/streamversion/service.go
+++ b/internal/streamversion/service.go
@@ -23,6 +23,11 @@
 	// the store answers, the copy is at most as old as one call that waits for changes,
 	// 2 s, and the time of the call.
 	freshAge = 3 * time.Second
+	// unrecordedAge is how long after the last contact with the store streams still begin
+	// at the base version without a record. Together with the same time for the peer from
+	// which a starting node got its copy it is shorter than the time after which the base
+	// version may change.
+	unrecordedAge = 2 * time.Minute
 	// recordMargin is added to the time in which a stream may be taken up. The clocks of
 	// callers and of the store differ less.
 	recordMargin = time.Minute
@@ -66,6 +71,8 @@
 	failedWrite monotime.AtomicTime
 	// ensuring serializes the changes that this node makes to the row of a service.
 	ensuring sync.Map // core.DeploymentID to chan struct{} of size 1
+	readers  sync.Map // core.DeploymentID to *currentReader
+	created  time.Time
 	ctx      context.Context
 	stop     context.CancelFunc
 }
@@ -74,7 +81,7 @@
 func New(options Options) *Service {
 	s := &Service{
 		Options: options, store: options.Store, log: options.Log, table: newTable(options.Log), memory: newMemory(),
-		counters: newCounters(options.Scope),
+		counters: newCounters(options.Scope), created: time.Now(),
 	}
 	s.ctx, s.stop = context.WithCancel(context.Background())
 	s.watcher = watch.New(s.store, VersionsTable, []string{""}, s.table, s.log)
@@ -109,6 +116,23 @@
 	}
 }
 
+// readCurrent makes the copy of the versions of a service as new as this call.
+func (s *Service) readCurrent(ctx context.Context, service core.DeploymentID) error {
+	reader, _ := s.readers.LoadOrStore(service, &currentReader{s: s, service: service})
+	return reader.(*currentReader).read(ctx)
+}
+
+// unrecorded reports whether a stream that begins at a version needs no row.
+func (s *Service) unrecorded(service core.DeploymentID, version core.SoftwareVersion) bool {
+	versions, _ := s.table.get(service)
+	age, ok := s.watcher.ContactAge(time.Now())
+	if !ok {
+		age = time.Since(s.created) // the copy is that of a peer
+	}
+	clock, known := s.Clock()
+	return versions != nil && age < unrecordedAge && versions.unrecorded(version, clock, known)
+}
+
 // fresh reports whether the copy of the versions is recent.
 func (s *Service) fresh(now time.Time) bool {
 	age, ok := s.watcher.ContactAge(now)
@@ -166,13 +190,13 @@
 }
 
 // record has the row of a stream written with a version, once the version is listed.
-func (s *Service) record(p *pendingStream, version core.SoftwareVersion) {
+func (s *Service) record(p *pendingStream, version core.SoftwareVersion, unknown bool) {
 	p.mu.Lock()
-	if p.writes > 0 && p.wanted == version {
+	if p.writes > 0 && p.wanted == version && p.unknown == unknown {
 		p.mu.Unlock()
 		return
 	}
-	p.wanted = version
+	p.wanted, p.unknown = version, unknown
 	p.writes++
 	p.mu.Unlock()
 	w := s.writers[p.key.partition()]
--- a/internal/streamversion/writer.go
+++ b/internal/streamversion/writer.go
@@ -204,7 +204,7 @@
 		if clock, ok := w.s.Clock(); ok && p.begunClock == 0 {
 			p.begunClock, p.untilClock = clock, clock+p.until.Sub(now)
 		}
-		value, err := msgpack.Marshal(&streamRow{Version: p.wanted, Begun: p.begunClock, Until: p.untilClock})
+		value, err := msgpack.Marshal(&streamRow{Version: p.wanted, Unknown: p.unknown, Begun: p.begunClock, Until: p.untilClock})
 		r := record{stream: p, writes: p.writes, value: value, row: p.row}
 		p.mu.Unlock()
 		if err != nil {
