--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -79,12 +79,12 @@
 func (r *request) query(now time.Time) *placement.Query {
 	query := &placement.Query{
 		Tried: r.tried, Arrived: r.arrived,
-		Objective: r.objective(), MaxWait: r.maxWait(r.lastProgress), Urgent: r.headerSent, Identity: r.identity,
+		Objective: r.objective(), MaxWait: r.maxWait(r.lastProgress), Urgent: r.headerSent || r.takesUp(), Identity: r.identity,
 	}
 	if r.begunAt != nil {
 		query.Service, query.Version = r.begunAt.Service, &r.begunAt.Version
 	} else {
-		query.Service = r.route.Pick(uint64(now.UnixNano()))
+		query.Service, query.Version = r.pickService(now), r.preferredVersion()
 	}
 	return query
 }
@@ -153,6 +153,9 @@
 		a.release()
 		return a
 	}
+	if r.recording != nil {
+		r.recording.Send(info.Version)
+	}
 	a.response, a.err = target.Send(ctx, &replica.Request{
 		ID: r.reqInfo.ID, Method: r.in.Method, Target: r.in.RequestURI, Host: r.in.Host,
 		Header: r.h.Codec.ReplicaHeader(r.in.Header, SendOptions{
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -48,6 +48,9 @@
 
 // serveStream serves a request whose response is an event stream.
 func (r *request) serveStream(ctx context.Context) Outcome {
+	if !r.prepareVersion(ctx) {
+		return OutcomeRefused
+	}
 	s := &streamRelay{r: r, out: http.NewResponseController(r.w), lastEvent: NoResume}
 	for r.mayRetry() && !s.unnumbered && !s.softwareUnknown {
 		outcome, done := s.attempt(ctx)
@@ -97,7 +100,12 @@
 		return "", false
 	}
 	s.resumed = s.hasLastEvent
-	err := s.copy(a, standby)
+	err := s.copy(attemptCtx, a, standby)
+	if errors.Is(err, errNotRecorded) {
+		a.release()
+		r.h.Log.Info("stream ended before its first event", "request", r.reqInfo.ID, "replica", a.replica.Info().ID, "software", string(a.software.Version), "error", err)
+		return "", false
+	}
 	otherSoftware := errors.Is(err, errOtherSoftware)
 	if !errors.Is(err, errCallerWrite) && !otherSoftware && context.Cause(attemptCtx) == nil {
 		a.run.RecordEnd(err, a.response.Framed)
@@ -140,13 +148,13 @@
 
 // copy forwards events until the stream ends. It returns nil only for a complete
 // stream.
-func (s *streamRelay) copy(a *attempt, standby *standby) error {
+func (s *streamRelay) copy(ctx context.Context, a *attempt, standby *standby) error {
 	var splitter sse.Splitter
 	buf := make([]byte, streamBuffer)
 	for {
 		n, err := a.response.Read(buf)
 		if n > 0 {
-			progress, addErr := s.relayEvents(a, &splitter, buf[:n])
+			progress, addErr := s.relayEvents(ctx, a, &splitter, buf[:n])
 			if progress {
 				s.r.stopWatch() // the run has begun without a crash
 				a.run.RecordEvent(time.Now())
@@ -172,7 +180,7 @@
 // relayEvents forwards the events that p completes, and reports whether any of them
 // is more than a comment. Event IDs must increase by 1, also across attempts, and what
 // resumes a stream must have them: an error that a replica sends instead has none.
-func (s *streamRelay) relayEvents(a *attempt, splitter *sse.Splitter, p []byte) (progress bool, err error) {
+func (s *streamRelay) relayEvents(ctx context.Context, a *attempt, splitter *sse.Splitter, p []byte) (progress bool, err error) {
 	wrote := false
 	err = splitter.Add(p, func(e sse.Event) error {
 		switch {
@@ -181,6 +189,9 @@
 		case s.resumed && !e.HasID && !e.IsComment():
 			return errEventOrder
 		}
+		if err := s.r.awaitRecord(ctx, a); err != nil {
+			return err
+		}
 		if err := s.checkSoftware(a); err != nil {
 			return err
 		}
@@ -219,6 +230,9 @@
 		return errOtherSoftware
 	}
 	s.softwareUnknown = true
+	if s.r.recording != nil {
+		s.r.recording.Doubt()
+	}
 	s.r.h.Log.Info("version that began a stream is not known any more", "request", s.r.reqInfo.ID, "replica", a.replica.Info().ID,
 		"software", string(a.software.Version), "registered", string(a.replica.Info().Version))
 	return nil
