Ignore rows of partitions that are not followed

What callers saw: a row that another client wrote into another partition of the table of registrations, under the ID of a replica, removed that replica from each node until its own entry changed; with a value that can be read it replaced the registration. Its requests went to other replicas, or were refused if there were none.

Cause: the feed brings the changes of all partitions of a table, and the watcher passed them all to its handler, which knows rows by key alone.

Change: the watcher passes on only rows of the partitions that it follows.

Evidence: TestRowsOfOtherPartitionsAreIgnored failed before.

--- a/internal/watch/watcher.go
+++ b/internal/watch/watcher.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -136,8 +137,14 @@
 	return nil
 }
 
-// apply merges changed rows into the copy and passes them to the handler.
+// apply merges changed rows into the copy and passes them to the handler. The feed
+// brings the changes of all partitions; those of others than the watched ones, in
+// which other clients may use the same keys, are left out.
 func (w *Watcher) apply(rows []infra.VersionedRow) {
+	rows = slices.DeleteFunc(rows, func(row infra.VersionedRow) bool { return !slices.Contains(w.Partitions, row.Partition) })
+	if len(rows) == 0 {
+		return
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.mergeRows(rows)
