Take no odd registration for a replica

What callers saw: nothing ended or stopped following the table, but registrations of other writers were used: with port 0, an empty or unspecified host or a host name, with fields of another type, and with up to 2^63 - 1 slots. Such a one looks free whatever it is given, so that it draws the requests of its service, and the sum of two overflows, so that items get the headroom. A key with line breaks or other bytes became another ID in the header that names the replica; an empty one named none, so that any replica at the address would have run the request.

Cause: DecodeReplica checked neither keys nor all fields, and matched names of fields without regard to case.

What does not fit names no replica, and is logged once per key with the reason, without its value. The deepest nesting (64 KiB) was refused before, by encoding/json.

--- a/internal/discovery/registryupdater.go
+++ b/internal/discovery/registryupdater.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"maps"
 	"sync"
 	"time"
 
@@ -16,9 +17,9 @@
 // removed.
 const lapseGrace = 2 * time.Second
 
-// Decoder decodes a registration. It returns false if the row does not describe a
+// Decoder decodes a registration. It returns an error if the row does not describe a
 // usable replica.
-type Decoder func(row *infra.VersionedRow) (replica.Info, bool)
+type Decoder func(row *infra.VersionedRow) (replica.Info, error)
 
 // RegistryUpdater applies the registrations in a table to a replica registry. It
 // implements watch.Handler.
@@ -30,6 +31,9 @@
 
 	mu       sync.Mutex
 	versions map[string]uint64
+	// ignored holds the keys of the rows that describe no usable replica. Each is
+	// logged once, however often its writer writes it.
+	ignored map[string]bool
 	// lapsed holds the replicas whose registrations lapsed during an outage, with
 	// the timers that remove them.
 	lapsed map[core.ReplicaID]*time.Timer
@@ -39,7 +43,7 @@
 func NewRegistryUpdater(registry *replica.Registry, decode Decoder, log *slog.Logger) *RegistryUpdater {
 	return &RegistryUpdater{
 		registry: registry, decode: decode, log: log,
-		versions: make(map[string]uint64), lapsed: make(map[core.ReplicaID]*time.Timer),
+		versions: make(map[string]uint64), ignored: make(map[string]bool), lapsed: make(map[core.ReplicaID]*time.Timer),
 	}
 }
 
@@ -56,6 +60,7 @@
 	for i := range rows {
 		present[core.ReplicaID(rows[i].Key)] = true
 	}
+	maps.DeleteFunc(u.ignored, func(key string, _ bool) bool { return !present[core.ReplicaID(key)] })
 	u.registry.Coalesce(func() {
 		for _, r := range u.registry.All() {
 			if id := r.Info().ID; !present[id] {
@@ -83,15 +88,20 @@
 func (u *RegistryUpdater) apply(row *infra.VersionedRow) {
 	id := core.ReplicaID(row.Key)
 	if row.Deleted {
+		delete(u.ignored, row.Key)
 		u.unregister(id, "deleted")
 		return
 	}
-	info, ok := u.decode(row)
-	if !ok {
-		u.log.Warn("registration does not describe a usable replica", "replica", id, "version", row.Version)
-		u.remove(id, "unreadable")
+	info, err := u.decode(row)
+	if err != nil {
+		if !u.ignored[row.Key] {
+			u.ignored[row.Key] = true
+			u.log.Warn("registration ignored: it does not describe a usable replica", "replica", id, "version", row.Version, "reason", err)
+		}
+		u.remove(id, "registration ignored")
 		return
 	}
+	delete(u.ignored, row.Key)
 	u.mu.Lock()
 	if timer, waiting := u.lapsed[id]; waiting {
 		timer.Stop()
