Give a starting node its tables in pages, without odd rows

What callers saw: a node that started while the store was away stayed out of rotation until the store came back, if another writer had left some 20 rows of 64 KiB among the registrations, or if the sound ones took above 900 KiB.

Cause: a peer gave the whole tables in one message, which has 1 MiB at most, with all rows, and answered with an error if they did not fit.

Change: a peer leaves out rows that mean nothing to a node (those that are no registered replica, other rows of the operator's table) and gives the rest in pages of 256 KiB. A copy of which a page fails is not used. Nodes of the version before ask for, and get, the first page only.

--- a/internal/platformnode/bootstrap.go
+++ b/internal/platformnode/bootstrap.go
@@ -10,9 +10,8 @@
 
 	"gentiantide.example/gentiantide/internal/core"
 	"gentiantide.example/gentiantide/internal/infra"
-	"gentiantide.example/gentiantide/internal/nodes"
 	"gentiantide.example/gentiantide/internal/peer"
-	"gentiantide.example/gentiantide/internal/quarantine"
+	"gentiantide.example/gentiantide/internal/wire"
 )
 
 const (
@@ -27,37 +26,40 @@
 	copyRetryInterval = 500 * time.Millisecond
 	// maxCopyBytes bounds the encoded copies. A frame holds at most 1 MiB.
 	maxCopyBytes = 900 << 10
+	// maxCopyPages bounds the pages that are read from one peer: 32 MB.
+	maxCopyPages = 128
 )
 
-var errTablesNotLoaded = errors.New("configuration is not loaded yet")
-
-// tableCopy holds a node's copies of the tables that it needs for routing.
-type tableCopy struct {
-	Tables map[string][]infra.VersionedRow `msgpack:"t"`
-	// Nodes are the nodes that the peer knows, so that a node that starts while the
-	// store is away uses the same hubs.
-	Nodes []nodes.Record `msgpack:"n,omitempty"`
-	// Quarantine are the quarantined parts that the peer knows.
-	Quarantine []quarantine.Notice `msgpack:"q,omitempty"`
-}
+var (
+	errTablesNotLoaded = errors.New("configuration is not loaded yet")
+	errCopyPages       = errors.Errorf("table copy has more than %d pages", maxCopyPages)
+)
 
 // serveTableCopy answers a peer that is starting while the store is unavailable.
-func (n *Node) serveTableCopy(context.Context, core.NodeID, []byte) ([]byte, error) {
+func (n *Node) serveTableCopy(_ context.Context, _ core.NodeID, body []byte) ([]byte, error) {
+	var request copyRequest
+	if err := wire.Unmarshal(body, &request); err != nil {
+		return nil, err
+	}
 	if n.configs.Table.Load() == nil {
 		return nil, errTablesNotLoaded
 	}
-	out := tableCopy{
-		Tables: make(map[string][]infra.VersionedRow), Nodes: append(n.nodes.View().Records(), n.nodes.Self()),
-		Quarantine: n.quarantine.Notices(),
-	}
+	var rows []infra.VersionedRow
 	for _, w := range n.routingWatchers {
-		out.Tables[w.Table] = w.Copy()
+		for _, row := range w.Copy() {
+			row.Table = w.Table
+			rows = append(rows, row)
+		}
+	}
+	out := copyPage(rows, request.After)
+	if request.After == "" {
+		out.Nodes, out.Quarantine = append(n.nodes.View().Records(), n.nodes.Self()), n.quarantine.Notices()
 	}
-	body, err := msgpack.Marshal(&out)
-	if err == nil && len(body) > maxCopyBytes {
-		err = errors.Errorf("table copy of %d bytes is too large for one message", len(body))
+	encoded, err := msgpack.Marshal(out)
+	if err == nil && len(encoded) > maxCopyBytes {
+		err = errors.Errorf("table copy of %d bytes is too large for one message", len(encoded))
 	}
-	return body, err
+	return encoded, err
 }
 
 // bootstrapFromPeers loads the configuration and the replicas from a peer while the
@@ -85,10 +87,8 @@
 func (n *Node) fetchTableCopy(ctx context.Context, id core.NodeID, address string, round int) {
 	n.peers.SetAddress(id, address)
 	defer n.peers.Forget(id)
-	ctx, cancel := context.WithTimeout(ctx, copyCallTimeout)
-	defer cancel()
-	var got tableCopy
-	if err := n.peers.Call(ctx, id, kindTableCopy, struct{}{}, &got); err != nil {
+	got, err := n.fetchCopyPages(ctx, id)
+	if err != nil {
 		if round == 0 {
 			n.log.Info("no table copy from peer", "address", address, "error", err)
 		}
@@ -104,3 +104,32 @@
 		}
 	}
 }
+
+// fetchCopyPages reads the table copies of one peer. A copy of which a page is missing
+// is not used: another peer may have it all.
+func (n *Node) fetchCopyPages(ctx context.Context, id core.NodeID) (*tableCopy, error) {
+	all := &tableCopy{Tables: make(map[string][]infra.VersionedRow)}
+	var request copyRequest
+	for range maxCopyPages {
+		page, err := n.fetchCopyPage(ctx, id, &request)
+		if err != nil {
+			return nil, err
+		}
+		for table, rows := range page.Tables {
+			all.Tables[table] = append(all.Tables[table], rows...)
+		}
+		all.Nodes, all.Quarantine = append(all.Nodes, page.Nodes...), append(all.Quarantine, page.Quarantine...)
+		if page.Next <= request.After {
+			return all, nil
+		}
+		request.After = page.Next
+	}
+	return nil, errCopyPages
+}
+
+func (n *Node) fetchCopyPage(ctx context.Context, id core.NodeID, request *copyRequest) (*tableCopy, error) {
+	ctx, cancel := context.WithTimeout(ctx, copyCallTimeout)
+	defer cancel()
+	page := &tableCopy{}
+	return page, n.peers.Call(ctx, id, kindTableCopy, request, page)
+}
--- a/internal/watch/watcher.go
+++ b/internal/watch/watcher.go
@@ -1,9 +1,11 @@
 package watch
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -47,6 +49,9 @@
 	// changes arrive in one call. Otherwise each change costs one call of every
 	// node.
 	Interval time.Duration
+	// Useful reports whether a starting peer needs a row. If nil, it needs all. Other
+	// clients may leave large rows in the table that mean nothing to a node.
+	Useful func(row *infra.VersionedRow) bool
 
 	// mu guards rows and serializes the calls of the handler.
 	mu   sync.Mutex
@@ -191,14 +196,18 @@
 	}
 }
 
-// Copy returns the node's copy of the table, which it gives to a starting peer.
+// Copy returns the useful rows of the node's copy of the table, which it gives to a
+// starting peer, ordered by partition and key.
 func (w *Watcher) Copy() []infra.VersionedRow {
 	w.mu.Lock()
-	defer w.mu.Unlock()
-	out := make([]infra.VersionedRow, 0, len(w.rows))
-	for _, row := range w.rows {
-		out = append(out, row)
+	out := slices.Collect(maps.Values(w.rows))
+	w.mu.Unlock()
+	if w.Useful != nil {
+		out = slices.DeleteFunc(out, func(row infra.VersionedRow) bool { return !w.Useful(&row) })
 	}
+	slices.SortFunc(out, func(a, b infra.VersionedRow) int {
+		return cmp.Or(cmp.Compare(a.Partition, b.Partition), cmp.Compare(a.Key, b.Key))
+	})
 	return out
 }
 
