--- a/internal/httpsend/client.go
+++ b/internal/httpsend/client.go
@@ -121,7 +121,7 @@
 		return nil, fmt.Errorf("response has neither a Content-Length nor chunked encoding")
 	}
 	if resp.ContentLength > limit {
-		return nil, fmt.Errorf("response body of %d bytes exceeds the limit of %d bytes", resp.ContentLength, limit)
+		return nil, fmt.Errorf("%w of %d bytes: it has %d bytes", ErrTooLong, limit, resp.ContentLength)
 	}
 	var buf bytes.Buffer
 	if resp.ContentLength > 0 {
@@ -132,7 +132,7 @@
 		return nil, err
 	}
 	if n > limit {
-		return nil, fmt.Errorf("response body exceeds the limit of %d bytes", limit)
+		return nil, fmt.Errorf("%w of %d bytes", ErrTooLong, limit)
 	}
 	return buf.Bytes(), nil
 }
--- a/internal/httpsend/errors.go
+++ b/internal/httpsend/errors.go
@@ -2,6 +2,9 @@
 
 import "errors"
 
+// ErrTooLong is the cause if the body of a response is longer than the caller reads.
+var ErrTooLong = errors.New("response body exceeds the limit")
+
 // Error means that a request got no complete response.
 type Error struct {
 	// MaybeSent is false only if no byte of the request was sent or will be sent.
