Check rows and objects of the own tables before they are decoded

What callers saw: nothing so far; in trials with rows that another client had left in the tables of the nodes, a value that is nested 8 million levels deep ended the process (objects may be that large, rows may not); records under another key, or with a processor share that is no number, counted as live nodes; with 50 lapsed leases or more no node could renew its own, as the transaction had more than 100 entries.

Cause: msgpack follows any nesting, a row's key was not compared with the ID in it, and one renewal deleted all lapsed rows at once.

Change: values of rows and objects pass the check of internal/wire. The row of a node or job must hold the record that its key names; a node row that does not is logged once. One renewal deletes 40 rows.

Evidence: TestOddNodeRowsNameNoNode and TestManyLapsedRowsAreDeletedInTurn failed before. With msgpack.Unmarshal in jobs/store.go, TestOddJobRowsAndObjectsHideNoJob ends its process by a stack overflow.

--- a/internal/jobs/jobcache.go
+++ b/internal/jobs/jobcache.go
@@ -5,8 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"gentiantide.example/gentiantide/internal/infra"
 )
 
@@ -84,12 +82,12 @@
 		delete(c.entries, row.Key)
 		return Entry{}, false
 	}
-	var record Record
-	if err := msgpack.Unmarshal(row.Value, &record); err != nil || record.ID != row.Key {
+	entry, err := decodeEntry(row)
+	if err != nil {
 		c.log.Warn("job row is malformed", "job", row.Key, "version", row.Version, "error", err)
 		return Entry{}, false
 	}
-	entry := Entry{Record: record, Version: row.Version, Seen: time.Now()}
+	entry.Seen = time.Now()
 	c.entries[row.Key] = entry
 	return entry, true
 }
--- a/internal/jobs/store.go
+++ b/internal/jobs/store.go
@@ -9,6 +9,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"gentiantide.example/gentiantide/internal/infra"
+	"gentiantide.example/gentiantide/internal/wire"
 )
 
 // store reads and writes job rows, result rows and objects.
@@ -31,9 +32,12 @@
 
 func decodeEntry(row *infra.VersionedRow) (Entry, error) {
 	entry := Entry{Version: row.Version}
-	if err := msgpack.Unmarshal(row.Value, &entry.Record); err != nil {
+	if err := wire.Unmarshal(row.Value, &entry.Record); err != nil {
 		return Entry{}, fmt.Errorf("decode job row %q: %w", row.Key, err)
 	}
+	if entry.ID != row.Key {
+		return Entry{}, fmt.Errorf("job row %q holds another job", row.Key)
+	}
 	return entry, nil
 }
 
@@ -57,7 +61,7 @@
 			break
 		}
 		var result Result
-		if err := msgpack.Unmarshal(rows[i].Value, &result); err != nil {
+		if err := wire.Unmarshal(rows[i].Value, &result); err != nil {
 			return nil, fmt.Errorf("decode result row %q: %w", rows[i].Key, err)
 		}
 		out = append(out, result)
@@ -72,7 +76,7 @@
 		return nil, err
 	}
 	var items []Item
-	if err := msgpack.Unmarshal(data, &items); err != nil {
+	if err := wire.Unmarshal(data, &items); err != nil {
 		return nil, fmt.Errorf("decode items in object %q: %w", object, err)
 	}
 	return items, nil
--- a/internal/nodes/directory.go
+++ b/internal/nodes/directory.go
@@ -34,6 +34,9 @@
 	settleTime = 2 * time.Second
 	// lapsedRetention is how long the row of a node is kept after its lease lapsed.
 	lapsedRetention = time.Minute
+	// maxDeletions bounds the rows that one renewal deletes, with two entries of its
+	// transaction each. The platform's store takes 100 entries.
+	maxDeletions = 40
 	// retryDelay is the delay after a failed renewal.
 	retryDelay = 300 * time.Millisecond
 )
@@ -69,6 +72,8 @@
 	left bool
 	// version is the version of this node's row as last written by this process.
 	version uint64
+	// ignored holds the keys of the rows that cannot be decoded, which are logged once.
+	ignored map[string]bool
 	// changes receives a signal after the view was replaced.
 	changes chan struct{}
 	// renewNow makes Run renew the lease before its time.
@@ -231,16 +236,21 @@
 	}
 	txn := infra.RowTxn{Writes: []infra.RowWrite{{RowKey: d.key(record.ID), Value: value}}}
 	view := &View{Alive: make(map[string]Record), Lapsed: make(map[string]Record), Clock: set.Clock, At: at, Settled: d.settled(at)}
+	ignored := make(map[string]bool)
 	for _, row := range set.Rows {
-		var other Record
-		if err := msgpack.Unmarshal(row.Value, &other); err != nil {
-			d.log.Warn("node row cannot be decoded", "key", row.Key, "version", row.Version, "error", err)
+		other, err := decodeRecord(&row)
+		if err != nil {
+			ignored[row.Key] = true
+			if !d.ignored[row.Key] {
+				d.log.Warn("node row ignored: it cannot be decoded", "key", row.Key, "version", row.Version, "reason", err)
+			}
 			continue
 		}
 		switch {
 		case other.ID == d.self.ID:
 		case other.Until > set.Clock:
 			view.Alive[other.Owner()] = other
+		case other.Until+lapsedRetention < set.Clock && len(txn.Conditions) >= maxDeletions:
 		case other.Until+lapsedRetention < set.Clock:
 			txn.Conditions = append(txn.Conditions, infra.RowCondition{RowKey: row.RowKey, Version: row.Version})
 			txn.Writes = append(txn.Writes, infra.RowWrite{RowKey: row.RowKey, Delete: true})
@@ -248,6 +258,7 @@
 			view.Lapsed[other.Owner()] = other
 		}
 	}
+	d.ignored = ignored
 	version, err := d.store.CommitRows(ctx, txn)
 	if err != nil {
 		return err
--- a/internal/nodes/record.go
+++ b/internal/nodes/record.go
@@ -1,9 +1,14 @@
 package nodes
 
 import (
+	"math"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"gentiantide.example/gentiantide/internal/core"
+	"gentiantide.example/gentiantide/internal/infra"
+	"gentiantide.example/gentiantide/internal/wire"
 )
 
 // Record is the content of a node's row. Each node writes its own.
@@ -23,3 +28,18 @@
 
 // Owner identifies this run of the process as the owner of jobs.
 func (r *Record) Owner() string { return string(r.ID) + "/" + r.Lifetime }
+
+// decodeRecord parses the row of a node. It returns an error for one that no node wrote.
+func decodeRecord(row *infra.VersionedRow) (Record, error) {
+	var record Record
+	if err := wire.Unmarshal(row.Value, &record); err != nil {
+		return Record{}, err
+	}
+	switch cores := record.CPUCores; {
+	case string(record.ID) != row.Key:
+		return Record{}, errors.New("record has another ID than its row")
+	case !(cores >= 0) || math.IsInf(cores, 0):
+		return Record{}, errors.New("processor share is out of range")
+	}
+	return record, nil
+}
