Refuse requests that a node was sent as if it were a replica

What callers saw: with a registration that has the address at which a node serves callers, requests went through that node once more, or round between nodes until one chose a replica; each turn took a placement, a connection and time. Items of jobs reached it as submissions.

Cause: a node forwards whatever arrives at that address.

Change: a request that names a registered replica as the only one that may run it comes from a node. It gets 421, which says that it did not run, so that the node that sent it ejects the registration and sends it elsewhere. A caller that sends the header with any other value is served as before.

--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -55,6 +55,8 @@
 	// Submit accepts a batch job. The request body was read before the call.
 	Submit func(w http.ResponseWriter, in *http.Request, reqInfo *RequestInfo, route *routetable.Route, body []byte) Outcome
 	Placer Placer
+	// Registered reports whether a replica is registered.
+	Registered func(id core.ReplicaID) bool
 	// Quarantine refuses requests that crash replicas.
 	Quarantine *quarantine.Service
 	Log        *slog.Logger
@@ -109,6 +111,13 @@
 	arrived := time.Now()
 	table := h.Routes.Load()
 	reqInfo, err := h.Codec.ParseRequest(in.Header)
+	if h.Registered(reqInfo.OnlyReplica) {
+		// Another node, or this one, takes this address for that of the replica. If the
+		// request were forwarded, it could go round.
+		h.Log.Warn("request refused", "request", reqInfo.ID, "reason", "registration of a replica has the address of this node", "replica", reqInfo.OnlyReplica)
+		refuse(w, http.StatusMisdirectedRequest, "not_a_replica", 0)
+		return
+	}
 	if table == nil {
 		h.Log.Warn("request refused", "request", reqInfo.ID, "reason", "no configuration yet")
 		refuse(w, http.StatusServiceUnavailable, "not_ready", notReadyRetryAfter)
--- a/internal/forward/requestinfo.go
+++ b/internal/forward/requestinfo.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"gentiantide.example/gentiantide/internal/core"
 	"gentiantide.example/gentiantide/internal/quarantine"
 )
 
@@ -15,4 +16,7 @@
 	CallerTimeout time.Duration
 	// PromptParts are the parts of the prompt that other requests may share.
 	PromptParts []quarantine.Part
+	// OnlyReplica is the only replica that may run the request, or empty. Nodes name it
+	// when they send a request to a replica.
+	OnlyReplica core.ReplicaID
 }
