Eject servers that answer like no replica

What callers saw: with registrations that have the addresses of other servers (here eight beside one replica), 174 of 200 unsafe requests got 502. Such a server answers at once and never looks busy, so that it gets most requests. Its 422 or 500 ended items of jobs, as dead letters.

Cause: an unsigned response was not passed on, but did not eject the replica; and the status of an item's response was believed without a signature.

Change: a response that has no signature, does not name its request and does not say that it has not run ejects the replica, and decides nothing about an item. A response of a replica without a signature that names its request is treated as before.

--- a/internal/forward/codec.go
+++ b/internal/forward/codec.go
@@ -19,8 +19,9 @@
 	// ReplicaHeader returns the headers of the request to a replica: the caller's
 	// end-to-end headers and those that encode the options.
 	ReplicaHeader(h http.Header, send SendOptions) http.Header
-	// ParseResponse parses the status and headers of a replica's response.
-	ParseResponse(status int, h http.Header) ResponseInfo
+	// ParseResponse parses the status and headers of a replica's response to the request
+	// with the ID.
+	ParseResponse(requestID string, status int, h http.Header) ResponseInfo
 	// ResponseMatcher returns a function that says whether a response with the given
 	// headers belongs to the request with the ID.
 	ResponseMatcher(id string) func(http.Header) replica.Match
--- a/internal/forward/responseinfo.go
+++ b/internal/forward/responseinfo.go
@@ -13,6 +13,9 @@
 	NotRun bool
 	// Misdirected is set if another replica now has the address.
 	Misdirected bool
+	// Foreign is set if nothing shows that a replica sent the response: it has no
+	// signature, does not name its request and does not say that it has not run.
+	Foreign bool
 	// Signed is set if the response carries the replica's signature.
 	Signed bool
 	// Load is the replica's load report, or nil if it sent none.
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -129,12 +129,16 @@
 		}
 		return
 	}
-	a.info = r.h.Codec.ParseResponse(a.response.Status, a.response.Header)
+	a.info = r.h.Codec.ParseResponse(r.reqInfo.ID, a.response.Status, a.response.Header)
 	a.info.Record(a.replica, a.started, a.sent, r.reqInfo.ID, r.h.Log)
 	switch {
 	case a.info.Misdirected:
 		a.replica.RecordFailure(now)
 		r.h.Log.Info("address belongs to another replica", "request", r.reqInfo.ID, "replica", a.replica.Info().ID)
+	case a.info.Foreign:
+		r.runs++ // whatever it is, it may have run the request
+		wait := a.replica.RecordFailure(now)
+		r.h.Log.Info("response is not of a replica", "request", r.reqInfo.ID, "replica", a.replica.Info().ID, "status", a.response.Status, "avoid_ms", wait.Milliseconds())
 	case !a.info.NotRun:
 		r.runs++
 	}
--- a/internal/jobs/executor.go
+++ b/internal/jobs/executor.go
@@ -148,7 +148,7 @@
 		return outcomeBroken, err
 	}
 	defer response.Close()
-	info := e.Codec.ParseResponse(response.Status, response.Header)
+	info := e.Codec.ParseResponse(task.item.ID, response.Status, response.Header)
 	info.Record(target, started, sent, task.item.ID, e.Log)
 	if info.NotRun || response.Status != http.StatusOK || !info.Signed {
 		return e.classifyResponse(response, info)
@@ -170,6 +170,8 @@
 	switch {
 	case info.Misdirected:
 		return outcomeNotRun, errors.New("address now belongs to another replica")
+	case info.Foreign:
+		return outcomeBroken, fmt.Errorf("response with status %d is not of a replica", response.Status)
 	case info.NotRun:
 		return outcomeNotRun, nil
 	case response.Status == http.StatusUnprocessableEntity:
--- a/internal/jobs/executor_test.go
+++ b/internal/jobs/executor_test.go
@@ -17,7 +17,7 @@
 // signedCodec treats every response as signed and as the result of a run.
 type signedCodec struct{ plainCodec }
 
-func (signedCodec) ParseResponse(int, http.Header) forward.ResponseInfo {
+func (signedCodec) ParseResponse(string, int, http.Header) forward.ResponseInfo {
 	return forward.ResponseInfo{Signed: true}
 }
 
