Read the rest of a large response before its attempt ends

What callers saw: each response above 256 KiB broke off (LOST): the channel was closed in the middle of a 200 of a sound replica, on safe and unsafe routes.

Cause: serveBuffered ended the context of the attempt once the first 256 KiB were read. The connection is aborted when that context ends, and the rest of the body was read from it afterwards.

Change: the context of such an attempt lasts until the response has been forwarded, without the timeout for attempts that may be tried elsewhere, as the caller has the start of the response then. If that timeout came just before, the next replica is tried.

--- a/internal/forward/buffered.go
+++ b/internal/forward/buffered.go
@@ -31,12 +31,22 @@
 		if target == nil {
 			break
 		}
-		attemptCtx, cancel := r.attemptContext(ctx)
+		attemptCtx, cancel, stopTimeout := r.attemptContext(ctx)
 		response := r.readBuffered(r.send(attemptCtx, target, NoResume))
+		stopTimeout()
+		if response != nil && response.unread != nil && attemptCtx.Err() == nil {
+			// The end of the context would abort the connection with the rest of the body.
+			defer cancel()
+			return r.deliver(response)
+		}
 		cancel()
 		if response == nil {
 			continue
 		}
+		if response.unread != nil { // the attempt was ended at this moment
+			response.unread.release()
+			continue
+		}
 		if response.status < http.StatusInternalServerError {
 			return r.deliver(response)
 		}
@@ -49,12 +59,15 @@
 }
 
 // attemptContext returns the context of one attempt. It has a timeout if the request
-// may run at another replica afterwards.
-func (r *request) attemptContext(ctx context.Context) (context.Context, context.CancelFunc) {
+// may run at another replica afterwards, until stopTimeout is called.
+func (r *request) attemptContext(ctx context.Context) (attemptCtx context.Context, cancel context.CancelFunc, stopTimeout func()) {
+	attemptCtx, cancelCause := context.WithCancelCause(ctx)
+	cancel = func() { cancelCause(nil) }
 	if !r.route.Retryable() || r.runs+1 >= r.route.MaxAttempts {
-		return context.WithCancel(ctx)
+		return attemptCtx, cancel, func() {}
 	}
-	return context.WithTimeoutCause(ctx, attemptTimeout, errReplicaTimeout)
+	timer := time.AfterFunc(attemptTimeout, func() { cancelCause(errReplicaTimeout) })
+	return attemptCtx, cancel, func() { timer.Stop() }
 }
 
 // bufferedResponse is a response that was read from a replica.
