Take no success without a body for whole if only the close ends it

What callers saw: a 200 of the node with Content-Length: 0 where the replica had closed after the head of a response with neither a length nor chunks, on safe and unsafe routes and for streams that name no type (MIXED). Cut responses with a length or chunks, and cut heads, did not pass for whole.

Cause: the end of the connection ends such a body, and nothing was expected before it.

Change: a 2xx without a length or chunks that ends before the first byte of its body counts as cut: a safe request is repeated, another one gets 502. HEAD, 204 and 304 have no body. A cut within such a body cannot be told from its end.

Evidence: TestResponseCutAtAnyByteIsNotWhole (each framing, close and reset, four kinds of routes) and TestResponsesWithoutBody failed before for these responses only.

--- a/internal/forward/buffered.go
+++ b/internal/forward/buffered.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -20,7 +21,10 @@
 	attemptTimeout = 900 * time.Millisecond
 )
 
-var errReplicaTimeout = errors.New("replica did not respond in time")
+var (
+	errReplicaTimeout = errors.New("replica did not respond in time")
+	errNoBody         = fmt.Errorf("response without a length ended before its body: %w", io.ErrUnexpectedEOF)
+)
 
 // serveBuffered serves a request whose response is sent to the caller only after it
 // was read completely. Responses above maxBufferedBody are the exception.
@@ -109,6 +113,9 @@
 			err = nil
 		}
 	}
+	if err == nil && n == 0 && r.mayLackBody(a) {
+		err = errNoBody
+	}
 	a.run.RecordEvent(a.sent) // the response is whole, so that its run counts from when it was sent
 	a.run.RecordEnd(err, a.response.Framed)
 	a.release()
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -144,6 +144,12 @@
 	}
 }
 
+// mayLackBody reports whether a response of which no byte of the body came may have been
+// cut: it is a success whose body only the end of the connection ends.
+func (r *request) mayLackBody(a *attempt) bool {
+	return !a.response.Framed && a.response.Status < http.StatusMultipleChoices && r.in.Method != http.MethodHead
+}
+
 // release closes the response and removes the request from the replica's load.
 // Later calls do nothing. The connection is reused if the response was read
 // completely.
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -224,13 +224,13 @@
 
 // finish ends the response after the replica ended its body. Trailing bytes that
 // are no complete event are an error in a stream of events: the replica stopped in
-// the middle of one. So is the end of a connection before the first event, if only
-// that end shows where the body ends. A body of another type is forwarded as it is.
+// the middle of one. So is the end of a connection before the first byte of the body,
+// if only that end shows where it ends. A body of another type is forwarded as it is.
 func (s *streamRelay) finish(a *attempt, remainder []byte) error {
 	if len(remainder) > 0 && (s.resumed || s.r.route.CanResume || a.response.EventStream()) {
 		return errTruncatedEvent
 	}
-	if !s.r.headerSent && !a.response.Framed && a.response.EventStream() {
+	if !s.r.headerSent && len(remainder) == 0 && s.r.mayLackBody(a) {
 		return errNoEvent
 	}
 	s.sendHeader(a)
