--- a/internal/forward/buffered.go
+++ b/internal/forward/buffered.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -21,7 +22,10 @@
 	standbyAfter = 900 * time.Millisecond
 )
 
-var errReplicaTimeout = errors.New("replica did not respond in time")
+var (
+	errReplicaTimeout = errors.New("replica did not respond in time")
+	errNoBody         = fmt.Errorf("response without a length ended before its body: %w", io.ErrUnexpectedEOF)
+)
 
 // serveBuffered serves a request whose response is sent to the caller only after it
 // was read completely. Responses above maxBufferedBody are the exception.
@@ -36,10 +40,23 @@
 		standby := r.newStandby(ctx, target, standbyAfter, func() { cancel(errReplicaTimeout) })
 		response := r.readBuffered(r.send(attemptCtx, target, NoResume))
 		r.granted = standby.stop()
+		if response != nil && response.unread != nil {
+			if attemptCtx.Err() == nil {
+				// The end of the context would abort the connection with the rest of the body.
+				defer cancel(nil)
+				return r.deliver(response)
+			}
+			response.unread.release()
+			response = nil
+		}
 		cancel(nil)
 		if response == nil {
 			continue
 		}
+		if response.unread != nil { // the attempt was ended at this moment
+			response.unread.release()
+			continue
+		}
 		if response.status < http.StatusInternalServerError {
 			return r.deliver(response)
 		}
@@ -90,6 +107,9 @@
 			err = nil
 		}
 	}
+	if err == nil && n == 0 && r.mayLackBody(a) {
+		err = errNoBody
+	}
 	a.run.RecordEvent(a.sent) // the response is whole, so that its run counts from when it was sent
 	a.run.RecordEnd(err, a.response.Framed)
 	a.release()
--- a/internal/jobs/executor.go
+++ b/internal/jobs/executor.go
@@ -155,7 +155,7 @@
 		return outcomeBroken, err
 	}
 	defer response.Close()
-	responseInfo := e.Codec.ParseResponse(response.Status, response.Header)
+	responseInfo := e.Codec.ParseResponse(task.item.ID, response.Status, response.Header)
 	responseInfo.Record(target, info.Started, sent, task.item.ID, e.Log)
 	if responseInfo.NotRun || response.Status != http.StatusOK || !responseInfo.Signed {
 		return e.classifyResponse(response, responseInfo)
@@ -181,6 +181,8 @@
 	switch {
 	case info.Misdirected:
 		return outcomeNotRun, errors.New("address now belongs to another replica")
+	case info.Foreign:
+		return outcomeBroken, fmt.Errorf("response with status %d is not of a replica", response.Status)
 	case info.NotRun:
 		return outcomeNotRun, nil
 	case response.Status == http.StatusUnprocessableEntity:
--- a/internal/platformnode/node.go
+++ b/internal/platformnode/node.go
@@ -146,7 +146,8 @@
 	})
 	n.forward = &forward.Handler{
 		Codec: platform.HeaderCodec{}, Placer: n.placer, Routes: &n.configs.Table, RoutesAge: n.configWatcher.ContactAge,
-		Submit: n.jobsAPI.Submit, Quarantine: n.quarantine, Versions: n.versions, Log: log, Counters: n.counters,
+		Registered: func(id core.ReplicaID) bool { return n.registry.Get(id) != nil },
+		Submit:     n.jobsAPI.Submit, Quarantine: n.quarantine, Versions: n.versions, Log: log, Counters: n.counters,
 	}
 	n.routingWatchers = []*watch.Watcher{n.configWatcher, registrations, n.versions.Watcher()}
 	n.jobWatcher = watch.New(n.store, jobs.JobsTable, jobs.Partitions(), n.jobs.JobCache, log)
--- a/internal/streamversion/cluster_test.go
+++ b/internal/streamversion/cluster_test.go
@@ -111,8 +111,8 @@
 	n := &testNode{link: &link{PartitionedTable: rows}, cancel: cancel}
 	log := slog.New(slog.DiscardHandler)
 	registry := replica.NewRegistry()
-	updater := discovery.NewRegistryUpdater(registry, func(row *infra.VersionedRow) (replica.Info, bool) {
-		return replica.Info{ID: core.ReplicaID(row.Key), Service: testService, Address: row.Key, Version: core.SoftwareVersion(row.Value), Slots: 1}, true
+	updater := discovery.NewRegistryUpdater(registry, func(row *infra.VersionedRow) (replica.Info, error) {
+		return replica.Info{ID: core.ReplicaID(row.Key), Service: testService, Address: row.Key, Version: core.SoftwareVersion(row.Value), Slots: 1}, nil
 	}, log)
 	watcher := updater.Watcher(n.link, registrations)
 	n.Service = New(Options{
