Follow the versions of services with four calls a minute

No decision relies on a copy of the versions that is more recent than 18 s: a take-up reads what may be newer, and streams are recorded for 30 s after a change of the base version. Whether the store is away is seen from the registrations.

--- a/internal/streamversion/dump.go
+++ b/internal/streamversion/dump.go
@@ -12,6 +12,8 @@
 	Services []DumpService `json:"services"`
 	// Fresh is set if the versions are recent enough to be relied on without the store.
 	Fresh bool `json:"fresh"`
+	// Away is set if records can probably not be written now.
+	Away bool `json:"away"`
 	// Pending is the number of streams whose row is to be written, Rows that of rows that
 	// this node will delete, and Remembered that of streams that it remembers.
 	Pending    int `json:"records_pending"`
@@ -29,7 +31,7 @@
 
 // Dump returns the current state.
 func (s *Service) Dump() Dump {
-	d := Dump{Services: []DumpService{}, Fresh: s.fresh(time.Now()), Remembered: s.memory.len()}
+	d := Dump{Services: []DumpService{}, Fresh: s.fresh(time.Now()), Away: s.Away(), Remembered: s.memory.len()}
 	for service, v := range s.table.all() {
 		d.Services = append(d.Services, DumpService{Service: service, Base: v.Base, BaseSinceMS: v.BaseSince.Milliseconds(), Others: v.Others})
 	}
--- a/internal/streamversion/maintainer.go
+++ b/internal/streamversion/maintainer.go
@@ -55,8 +55,7 @@
 // tick makes the changes that are due.
 func (m *maintainer) tick(ctx context.Context, now time.Time) {
 	s := m.s
-	age, ok := s.Registrations.ContactAge(now)
-	if !s.fresh(now) || !ok || s.Registrations.Failing() || age > freshAge || !assigned(s.View(), s.Self) {
+	if !s.fresh(now) || !s.inContact(now) || !assigned(s.View(), s.Self) {
 		// Registrations may have come and gone unseen.
 		clear(m.absent)
 		return
--- a/internal/streamversion/service.go
+++ b/internal/streamversion/service.go
@@ -19,10 +19,14 @@
 )
 
 const (
+	// followWait is how long a call waits for a change of the versions, which change with
+	// releases only. No decision relies on a copy that is more recent than freshAge.
+	followWait = 15 * time.Second
 	// freshAge is the age up to which a node relies on its copy of the versions. While
-	// the store answers, the copy is at most as old as one call that waits for changes,
-	// 2 s, and the time of the call.
-	freshAge = 3 * time.Second
+	// the store answers, the copy is at most as old as one call that waits for changes.
+	freshAge = followWait + 3*time.Second
+	// contactAge is the same for the registrations, whose calls wait for 2 s.
+	contactAge = 3 * time.Second
 	// unrecordedAge is how long after the last contact with the store streams still begin
 	// at the base version without a record. Together with the same time for the peer from
 	// which a starting node got its copy it is shorter than the time after which the base
@@ -85,6 +89,7 @@
 	}
 	s.ctx, s.stop = context.WithCancel(context.Background())
 	s.watcher = watch.New(s.store, VersionsTable, []string{""}, s.table, s.log)
+	s.watcher.Wait = followWait
 	for i := range numPartitions {
 		s.writers = append(s.writers, &writer{s: s, partition: i, wake: make(chan struct{}, 1)})
 	}
@@ -140,10 +145,15 @@
 }
 
 // Away reports whether records can probably not be written now.
-func (s *Service) Away() bool { return s.away(time.Now()) }
+func (s *Service) Away() bool {
+	now := time.Now()
+	return !s.inContact(now) || s.failedWrite.After(now.Add(-awayTime))
+}
 
-func (s *Service) away(now time.Time) bool {
-	return !s.fresh(now) || s.failedWrite.After(now.Add(-awayTime))
+// inContact reports whether the store has answered lately.
+func (s *Service) inContact(now time.Time) bool {
+	age, ok := s.Registrations.ContactAge(now)
+	return ok && !s.Registrations.Failing() && age <= contactAge
 }
 
 func (s *Service) noteWrite(err error) {
@@ -159,7 +169,7 @@
 // versions would need records. It returns nil if any replica will do.
 func (s *Service) Fallback(service core.DeploymentID) *core.SoftwareVersion {
 	versions, _ := s.table.get(service)
-	if versions == nil || !s.away(time.Now()) || !s.HasReplica(service, versions.Base) {
+	if versions == nil || !s.Away() || !s.HasReplica(service, versions.Base) {
 		return nil
 	}
 	return &versions.Base
--- a/internal/streamversion/versions.go
+++ b/internal/streamversion/versions.go
@@ -11,7 +11,7 @@
 // at the new one are still recorded. It is longer than the age up to which nodes rely on
 // their copies, so that no node takes an unrecorded stream for one of the former base
 // version.
-const settleTime = 10 * time.Second
+const settleTime = 30 * time.Second
 
 // Versions is the row of one service.
 type Versions struct {
--- a/internal/watch/watcher.go
+++ b/internal/watch/watcher.go
@@ -18,7 +18,7 @@
 )
 
 const (
-	// followTimeout is how long one call waits for a change. A node must be up to
+	// followTimeout is how long one call usually waits for a change. A node must be up to
 	// date within 3 s after an outage of the store, so a call that the store will
 	// never answer must end before that.
 	followTimeout = 2 * time.Second
@@ -52,6 +52,9 @@
 	// Useful reports whether a starting peer needs a row. If nil, it needs all. Other
 	// clients may leave large rows in the table that mean nothing to a node.
 	Useful func(row *infra.VersionedRow) bool
+	// Wait is how long a call waits for a change. A longer one costs fewer calls, and a
+	// store that never answers is noticed later.
+	Wait time.Duration
 
 	// mu guards rows and serializes the calls of the handler.
 	mu   sync.Mutex
@@ -68,7 +71,7 @@
 func New(store infra.PartitionedTable, table string, partitions []string, handler Handler, log *slog.Logger) *Watcher {
 	return &Watcher{
 		Store: store, Table: table, Partitions: partitions, Handler: handler,
-		Log: log.With("table", table), loaded: make(chan struct{}), rows: make(map[infra.RowKey]infra.VersionedRow),
+		Log: log.With("table", table), Wait: followTimeout, loaded: make(chan struct{}), rows: make(map[infra.RowKey]infra.VersionedRow),
 	}
 }
 
@@ -120,7 +123,7 @@
 		return w.load(ctx)
 	}
 	started := time.Now()
-	wait := followTimeout
+	wait := w.Wait
 	if w.Failing() {
 		wait = 0
 	}
