Count and log callers' connections that end without a response

Cause: not known from the logs. No counter and no line told of a connection that the node closes while no handler runs. The servers of callers' connections move to a package of their own.

--- a/internal/platformnode/connqueue.go
+++ b/internal/callerconn/connqueue.go
@@ -1,4 +1,4 @@
-package platformnode
+package callerconn
 
 import (
 	"net"
--- a/internal/platformnode/callerservers.go
+++ b/internal/callerconn/servers.go
@@ -1,4 +1,4 @@
-package platformnode
+package callerconn
 
 import (
 	"context"
@@ -10,56 +10,66 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"gentiantide.example/gentiantide/internal/netopt"
 	"gentiantide.example/gentiantide/internal/routetable"
 )
 
 const (
-	// defaultHeaderTimeout, defaultHeaderBytes and defaultIdleTimeout apply while
+	// DefaultHeaderTimeout, DefaultHeaderBytes and DefaultIdleTimeout apply while
 	// the operator's configuration sets no limit.
-	defaultHeaderTimeout = 5 * time.Second
-	defaultHeaderBytes   = 64 << 10
-	defaultIdleTimeout   = 60 * time.Second
+	DefaultHeaderTimeout = 5 * time.Second
+	DefaultHeaderBytes   = 64 << 10
+	DefaultIdleTimeout   = 60 * time.Second
 	// acceptRetryDelay is the delay after a failed accept.
 	acceptRetryDelay = 20 * time.Millisecond
 )
 
-// callerServers serves the callers' connections with the limits of the operator's
+// Servers serves the callers' connections with the limits of the operator's
 // configuration. An HTTP server cannot change its limits, so each change starts
 // another one for the connections that are opened from then on. Those of the
 // former servers are closed after their next response.
-type callerServers struct {
+type Servers struct {
 	handler  http.Handler
 	limits   func() routetable.Limits
 	log      *slog.Logger
 	listener *netopt.Drainable
+	closures *closures
+	// ending is why open connections are closed, once the node stops.
+	ending atomic.Int32
 
-	current  atomic.Pointer[callerServer]
+	current  atomic.Pointer[server]
 	accepted chan struct{} // closed when no more connections are accepted
 
 	mu      sync.Mutex
-	servers []*callerServer
+	servers []*server
 }
 
-// callerServer is one HTTP server with fixed limits.
-type callerServer struct {
+// server is one HTTP server with fixed limits.
+type server struct {
 	http.Server
 	limits routetable.Limits
 	conns  *connQueue
 }
 
-func newCallerServers(listener *netopt.Drainable, handler http.Handler, limits func() routetable.Limits, log *slog.Logger) *callerServers {
-	return &callerServers{listener: listener, handler: handler, limits: limits, log: log, accepted: make(chan struct{})}
+// New returns the servers of a listener. The limits are those of the operator's
+// configuration.
+func New(listener *netopt.Drainable, handler http.Handler, limits func() routetable.Limits, scope tally.Scope, log *slog.Logger) *Servers {
+	return &Servers{
+		listener: listener, handler: handler, limits: limits, log: log, accepted: make(chan struct{}),
+		closures: &closures{log: log, scope: scope},
+	}
 }
 
 // Run accepts connections until Shutdown.
-func (s *callerServers) Run() {
+func (s *Servers) Run() {
 	defer close(s.accepted)
 	for {
 		conn, err := s.listener.Accept()
 		switch {
 		case err == nil:
-			s.server().conns.put(conn)
+			s.server().conns.put(s.newConn(conn))
 		case errors.Is(err, net.ErrClosed):
 			return
 		default:
@@ -70,8 +80,12 @@
 	}
 }
 
-// server returns the server with the present limits.
-func (s *callerServers) server() *callerServer {
+func (s *Servers) newConn(raw net.Conn) *conn {
+	return &conn{Conn: raw, closures: s.closures, opened: time.Now(), ending: func() cause { return cause(s.ending.Load()) }}
+}
+
+// server returns the HTTP server with the present limits.
+func (s *Servers) server() *server {
 	limits := s.limits()
 	if server := s.current.Load(); server != nil && server.limits.SameConnectionLimits(limits) {
 		return server
@@ -95,18 +109,20 @@
 	return server
 }
 
-func (s *callerServers) newServer(limits routetable.Limits) *callerServer {
-	server := &callerServer{limits: limits, conns: newConnQueue(s.listener.Addr())}
+func (s *Servers) newServer(limits routetable.Limits) *server {
+	server := &server{limits: limits, conns: newConnQueue(s.listener.Addr())}
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, in *http.Request) {
 		if s.current.Load() != server {
 			w.Header().Set("Connection", "close")
 		}
-		s.handler.ServeHTTP(w, in)
+		track(s.handler, w, in)
 	})
+	server.ConnContext = withConn
+	server.ConnState = stateChanged
 	server.ErrorLog = slog.NewLogLogger(s.log.Handler(), slog.LevelWarn)
-	server.ReadHeaderTimeout = orDefault(limits.HeaderTimeout, defaultHeaderTimeout)
-	server.MaxHeaderBytes = orDefault(limits.HeaderBytes, defaultHeaderBytes)
-	server.IdleTimeout = orDefault(limits.IdleTimeout, defaultIdleTimeout)
+	server.ReadHeaderTimeout = orDefault(limits.HeaderTimeout, DefaultHeaderTimeout)
+	server.MaxHeaderBytes = orDefault(limits.HeaderBytes, DefaultHeaderBytes)
+	server.IdleTimeout = orDefault(limits.IdleTimeout, DefaultIdleTimeout)
 	s.log.Info("limits of callers' connections", "header_bytes", server.MaxHeaderBytes,
 		"header_timeout", server.ReadHeaderTimeout.String(), "idle_timeout", server.IdleTimeout.String())
 	return server
@@ -121,10 +137,11 @@
 
 // Shutdown accepts the connections that wait in the kernel's queue, closes the
 // listener and waits until all requests have ended, or for ctx.
-func (s *callerServers) Shutdown(ctx context.Context) error {
+func (s *Servers) Shutdown(ctx context.Context) error {
 	s.listener.Drain()
 	_ = s.listener.Close()
 	<-s.accepted
+	s.ending.Store(int32(causeStop))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	ended := make(chan error, len(s.servers))
@@ -139,7 +156,8 @@
 }
 
 // Close closes all connections at once.
-func (s *callerServers) Close() {
+func (s *Servers) Close() {
+	s.ending.Store(int32(causeGraceOver))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, server := range s.servers {
--- a/internal/platformnode/callerservers_test.go
+++ b/internal/callerconn/servers_test.go
@@ -1,4 +1,4 @@
-package platformnode
+package callerconn
 
 import (
 	"bufio"
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/onsi/gomega"
+	"github.com/uber-go/tally/v4"
 
 	"gentiantide.example/gentiantide/internal/netopt"
 	"gentiantide.example/gentiantide/internal/routetable"
@@ -20,8 +21,8 @@
 
 const waitTimeout = 20 * time.Second
 
-// startCallerServers serves 204 to each request, with limits that the test changes.
-func startCallerServers(t *testing.T, limits routetable.Limits) (*callerServers, *atomic.Pointer[routetable.Limits]) {
+// startServers serves 204 to each request, with limits that the test changes.
+func startServers(t *testing.T, limits routetable.Limits) (*Servers, *atomic.Pointer[routetable.Limits]) {
 	var current atomic.Pointer[routetable.Limits]
 	current.Store(&limits)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -32,7 +33,7 @@
 		_, _ = io.Copy(io.Discard, in.Body)
 		w.WriteHeader(http.StatusNoContent)
 	})
-	s := newCallerServers(netopt.NewDrainable(listener.(*net.TCPListener)), handler, func() routetable.Limits { return *current.Load() }, slog.New(slog.DiscardHandler))
+	s := New(netopt.NewDrainable(listener.(*net.TCPListener)), handler, func() routetable.Limits { return *current.Load() }, tally.NoopScope, slog.New(slog.DiscardHandler))
 	go s.Run()
 	t.Cleanup(func() {
 		_ = listener.Close()
@@ -47,7 +48,7 @@
 	reader *bufio.Reader
 }
 
-func dialCaller(g *gomega.WithT, s *callerServers) *callerConn {
+func dialCaller(g *gomega.WithT, s *Servers) *callerConn {
 	conn, err := net.Dial("tcp", s.listener.Addr().String())
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(conn.SetDeadline(time.Now().Add(waitTimeout))).To(gomega.Succeed())
@@ -75,7 +76,7 @@
 func TestCallerLimitsAreApplied(t *testing.T) {
 	g := gomega.NewWithT(t)
 	limits := routetable.Limits{HeaderBytes: 8 << 10, HeaderTimeout: 50 * time.Millisecond, IdleTimeout: 50 * time.Millisecond}
-	s, _ := startCallerServers(t, limits)
+	s, _ := startServers(t, limits)
 
 	c := dialCaller(g, s)
 	g.Expect(c.send("X-Long: " + strings.Repeat("x", 16<<10) + "\r\n")).To(gomega.Succeed())
@@ -103,7 +104,7 @@
 // or that are closed by it while a request may be on its way.
 func TestChangedCallerLimits(t *testing.T) {
 	g := gomega.NewWithT(t)
-	s, limits := startCallerServers(t, routetable.Limits{HeaderBytes: 8 << 10})
+	s, limits := startServers(t, routetable.Limits{HeaderBytes: 8 << 10})
 	long := "X-Long: " + strings.Repeat("x", 16<<10) + "\r\n"
 	former := dialCaller(g, s)
 	g.Expect(former.send("")).To(gomega.Succeed())
@@ -132,7 +133,7 @@
 	g := gomega.NewWithT(t)
 	const callers = 50
 	for range 10 {
-		s, _ := startCallerServers(t, routetable.Limits{})
+		s, _ := startServers(t, routetable.Limits{})
 		conns := make([]*callerConn, callers)
 		for i := range conns {
 			conns[i] = dialCaller(g, s)
--- a/internal/platformnode/node.go
+++ b/internal/platformnode/node.go
@@ -17,6 +17,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"gentiantide.example/gentiantide/internal/callerconn"
 	"gentiantide.example/gentiantide/internal/core"
 	"gentiantide.example/gentiantide/internal/discovery"
 	"gentiantide.example/gentiantide/internal/forward"
@@ -70,6 +71,7 @@
 	configGauges *configGauges
 	// limitedReplicas is the number of replicas that name a limit.
 	limitedReplicas tally.Gauge
+	scope           tally.Scope
 	metrics         http.Handler
 	metricsCloser   io.Closer
 	// routingWatchers follow the tables that a node needs to serve requests: the
@@ -115,7 +117,7 @@
 	n.peers.ContainPanics()
 	n.peers.Handle(kindTableCopy, n.serveTableCopy)
 	scope, handler, closer := metrics.New()
-	n.metrics, n.metricsCloser = handler, closer
+	n.scope, n.metrics, n.metricsCloser = scope, handler, closer
 	n.quarantine = quarantine.New(quarantine.Options{
 		Messenger: n.peers, View: n.nodes.View, Persist: n.nodes.RenewSoon, Log: log, Scope: scope,
 		Hubs: func(service core.DeploymentID) []core.NodeID { return n.placer.Hubs(service) },
@@ -160,7 +162,7 @@
 	n.log.Info("start", "node", n.settings.Node, "lifetime", n.nodes.Self().Lifetime, "data_centre", n.settings.DataCentre, "store", n.settings.Store)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	callers := newCallerServers(netopt.NewDrainable(n.callers.(*net.TCPListener)), http.HandlerFunc(n.serveCaller), n.callerLimits, n.log)
+	callers := callerconn.New(netopt.NewDrainable(n.callers.(*net.TCPListener)), http.HandlerFunc(n.serveCaller), n.callerLimits, n.scope, n.log)
 	go callers.Run()
 	ready := n.serveReadiness()
 	n.peers.Start(n.peerListener)
@@ -211,7 +213,7 @@
 // serveReadiness starts the HTTP server of the readiness checks and of operators.
 func (n *Node) serveReadiness() *http.Server {
 	server := &http.Server{
-		Handler: n.readinessMux(), ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout, MaxHeaderBytes: defaultHeaderBytes,
+		Handler: n.readinessMux(), ReadHeaderTimeout: callerconn.DefaultHeaderTimeout, IdleTimeout: callerconn.DefaultIdleTimeout, MaxHeaderBytes: callerconn.DefaultHeaderBytes,
 		ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelWarn),
 	}
 	go func() {
