Answer each request that a node has read when it stops or its limits change

Cause: once http.Server.Shutdown was called, the server drops each request that it reads. Callers went on to send 2.3 s after the stop signal, as the balancer uses stopping nodes while fewer than half of a data centre are ready. Beside that, each change of the operator's limits left kept connections to a former server, which ended them by the former idle timeout. Change: one server, whose connections keep their own deadlines and end only when nothing can be read on them.

--- a/internal/callerconn/closures.go
+++ b/internal/callerconn/closures.go
@@ -12,8 +12,6 @@
 	// closureLinesPerSecond limits the log lines about closed connections. A stop
 	// closes all kept connections of a node at once.
 	closureLinesPerSecond = 20
-	// maxUnread is the largest number of unread bytes that a line reports.
-	maxUnread = 4 << 10
 )
 
 // closures counts and logs the connections that end without a response to a
@@ -34,16 +32,16 @@
 	if p == phaseAnswered {
 		return
 	}
-	unread := 0
+	waiting := 0
 	if why != causeCaller {
-		unread = c.unread()
+		waiting = unread(c.Conn)
 	}
-	s.scope.Tagged(map[string]string{"state": p.String(), "cause": why.String(), "unread": yesNo(unread > 0)}).
+	s.scope.Tagged(map[string]string{"state": p.String(), "cause": why.String(), "unread": yesNo(waiting > 0)}).
 		Counter("caller_connections_closed").Inc(1)
-	if why == causeCaller || p <= phaseIdle && unread == 0 || !s.mayLog() {
+	if why == causeCaller || p <= phaseIdle && waiting == 0 || !s.mayLog() {
 		return
 	}
-	s.log.Warn("caller's connection closed without a response", "state", p.String(), "cause", why.String(), "unread", unread,
+	s.log.Warn("caller's connection closed without a response", "state", p.String(), "cause", why.String(), "unread", waiting,
 		"requests", c.requests.Load(), "open_ms", time.Since(c.opened).Milliseconds(), "remote", c.RemoteAddr().String(),
 		"suppressed", s.suppressed.Swap(0))
 }
--- a/internal/callerconn/doc.go
+++ b/internal/callerconn/doc.go
@@ -1,4 +1,7 @@
 // Package callerconn serves the callers' HTTP connections of a node on the users'
-// platform. It knows what each connection is doing, so that a connection that is
-// closed without a response to a request is counted and logged with the reason.
+// platform. It puts one state machine around the connections of one HTTP server:
+// each connection knows what it is doing, follows the operator's limits as they
+// change, and is never closed by the node while bytes of a request have been read or
+// can be read. A connection that ends without a response to a request is counted and
+// logged with the reason.
 package callerconn
--- a/internal/callerconn/phase.go
+++ b/internal/callerconn/phase.go
@@ -22,6 +22,9 @@
 	phaseAnswered
 )
 
+// awaiting reports whether the HTTP server waits for bytes of a request.
+func (p phase) awaiting() bool { return p <= phaseHead }
+
 // String returns the name of the phase in logs and metrics.
 func (p phase) String() string {
 	return [...]string{"new", "idle", "reading", "read", "serving", "responding", "answered"}[p]
--- a/internal/platformnode/stop.go
+++ b/internal/platformnode/stop.go
@@ -24,7 +24,7 @@
 // stop drains the node. It reports that the node is not ready, goes on serving
 // until the load balancer has removed the node, and then waits for the requests
 // in progress. Batch work is handed over at the same time.
-func (n *Node) stop(callers *callerconn.Servers) {
+func (n *Node) stop(callers *callerconn.Server) {
 	n.stopping.Store(true)
 	n.placer.Stop()
 	deadline := time.Now().Add(max(n.OutOfRotationDelay, n.settings.StopGrace-exitMargin))
