Answer a caller's request whose handler panics

What callers saw: a closed connection, although the whole request was read and nothing of a response was sent. Cause: on the users' platform nothing but the HTTP server recovered a panic of a request's handler, and it closes the connection. Change: such a request gets 500 'internal', and the panic is logged and counted like those of other units of work. A response that had begun is aborted as before. Evidence: TestPanicGetsAnAnswer failed before.

--- a/internal/callerconn/answered_test.go
+++ b/internal/callerconn/answered_test.go
@@ -118,3 +118,20 @@
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(string(buf[:n])).To(gomega.Equal("GET"))
 }
+
+// Guards against a panic that leaves its caller without an answer.
+func TestPanicGetsAnAnswer(t *testing.T) {
+	g := gomega.NewWithT(t)
+	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Response-Signature", "none")
+		panic("a fault")
+	})
+	s := serve(t, handler, tally.NoopScope)
+	c := dialCaller(g, s)
+	g.Expect(c.send("")).To(gomega.Succeed())
+	resp, err := http.ReadResponse(c.reader, nil)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(resp.StatusCode).To(gomega.Equal(http.StatusInternalServerError))
+	g.Expect(resp.Header.Get("X-Response-Signature")).To(gomega.BeEmpty())
+	g.Expect(resp.Close).To(gomega.BeTrue())
+}
--- a/internal/callerconn/handler.go
+++ b/internal/callerconn/handler.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
+
+	"gentiantide.example/gentiantide/internal/contain"
 )
 
 type connKey struct{}
@@ -31,23 +34,45 @@
 	}
 }
 
-// ServeHTTP implements http.Handler.
+// ServeHTTP implements http.Handler. A request whose handler panics gets status 500,
+// or an aborted response if it had begun.
 func (s *Server) ServeHTTP(w http.ResponseWriter, in *http.Request) {
 	c := in.Context().Value(connKey{}).(*conn)
 	c.requests.Add(1)
 	c.setPhase(phaseServing)
+	response := &response{ResponseWriter: w}
+	aborted, err := s.call(response, in)
+	switch {
+	case aborted:
+		c.blame(causeAborted)
+		panic(http.ErrAbortHandler)
+	case err != nil && response.begun:
+		c.blame(causePanic)
+		panic(http.ErrAbortHandler)
+	case err != nil:
+		h := w.Header()
+		clear(h)
+		h.Set("Connection", "close")
+		h.Set("Content-Type", "application/json")
+		w.WriteHeader(http.StatusInternalServerError)
+		_, _ = io.WriteString(w, `{"error":{"code":"internal"}}`+"\n") // fails only if the caller has disconnected
+	}
+	c.phase.Store(int32(phaseAnswered))
+}
+
+// call runs the handler of one request. aborted is set if the handler gave the
+// response up, err if it panicked.
+func (s *Server) call(w http.ResponseWriter, in *http.Request) (aborted bool, err error) {
+	defer contain.Error(s.log, "caller's request", in.Method+" "+in.RequestURI, &err)
 	defer func() {
-		v := recover()
-		switch {
-		case v == nil:
-			c.phase.Store(int32(phaseAnswered))
-			return
-		case v == http.ErrAbortHandler:
-			c.blame(causeAborted)
+		switch v := recover(); v {
+		case nil:
+		case http.ErrAbortHandler:
+			aborted = true
 		default:
-			c.blame(causePanic)
+			panic(v)
 		}
-		panic(v)
 	}()
 	s.handler.ServeHTTP(w, in)
+	return false, nil
 }
--- /dev/null
+++ b/internal/callerconn/response.go
@@ -0,0 +1,24 @@
+package callerconn
+
+import "net/http"
+
+// response knows whether a handler has begun its response.
+type response struct {
+	http.ResponseWriter
+	begun bool
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (r *response) WriteHeader(status int) {
+	r.begun = true
+	r.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (r *response) Write(p []byte) (int, error) {
+	r.begun = true
+	return r.ResponseWriter.Write(p)
+}
+
+// Unwrap makes the methods of http.ResponseController available.
+func (r *response) Unwrap() http.ResponseWriter { return r.ResponseWriter }
