Serve while a node stops, and accept only what it can answer

What callers saw: no listener at nodes that still served others, while the balancer sent to them; and at the end of the grace period a closed connection for requests of which no response had begun. Cause: the listener was closed 2.3 s after the stop signal whatever was in progress, and requests in progress at the end were cut with their connections. Change: a stopping node goes on accepting for up to 2.8 s while requests are in progress. Streams and jobs that arrive after 3 s are refused unless they end in time by their deadline. 0.9 s before the kill what has no response is answered 504, or 503 if it has not run.

--- a/internal/callerconn/answered_test.go
+++ b/internal/callerconn/answered_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -19,6 +20,31 @@
 // stopMargin is longer than a stopping node takes to do what it does at once.
 const stopMargin = 250 * time.Millisecond
 
+// holding serves 204, to requests with the header X-Hold after release is closed.
+type holding struct {
+	held, release chan struct{}
+	once          sync.Once
+}
+
+func newHolding() *holding {
+	return &holding{held: make(chan struct{}), release: make(chan struct{})}
+}
+
+// end releases held requests, also in a test that fails.
+func (h *holding) end() { h.once.Do(func() { close(h.release) }) }
+
+func (h *holding) ServeHTTP(w http.ResponseWriter, in *http.Request) {
+	switch {
+	case in.Header.Get("X-Hold") != "":
+		close(h.held)
+		<-h.release
+	case in.Header.Get("X-Panic") != "":
+		w.Header().Set("X-Response-Signature", "none")
+		panic("a fault")
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
 func serve(t *testing.T, handler http.Handler, scope tally.Scope) *Server {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -33,19 +59,50 @@
 	return s
 }
 
+// Guards against a stopping node that refuses new connections, and closes kept ones,
+// while it goes on serving others: the balancer uses stopping nodes too if fewer than
+// half of a data centre are ready.
+func TestStoppingNodeServesWhileRequestsAreInProgress(t *testing.T) {
+	g := gomega.NewWithT(t)
+	h := newHolding()
+	defer h.end()
+	s := serve(t, h, tally.NoopScope)
+	kept := dialCaller(g, s)
+	kept.expectKept(g, "")
+	inProgress := dialCaller(g, s)
+	g.Expect(inProgress.send("X-Hold: 1\r\n")).To(gomega.Succeed())
+	<-h.held
+
+	ended := make(chan error, 1)
+	go func() { ended <- s.Shutdown(context.Background(), time.Now().Add(waitTimeout)) }()
+	for begin := time.Now(); time.Since(begin) < stopMargin; time.Sleep(stopMargin / 10) {
+		c := dialCaller(g, s)
+		c.expectKept(g, "")
+		_ = c.Close()
+	}
+	kept.expectKept(g, "")
+
+	h.end()
+	status, _, err := inProgress.receive()
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(status).To(gomega.Equal(http.StatusNoContent))
+	g.Expect(<-ended).To(gomega.Succeed())
+	_, err = kept.reader.ReadByte()
+	g.Expect(err).To(gomega.MatchError(io.EOF))
+}
+
 // Guards against a request that the HTTP server has read whole and drops because the
 // node stops, on a connection that was opened before.
 func TestStopDropsNoRequestThatWasRead(t *testing.T) {
 	g := gomega.NewWithT(t)
 	scope := tally.NewTestScope("", nil)
-	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
-	s := serve(t, handler, scope)
+	s := serve(t, newHolding(), scope)
 	conns := make([]*callerConn, 20)
 	for i := range conns {
 		conns[i] = dialCaller(g, s)
 	}
 	ended := make(chan error, 1)
-	go func() { ended <- s.Shutdown(context.Background()) }()
+	go func() { ended <- s.Shutdown(context.Background(), time.Now().Add(waitTimeout)) }()
 	answered := 0
 	for _, c := range conns {
 		time.Sleep(stopMargin / time.Duration(len(conns)))
@@ -122,13 +179,9 @@
 // Guards against a panic that leaves its caller without an answer.
 func TestPanicGetsAnAnswer(t *testing.T) {
 	g := gomega.NewWithT(t)
-	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("X-Response-Signature", "none")
-		panic("a fault")
-	})
-	s := serve(t, handler, tally.NoopScope)
+	s := serve(t, newHolding(), tally.NoopScope)
 	c := dialCaller(g, s)
-	g.Expect(c.send("")).To(gomega.Succeed())
+	g.Expect(c.send("X-Panic: 1\r\n")).To(gomega.Succeed())
 	resp, err := http.ReadResponse(c.reader, nil)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(resp.StatusCode).To(gomega.Equal(http.StatusInternalServerError))
--- a/internal/callerconn/closures_test.go
+++ b/internal/callerconn/closures_test.go
@@ -92,7 +92,7 @@
 	<-held
 	over, cancel := context.WithCancel(context.Background())
 	cancel()
-	g.Expect(s.Shutdown(over)).NotTo(gomega.Succeed())
+	g.Expect(s.Shutdown(over, time.Now())).NotTo(gomega.Succeed())
 	s.Close()
 	ends(c)
 
--- a/internal/callerconn/server_test.go
+++ b/internal/callerconn/server_test.go
@@ -147,7 +147,7 @@
 			g.Expect(conns[i].send("")).To(gomega.Succeed())
 		}
 		ended := make(chan error, 1)
-		go func() { ended <- s.Shutdown(context.Background()) }()
+		go func() { ended <- s.Shutdown(context.Background(), time.Now().Add(waitTimeout)) }()
 		for _, c := range conns {
 			status, _, err := c.receive()
 			g.Expect(err).NotTo(gomega.HaveOccurred())
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -57,8 +57,10 @@
 	Placer Placer
 	// Quarantine refuses requests that crash replicas.
 	Quarantine *quarantine.Service
-	Log        *slog.Logger
-	Counters   *Counters
+	// Stop bounds the requests of a node that stops.
+	Stop     *Stop
+	Log      *slog.Logger
+	Counters *Counters
 }
 
 // request is the state of one request in progress.
@@ -128,6 +130,11 @@
 	}
 	r := &request{h: h, w: w, in: in, reqInfo: reqInfo, parts: reqInfo.PromptParts, route: route, configVersion: table.Version, arrived: arrived, outcome: OutcomeBroken}
 	r.deadline = arrived.Add(r.timeout())
+	if h.Stop.refuses(route.Kind, arrived, r.deadline) {
+		h.Log.Info("request refused", "request", reqInfo.ID, "reason", "stopping")
+		refuse(w, http.StatusServiceUnavailable, "stopping", stoppingRetryAfter)
+		return
+	}
 	if r.refuseQuarantined() {
 		return
 	}
@@ -228,6 +235,7 @@
 	defer cancel()
 	ctx, cancelCause := context.WithCancelCause(ctx)
 	defer cancelCause(nil)
+	defer r.h.Stop.watch(cancelCause)()
 	r.stopWatch = r.h.Quarantine.Watch(r.parts, cancelCause)
 	defer r.stopWatch()
 	switch r.route.Kind {
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -120,9 +120,9 @@
 			a.run.RecordEnd(a.err, true)
 		}
 		a.release()
-		// A caller that disconnected, a deadline or a quarantine is no fault of the
-		// replica.
-		if !errors.Is(a.err, context.Canceled) && !errors.Is(a.err, errRouteTimeout) && !errors.Is(a.err, quarantine.ErrQuarantined) {
+		// A caller that disconnected, a deadline, the end of the node or a quarantine is
+		// no fault of the replica.
+		if !errors.Is(a.err, context.Canceled) && !errors.Is(a.err, errRouteTimeout) && !errors.Is(a.err, errStopOver) && !errors.Is(a.err, quarantine.ErrQuarantined) {
 			wait := a.replica.RecordError(a.err, now)
 			r.h.Log.Info("replica failed", "request", r.reqInfo.ID, "replica", a.replica.Info().ID,
 				"error", a.err, "after_ms", now.Sub(a.sent).Milliseconds(), "avoid_ms", wait.Milliseconds())
--- a/internal/platformnode/node.go
+++ b/internal/platformnode/node.go
@@ -140,7 +140,7 @@
 	n.configWatcher = n.configs.Watcher(n.store)
 	n.forward = &forward.Handler{
 		Codec: platform.HeaderCodec{}, Placer: n.placer, Routes: &n.configs.Table, RoutesAge: n.configWatcher.ContactAge,
-		Submit: n.jobsAPI.Submit, Quarantine: n.quarantine, Log: log, Counters: n.counters,
+		Submit: n.jobsAPI.Submit, Quarantine: n.quarantine, Stop: forward.NewStop(), Log: log, Counters: n.counters,
 	}
 	n.routingWatchers = []*watch.Watcher{n.configWatcher, n.replicas.Watcher(n.store, platform.ReplicaTable)}
 	n.jobWatcher = watch.New(n.store, jobs.JobsTable, jobs.Partitions(), n.jobs.JobCache, log)
--- a/internal/platformnode/stop.go
+++ b/internal/platformnode/stop.go
@@ -17,17 +17,32 @@
 	itemDrainTimeout = 3 * time.Second
 	// exitMargin is the part of the stop grace period reserved for the exit.
 	exitMargin = 700 * time.Millisecond
+	// lastAccept is how long after the stop signal connections are accepted while
+	// requests are in progress. Callers whom a node refuses as stopping return to
+	// other stopping nodes until they give up; those who cannot connect do not.
+	lastAccept = 2800 * time.Millisecond
+	// lastLongRequest is how long after the stop signal streams and batch jobs are
+	// accepted. The platform's rules let a stream be cut at the end of the grace period
+	// only if it was sent within 3 s.
+	lastLongRequest = 3 * time.Second
+	// lastAnswers is the time before the end of the stop in which requests that are
+	// still in progress are answered.
+	lastAnswers = 200 * time.Millisecond
 	// leaveTimeout bounds the write that ends the node's lease.
 	leaveTimeout = time.Second
 )
 
-// stop drains the node. It reports that the node is not ready, goes on serving
-// until the load balancer has removed the node, and then waits for the requests
-// in progress. Batch work is handed over at the same time.
+// stop drains the node. It reports that the node is not ready and goes on serving
+// until the load balancer has removed the node, and for a little longer while requests
+// are in progress: if fewer than half of a data centre are ready, the balancer uses
+// all of its nodes. It then waits for the requests in progress, and at the end answers
+// those that have no response yet. Batch work is handed over at the same time.
 func (n *Node) stop(callers *callerconn.Server) {
 	n.stopping.Store(true)
 	n.placer.Stop()
-	deadline := time.Now().Add(max(n.OutOfRotationDelay, n.settings.StopGrace-exitMargin))
+	began := time.Now()
+	deadline := began.Add(max(n.OutOfRotationDelay, n.settings.StopGrace-exitMargin))
+	n.forward.Stop.Begin(began.Add(lastLongRequest), deadline.Add(-lastAnswers))
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	leaveDone := make(chan struct{})
@@ -39,7 +54,7 @@
 	case <-ctx.Done():
 	case <-time.After(n.OutOfRotationDelay):
 	}
-	if err := callers.Shutdown(ctx); err != nil {
+	if err := callers.Shutdown(ctx, began.Add(lastAccept)); err != nil {
 		n.log.Warn("closing connections with requests in progress at the end of the stop grace period", "in_flight", n.counters.InFlight(), "error", err)
 		callers.Close()
 	}
