--- a/internal/platformnode/node.go
+++ b/internal/platformnode/node.go
@@ -17,6 +17,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"gentiantide.example/gentiantide/internal/callerconn"
 	"gentiantide.example/gentiantide/internal/core"
 	"gentiantide.example/gentiantide/internal/discovery"
 	"gentiantide.example/gentiantide/internal/forward"
@@ -72,6 +73,7 @@
 	configGauges *configGauges
 	// limitedReplicas is the number of replicas that name a limit.
 	limitedReplicas tally.Gauge
+	scope           tally.Scope
 	metrics         http.Handler
 	metricsCloser   io.Closer
 	// routingWatchers follow the tables that a node needs to serve requests: the
@@ -117,7 +119,7 @@
 	n.peers.ContainPanics()
 	n.peers.Handle(kindTableCopy, n.serveTableCopy)
 	scope, handler, closer := metrics.New()
-	n.metrics, n.metricsCloser = handler, closer
+	n.scope, n.metrics, n.metricsCloser = scope, handler, closer
 	n.quarantine = quarantine.New(quarantine.Options{
 		Messenger: n.peers, View: n.nodes.View, Persist: n.nodes.RenewSoon, Log: log, Scope: scope,
 		Hubs: func(service core.DeploymentID) []core.NodeID { return n.placer.Hubs(service) },
@@ -147,7 +149,7 @@
 	n.forward = &forward.Handler{
 		Codec: platform.HeaderCodec{}, Placer: n.placer, Routes: &n.configs.Table, RoutesAge: n.configWatcher.ContactAge,
 		Registered: func(id core.ReplicaID) bool { return n.registry.Get(id) != nil },
-		Submit:     n.jobsAPI.Submit, Quarantine: n.quarantine, Versions: n.versions, Log: log, Counters: n.counters,
+		Submit:     n.jobsAPI.Submit, Quarantine: n.quarantine, Versions: n.versions, Stop: forward.NewStop(), Log: log, Counters: n.counters,
 	}
 	n.routingWatchers = []*watch.Watcher{n.configWatcher, registrations, n.versions.Watcher()}
 	n.jobWatcher = watch.New(n.store, jobs.JobsTable, jobs.Partitions(), n.jobs.JobCache, log)
@@ -169,7 +171,7 @@
 	n.log.Info("start", "node", n.settings.Node, "lifetime", n.nodes.Self().Lifetime, "data_centre", n.settings.DataCentre, "store", n.settings.Store)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	callers := newCallerServers(netopt.NewDrainable(n.callers.(*net.TCPListener)), http.HandlerFunc(n.serveCaller), n.callerLimits, n.log)
+	callers := callerconn.New(netopt.NewDrainable(n.callers.(*net.TCPListener)), http.HandlerFunc(n.serveCaller), n.callerLimits, n.scope, n.log)
 	go callers.Run()
 	ready := n.serveReadiness()
 	n.peers.Start(n.peerListener)
@@ -221,7 +223,7 @@
 // serveReadiness starts the HTTP server of the readiness checks and of operators.
 func (n *Node) serveReadiness() *http.Server {
 	server := &http.Server{
-		Handler: n.readinessMux(), ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout, MaxHeaderBytes: defaultHeaderBytes,
+		Handler: n.readinessMux(), ReadHeaderTimeout: callerconn.DefaultHeaderTimeout, IdleTimeout: callerconn.DefaultIdleTimeout, MaxHeaderBytes: callerconn.DefaultHeaderBytes,
 		ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelWarn),
 	}
 	go func() {
