Do not abandon items whose route this node does not know yet

What callers saw: all items of an accepted job listed as dead_letter within milliseconds, although its route is in force. The route was new, the node that accepted the job stopped, and the node that took it over had not read the newer configuration.

Cause: a node abandons items for which its configuration has no route. A job may come from a node with a newer configuration, by handover or claim, so a missing route may be one that is not known yet.

Change: the row of a job has the version of the configuration under which it was accepted. A node with an older one keeps the items pending until it has read that version.

--- a/internal/jobs/executor.go
+++ b/internal/jobs/executor.go
@@ -68,7 +68,8 @@
 
 const (
 	routeFound routeStatus = iota
-	// routeNotLoaded: no configuration has been loaded yet.
+	// routeNotLoaded: no configuration has been loaded yet, or only one older than
+	// that under which the job was accepted.
 	routeNotLoaded
 	// routeMissing: the configuration has no route for the item.
 	routeMissing
@@ -82,10 +83,22 @@
 	}
 	path, _, _ := strings.Cut(task.item.Path, "?")
 	route := table.Match(task.job.entry.Host, path)
-	if route == nil {
+	switch {
+	case route != nil:
+		return route, routeFound
+	case table.Version < task.job.entry.Config:
+		return nil, routeNotLoaded
+	default:
 		return nil, routeMissing
 	}
-	return route, routeFound
+}
+
+// configVersion returns the version of the current configuration, or 0.
+func (e *Executor) configVersion() int64 {
+	if table := e.Routes.Load(); table != nil {
+		return table.Version
+	}
+	return 0
 }
 
 // run sends an item to a replica, collects its output and classifies the
--- a/internal/jobs/intake.go
+++ b/internal/jobs/intake.go
@@ -40,7 +40,9 @@
 	cache *JobCache
 	clock func() (time.Duration, bool)
 	owner string
-	log   *slog.Logger
+	// configVersion returns the version of the configuration that this node has.
+	configVersion func() int64
+	log           *slog.Logger
 	// onAccepted is called with each accepted job that this node is to execute.
 	onAccepted func(Entry, []Item)
 
@@ -123,7 +125,7 @@
 	}
 	record := &Record{
 		ID: sub.ID, Host: sub.Host, Path: sub.Path, State: StateOpen, Owner: in.owner,
-		Object: in.objectName(sub.ID), Total: len(sub.Items), Tokens: sub.Tokens(),
+		Object: in.objectName(sub.ID), Config: in.configVersion(), Total: len(sub.Items), Tokens: sub.Tokens(),
 		Accepted: now, Due: now + route.DueAfter, AbandonAt: now + route.AbandonAfter,
 	}
 	for {
--- a/internal/jobs/record.go
+++ b/internal/jobs/record.go
@@ -13,7 +13,11 @@
 	Owner string `msgpack:"owner"`
 	// Object is the name of the object that holds the items.
 	Object string `msgpack:"object"`
-	Total  int    `msgpack:"total"`
+	// Config is the version of the configuration that the accepting node had. A node
+	// with an older one cannot tell whether the job's route is gone. Rows written
+	// before the field existed have 0.
+	Config int64 `msgpack:"config,omitempty"`
+	Total  int   `msgpack:"total"`
 	// Tokens is the total tokens of all items.
 	Tokens int64 `msgpack:"tokens"`
 	// Accepted, Due and AbandonAt are times of the store's clock: when the job was
--- a/internal/jobs/service.go
+++ b/internal/jobs/service.go
@@ -65,7 +65,7 @@
 		JobCache: cache,
 		Reader:   &Reader{store: s, cache: cache, jobItems: newItemCache()},
 		Intake: &Intake{
-			store: s, cache: cache, clock: o.Clock, owner: owner.Owner(), log: o.Log,
+			store: s, cache: cache, clock: o.Clock, owner: owner.Owner(), configVersion: o.Executor.configVersion, log: o.Log,
 			onAccepted: func(e Entry, items []Item) { runner.StartJob(e, items, nil) },
 		},
 		runner:  runner,
