--- a/bench/soak/options.go
+++ b/bench/soak/options.go
@@ -19,6 +19,8 @@
 	Notices bool
 	// Crashes adds a phase after the faults in which requests crash engines.
 	Crashes bool
+	// PlannedDuration is how long a run with planned work makes such work.
+	PlannedDuration time.Duration
 	// RecoveryTimeout is the time after the faults within which every accepted job
 	// must complete.
 	RecoveryTimeout time.Duration
@@ -28,6 +30,6 @@
 func DefaultOptions(binary, dir string, seed uint64) Options {
 	return Options{
 		Binary: binary, Dir: dir, Seed: seed, Nodes: 4, Engines: 4, PlainServices: 2,
-		FaultDuration: 12 * time.Second, RecoveryTimeout: 60 * time.Second, Notices: true, Crashes: true,
+		FaultDuration: 12 * time.Second, PlannedDuration: 25 * time.Second, RecoveryTimeout: 60 * time.Second, Notices: true, Crashes: true,
 	}
 }
--- a/bench/soak/run.go
+++ b/bench/soak/run.go
@@ -17,6 +17,8 @@
 	// Sent counts the online requests, Served those with a 2xx response, and Jobs
 	// the accepted jobs.
 	Sent, Served, Jobs int
+	// Counts are further counts of a run with planned work.
+	Counts map[string]int
 }
 
 // Run makes one run. It returns an error if the run could not be set up; broken
@@ -28,7 +30,7 @@
 		return report, err
 	}
 	defer events.Close()
-	tb, err := newTestbed(o)
+	tb, err := newTestbed(o, "dc-a")
 	if tb != nil {
 		defer tb.close()
 	}
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -29,10 +29,7 @@
 // must complete after the faults.
 func TestGuaranteesUnderFaults(t *testing.T) {
 	g := gomega.NewWithT(t)
-	binary := filepath.Join(t.TempDir(), "gentiantided")
-	build := exec.Command("go", "build", "-o", binary, "gentiantide.example/gentiantide/cmd/gentiantided")
-	output, err := build.CombinedOutput()
-	g.Expect(err).NotTo(gomega.HaveOccurred(), string(output))
+	binary := buildDaemon(t)
 	seeds := append([]uint64(nil), ciSeeds...)
 	for _, r := range regressions {
 		seeds = append(seeds, r.seed)
@@ -47,3 +44,12 @@
 		g.Expect(report.Jobs).To(gomega.BeNumerically(">", 0))
 	}
 }
+
+// buildDaemon builds the node daemon and returns its path.
+func buildDaemon(t *testing.T) string {
+	binary := filepath.Join(t.TempDir(), "gentiantided")
+	build := exec.Command("go", "build", "-o", binary, "gentiantide.example/gentiantide/cmd/gentiantided")
+	output, err := build.CombinedOutput()
+	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred(), string(output))
+	return binary
+}
--- a/bench/soak/testbed.go
+++ b/bench/soak/testbed.go
@@ -39,9 +39,13 @@
 // backend is a replica behind its proxy.
 type backend struct {
 	*platformtest.Replica
-	proxy    *proxy
-	service  string
-	draining bool
+	proxy   *proxy
+	service string
+	// dataCentre is the one in which the replica runs.
+	dataCentre string
+	draining   bool
+	// silentUntil is when the replica may fall silent again.
+	silentUntil time.Time
 }
 
 // testbed holds the servers and processes of a run.
@@ -54,10 +58,12 @@
 	configVersion int
 	// extraRoutes numbers the extra route of each configuration.
 	extraRoutes int
+	// dataCentres are those of the replicas and nodes, in turn.
+	dataCentres []string
 }
 
-func newTestbed(o Options) (*testbed, error) {
-	tb := &testbed{options: o, store: platformtest.NewStore()}
+func newTestbed(o Options, dataCentres ...string) (*testbed, error) {
+	tb := &testbed{options: o, store: platformtest.NewStore(), dataCentres: dataCentres}
 	tb.store.Rows.Seed(o.Seed)
 	tb.store.Objects.Seed(o.Seed)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -98,7 +104,7 @@
 	if err != nil {
 		return nil, err
 	}
-	b := &backend{Replica: r, proxy: p, service: service}
+	b := &backend{Replica: r, proxy: p, service: service, dataCentre: tb.dataCentres[len(tb.backends)%len(tb.dataCentres)]}
 	serveNormally(b)
 	tb.backends = append(tb.backends, b)
 	return b, tb.register(b, "ready")
@@ -117,7 +123,7 @@
 
 func (tb *testbed) register(b *backend, state string) error {
 	b.draining = state != "ready"
-	return tb.store.RegisterAt(b.Replica, b.proxy.address(), b.service, "dc-a", state)
+	return tb.store.RegisterAt(b.Replica, b.proxy.address(), b.service, b.dataCentre, state)
 }
 
 // configure writes the next configuration: the default routes and one extra route
@@ -140,7 +146,7 @@
 		}
 		n.settingsFile = filepath.Join(tb.options.Dir, n.name+".yaml")
 		settingsFile := platformtest.NodeFile{
-			Name: n.name, Zone: "dc-a", Front: n.frontAddress, Ready: n.readyAddress, Control: n.controlAddress,
+			Name: n.name, Zone: tb.dataCentres[i%len(tb.dataCentres)], Front: n.frontAddress, Ready: n.readyAddress, Control: n.controlAddress,
 			Seeds: []string{addresses[2], addresses[5]}, Store: n.store.address(), StopGraceSeconds: stopGraceSeconds, JobRetentionSeconds: 120,
 		}
 		if err := os.WriteFile(n.settingsFile, []byte(settingsFile.String()), 0o600); err != nil {
