Keep the platform's names out of the phase of planned work

Cause: TestPlatformNamesStayInTheAdapter failed: the phase spelled paths, headers and fields of the platform itself.

Change: configurations, submissions and requests are written by platformtest.

--- a/bench/soak/keptconn.go
+++ b/bench/soak/keptconn.go
@@ -20,10 +20,8 @@
 	peekTime = time.Millisecond
 	// callerPause is the pause after which callers leave a stream.
 	callerPause = 2 * time.Second
-	// callDeadline is the time that callers wait for a response, and callDeadlineHeader
-	// the same in the header of the request.
-	callDeadline       = 10 * time.Second
-	callDeadlineHeader = "10000"
+	// callDeadline is the time that callers wait for a response.
+	callDeadline = 10 * time.Second
 )
 
 var errNoConnection = errors.New("no connection")
@@ -68,21 +66,19 @@
 	headed bool
 }
 
+// promptOf returns the parts of the prompt of a request, or of all items of a job.
+func promptOf(id string) string { return sharedPart + ":100,own-" + id + ":50" }
+
 // do sends a request and reads the response. It reports whether the connection may carry
 // another request.
 func (c *keptConn) do(call *call) bool {
 	call.node, call.reused = c.node, c.used
 	c.used = true
-	in, err := http.NewRequest(call.method, "http://"+platformtest.Host+call.path, strings.NewReader(call.body))
+	in, err := platformtest.NewRequest(call.method, call.path, call.id, promptOf(call.id), call.body, callDeadline)
 	if err != nil {
 		call.response.Err = err
 		return false
 	}
-	in.Header.Set("X-Deadline-Ms", callDeadlineHeader)
-	in.Header.Set("X-Prompt-Prefix", sharedPart+":100,own-"+call.id+":50")
-	if call.id != "" {
-		in.Header.Set("X-Request-Id", call.id)
-	}
 	began := time.Now()
 	writeErr := in.Write(c)
 	call.sent = time.Now()
--- a/bench/soak/planned.go
+++ b/bench/soak/planned.go
@@ -119,7 +119,7 @@
 	for _, b := range p.testbed.backends {
 		p.behave(b)
 	}
-	p.config.version = p.testbed.configVersion
+	p.config.Version = p.testbed.configVersion
 	if err := p.config.write(p.testbed.store, 1); err != nil {
 		return err
 	}
@@ -208,7 +208,7 @@
 		} else if p.jobsGoneUntil.After(time.Now()) {
 			p.jobsGoneUntil = time.Now()
 		}
-		p.log("configuration %d: %s", p.config.version, what)
+		p.log("configuration %d: %s", p.config.Version, what)
 	}
 	return nil
 }
@@ -237,7 +237,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.lastAccept = n
-	if _, known := p.jobsSent[job]; !known && prefix == "/batch2/" {
+	if _, known := p.jobsSent[job]; !known && prefix == "/"+secondJobs+"/" {
 		p.jobsSent[job] = first
 	}
 }
--- a/bench/soak/plannedcallers.go
+++ b/bench/soak/plannedcallers.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"encoding/base64"
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
 
@@ -20,8 +17,6 @@
 	plannedCallers, plannedJobCallers = 32, 3
 	// maxCallerIdle is the longest time that a caller keeps a connection idle.
 	maxCallerIdle = minIdleTimeout * 4 / 5
-	// itemBody is the body of each item.
-	itemBody = "body"
 	// largeCopies makes the body of a plain service larger than what a node buffers.
 	largeCopies = 1000
 )
@@ -123,16 +118,15 @@
 // submit submits a job until it is accepted, at another node each time, and sometimes
 // once more.
 func (c *plannedClients) submit(ctx context.Context, rng *rand.Rand, job string) {
-	prefix := []string{"/batch/", "/batch2/"}[rng.IntN(2)]
-	var items []string
-	for i := range jobItems {
-		id := platformtest.ItemID(job, i)
-		items = append(items, fmt.Sprintf(`{"id":%q,"path":"%sx/%s","headers":{"X-Model":"m","X-Prompt-Prefix":"shared:100,own-%s:50"},"body":%q,"tokens":%d}`, id, prefix, id, id, base64.StdEncoding.EncodeToString([]byte(itemBody)), jobTokens))
+	prefix := []string{"/batch/", "/" + secondJobs + "/"}[rng.IntN(2)]
+	body, err := platformtest.Submission(prefix, job, promptOf(job), jobItems, jobTokens)
+	if err != nil {
+		c.oracle.jobs.addViolation("job %s: %v", job, err)
+		return
 	}
-	body := `{"requests":[` + strings.Join(items, ",") + `]}`
 	first := time.Now()
 	for range 4 {
-		in := &call{kind: "submit", method: http.MethodPost, path: prefix + job, id: job, body: body}
+		in := &call{kind: "submit", method: http.MethodPost, path: prefix + job, id: job, body: string(body)}
 		n := c.phase.rotation.pick(rng)
 		c.doOnce(n, in)
 		if in.response.Err == nil && in.response.Status == http.StatusAccepted {
@@ -148,17 +142,15 @@
 
 // readResults reads the results of a job from the start.
 func (c *plannedClients) readResults(n *nodeProcess, job string) {
-	in := &call{kind: "read", method: http.MethodGet, path: "/gentiantide/lots/" + job + "?after=0"}
+	in := &call{kind: "read", method: http.MethodGet, path: platformtest.PagePath(job, 0)}
 	c.doOnce(n, in)
 	if in.response.Err != nil {
 		return
 	}
-	var page platformtest.Page
-	if in.response.Status == http.StatusOK {
-		if err := json.Unmarshal([]byte(in.response.Body), &page); err != nil {
-			c.oracle.jobs.addViolation("job %s: %v", job, err)
-			return
-		}
+	page := in.response.Page()
+	if in.response.Err != nil {
+		c.oracle.jobs.addViolation("job %s: %v", job, in.response.Err)
+		return
 	}
 	c.oracle.jobs.checkPage(job, 0, &page, in.response.Status)
 	for i := range page.Results {
@@ -170,11 +162,11 @@
 
 // readBody reads the body of an item of an accepted job.
 func (c *plannedClients) readBody(n *nodeProcess, job, item string) {
-	in := &call{kind: "body", method: http.MethodGet, path: "/gentiantide/items/" + job + "?id=" + item}
+	in := &call{kind: "body", method: http.MethodGet, path: platformtest.ItemPath(job, item)}
 	c.doOnce(n, in)
 	switch {
 	case in.response.Err != nil || in.response.Status == http.StatusServiceUnavailable:
-	case in.response.Status != http.StatusOK || in.response.Body != itemBody:
+	case in.response.Status != http.StatusOK || in.response.Body != platformtest.ItemBody(item):
 		c.oracle.jobs.addViolation("job %s: body of item %s has status %d and %d bytes", job, item, in.response.Status, len(in.response.Body))
 	}
 }
--- a/bench/soak/plannedconfig.go
+++ b/bench/soak/plannedconfig.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"strings"
 	"time"
 
 	"gentiantide.example/gentiantide/platform/platformtest"
@@ -18,14 +17,15 @@
 	// configApplyTime is the time within which an acknowledged configuration must be
 	// in force.
 	configApplyTime = 2 * time.Second
+	// secondJobs is the path of the route of jobs that goes and comes back.
+	secondJobs = "batch2"
 )
 
 // plannedConfig is the operator's configuration in the phase of planned work.
 type plannedConfig struct {
-	version, idleMS, headerMS, quota int
-	// timeouts and services are by the name of the route.
-	timeouts, services map[string]string
-	extra              []extraRoute
+	platformtest.Config
+	// extra are the routes that are added and removed, the oldest first.
+	extra []extraRoute
 	// jobsEnd is set while the second route of jobs is gone.
 	jobsEnd bool
 }
@@ -38,52 +38,56 @@
 }
 
 func newPlannedConfig() *plannedConfig {
-	c := &plannedConfig{idleMS: 15000, headerMS: 3000, quota: 100000, timeouts: make(map[string]string), services: make(map[string]string)}
-	for _, name := range []string{"once", "resume", "lots", "lots2"} {
-		c.services[name] = `"service":"models"`
-	}
-	c.services["safe"], c.services["unsafe"] = `"service":"desk"`, `"service":"desk"`
-	for name := range c.services {
-		c.timeouts[name] = "12000"
+	route := func(name, path, kind, service string, attempts int, resumes bool) platformtest.Route {
+		return platformtest.Route{
+			Name: name, Path: path, Kind: kind, TimeoutMS: int(minRouteTimeout.Milliseconds()), MaxAttempts: attempts, CanResume: resumes,
+			Backends: []platformtest.Backend{{Service: service, Weight: 1}}, QuotaTokens: 100000,
+		}
 	}
-	return c
+	return &plannedConfig{Config: platformtest.Config{
+		IdleMS: 15000, HeaderMS: 3000, Services: []string{"models", "models2", "desk", "desk2"},
+		Routes: []platformtest.Route{
+			route("once", "once", "streaming", "models", 1, false), route("resume", "resume", "streaming", "models", 3, true),
+			route("safe", "safe", "safe", "desk", 3, false), route("unsafe", "unsafe", "unsafe", "desk", 3, false),
+			route("lots", "batch", "batch", "models", 3, true), route("lots2", secondJobs, "batch", "models", 3, true),
+		},
+	}}
 }
 
 // change makes one random change and returns its description.
 func (c *plannedConfig) change(rng *rand.Rand) string {
-	names := []string{"once", "resume", "safe", "unsafe", "lots", "lots2"}
-	name := names[rng.IntN(len(names))]
+	route := &c.Routes[rng.IntN(len(c.Routes))]
 	service := "models"
-	if name == "safe" || name == "unsafe" {
+	if route.Kind == "safe" || route.Kind == "unsafe" {
 		service = "desk"
 	}
 	switch rng.IntN(8) {
 	case 0:
-		c.idleMS = int(minIdleTimeout.Milliseconds()) + 1000*rng.IntN(12)
-		return fmt.Sprintf("idle timeout %d ms", c.idleMS)
+		c.IdleMS = int(minIdleTimeout.Milliseconds()) + 1000*rng.IntN(12)
+		return fmt.Sprintf("idle timeout %d ms", c.IdleMS)
 	case 1:
-		c.headerMS = 2000 + 500*rng.IntN(5)
-		return fmt.Sprintf("header timeout %d ms", c.headerMS)
+		c.HeaderMS = 2000 + 500*rng.IntN(5)
+		return fmt.Sprintf("header timeout %d ms", c.HeaderMS)
 	case 2:
-		c.services[name] = fmt.Sprintf(`"service":%q`, service+[]string{"", "2"}[rng.IntN(2)])
-		return name + " moves: " + c.services[name]
+		route.Backends = []platformtest.Backend{{Service: service + []string{"", "2"}[rng.IntN(2)], Weight: 1}}
+		return fmt.Sprintf("%s moves: %v", route.Name, route.Backends)
 	case 3:
 		weight := rng.IntN(101)
-		c.services[name] = fmt.Sprintf(`"backends":[{"service":%q,"weight":%d},{"service":%q,"weight":%d}]`, service, weight, service+"2", 100-weight)
-		return name + " is split: " + c.services[name]
+		route.Backends = []platformtest.Backend{{Service: service, Weight: weight}, {Service: service + "2", Weight: 100 - weight}}
+		return fmt.Sprintf("%s is split: %v", route.Name, route.Backends)
 	case 4:
-		c.timeouts[name] = fmt.Sprint(int(minRouteTimeout.Milliseconds()) + 1000*rng.IntN(5))
-		return name + " has the timeout " + c.timeouts[name]
+		route.TimeoutMS = int(minRouteTimeout.Milliseconds()) + 1000*rng.IntN(5)
+		return fmt.Sprintf("%s has the timeout %d ms", route.Name, route.TimeoutMS)
 	case 5:
 		if len(c.extra) > 2 {
 			c.extra = c.extra[1:]
 			return "a route is removed"
 		}
-		c.extra = append(c.extra, extraRoute{name: fmt.Sprintf("extra%d", c.version)})
+		c.extra = append(c.extra, extraRoute{name: fmt.Sprintf("extra%d", c.Version)})
 		return "a route is added"
 	case 6:
-		c.quota = 500 + rng.IntN(100000)
-		return fmt.Sprintf("quota %d", c.quota)
+		route.QuotaTokens = 500 + rng.IntN(100000)
+		return fmt.Sprintf("quota %d", route.QuotaTokens)
 	default:
 		c.jobsEnd = !c.jobsEnd
 		return fmt.Sprintf("second route of jobs gone: %t", c.jobsEnd)
@@ -92,28 +96,21 @@
 
 // write makes the operator write the next version.
 func (c *plannedConfig) write(store *platformtest.Store, step int) error {
-	c.version += step
-	route := func(name, more string) string {
-		return fmt.Sprintf(`{"name":%q,"host":"verse.example","path-prefix":"/%s/","timeout-ms":%s,%s,%s}`, name, pathOf(name), c.timeouts[name], c.services[name], more)
-	}
-	streams := `"kind":"streaming","target-latency-ms":500,"gap-aim-ms":250,`
-	jobs := fmt.Sprintf(`"kind":"batch","max-attempts":3,"can-resume":true,"due-ms":18000,"max-queue-s":120,"max-queued-tokens":%d`, c.quota)
-	routes := []string{
-		route("once", streams+`"max-attempts":1,"can-resume":false`), route("resume", streams+`"max-attempts":3,"can-resume":true`),
-		route("safe", `"kind":"safe","max-attempts":3`), route("unsafe", `"kind":"unsafe","max-attempts":3`), route("lots", jobs),
-	}
-	if !c.jobsEnd {
-		routes = append(routes, route("lots2", jobs))
+	c.Version += step
+	out := c.Config
+	out.Routes = nil
+	for _, route := range c.Routes {
+		if route.Path != secondJobs || !c.jobsEnd {
+			out.Routes = append(out.Routes, route)
+		}
 	}
 	for _, extra := range c.extra {
-		routes = append(routes, platformtest.SafeRoute(extra.name))
+		out.Routes = append(out.Routes, platformtest.Route{
+			Name: extra.name, Path: extra.name, Kind: "safe", TimeoutMS: int(minRouteTimeout.Milliseconds()), MaxAttempts: 3,
+			Backends: []platformtest.Backend{{Service: "desk", Weight: 1}},
+		})
 	}
-	var services []string
-	for _, name := range []string{"models", "models2", "desk", "desk2"} {
-		services = append(services, fmt.Sprintf(`{"name":%q,"health-path":"/health","max-conns":210}`, name))
-	}
-	err := store.Put("op", "config", fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[%s],"limits":{"max-header-bytes":16384,"max-body-bytes":100000,"header-timeout-ms":%d,"idle-timeout-ms":%d}}`,
-		c.version, strings.Join(routes, ","), strings.Join(services, ","), c.headerMS, c.idleMS))
+	err := store.WriteConfig(&out)
 	for i := range c.extra {
 		if c.extra[i].inForce.IsZero() {
 			c.extra[i].inForce = time.Now().Add(configApplyTime)
@@ -121,14 +118,3 @@
 	}
 	return err
 }
-
-// pathOf returns the path prefix of a route, without slashes.
-func pathOf(name string) string {
-	switch name {
-	case "lots":
-		return "batch"
-	case "lots2":
-		return "batch2"
-	}
-	return name
-}
