--- a/bench/soak/keptconn.go
+++ b/bench/soak/keptconn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"io"
 	"net"
@@ -53,6 +54,8 @@
 // call is one request of a caller and what the caller saw of the response.
 type call struct {
 	kind, method, path, id, body string
+	// pause is the time between the two halves in which the request is sent, or 0.
+	pause time.Duration
 
 	node *nodeProcess
 	// reused is set if the connection had carried another request before.
@@ -80,7 +83,7 @@
 		return false
 	}
 	began := time.Now()
-	writeErr := in.Write(c)
+	writeErr := c.send(in, call.pause)
 	call.sent = time.Now()
 	keep := c.read(call, in, began.Add(callDeadline))
 	call.ended = time.Now()
@@ -90,6 +93,23 @@
 	return keep && writeErr == nil
 }
 
+// send writes a request, with a pause in the middle.
+func (c *keptConn) send(in *http.Request, pause time.Duration) error {
+	if pause == 0 {
+		return in.Write(c)
+	}
+	var whole bytes.Buffer
+	if err := in.Write(&whole); err != nil {
+		return err
+	}
+	if _, err := c.Write(whole.Next(whole.Len() / 2)); err != nil {
+		return err
+	}
+	time.Sleep(pause)
+	_, err := c.Write(whole.Bytes())
+	return err
+}
+
 // read reads the response until its end, the deadline, or a pause of a stream that is too
 // long.
 func (c *keptConn) read(call *call, in *http.Request, deadline time.Time) bool {
--- a/bench/soak/plannedcallers.go
+++ b/bench/soak/plannedcallers.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -17,6 +18,12 @@
 	plannedCallers, plannedJobCallers = 32, 3
 	// maxCallerIdle is the longest time that a caller keeps a connection idle.
 	maxCallerIdle = minIdleTimeout * 4 / 5
+	// maxSendPause is the longest pause of a caller within a request. It is below the
+	// least time for a head.
+	maxSendPause = time.Second
+	// longBodyCopies makes the body of a request larger than what is written to a
+	// replica in one go.
+	longBodyCopies = 2000
 	// largeCopies makes the body of a plain service larger than what a node buffers.
 	largeCopies = 1000
 )
@@ -96,7 +103,14 @@
 		path += []string{"x", "x", "x", "large"}[rng.IntN(4)]
 	}
 	id := kind + "-" + number
-	return &call{kind: kind, method: http.MethodPost, path: path, id: id, body: "body of " + id}
+	in := &call{kind: kind, method: http.MethodPost, path: path, id: id, body: "body of " + id}
+	switch rng.IntN(10) {
+	case 0:
+		in.pause = time.Duration(rng.Int64N(int64(maxSendPause)))
+	case 1:
+		in.body = strings.Repeat(in.body+" ", longBodyCopies)
+	}
+	return in
 }
 
 // runJobs submits jobs, reads their results and asks for bodies, each on a new
