--- a/bench/cmd/soak/main.go
+++ b/bench/cmd/soak/main.go
@@ -1,5 +1,5 @@
-// Command soak runs nodes as processes under random faults and checks the
-// guarantees to callers. See package soak.
+// Command soak runs nodes as processes under random faults, or with planned work only,
+// and checks the guarantees to callers. See package soak.
 package main
 
 import (
@@ -15,20 +15,29 @@
 	"gentiantide.example/gentiantide/bench/soak"
 )
 
+// command holds the flags.
+type command struct {
+	binary, keepDir        string
+	nodes                  int
+	faultTime, plannedTime time.Duration
+	planned, keepLogsOfAll bool
+}
+
 func main() {
-	binary := flag.String("binary", "bin/gentiantided", "path of the node daemon")
+	var c command
+	flag.StringVar(&c.binary, "binary", "bin/gentiantided", "path of the node daemon")
 	seed := flag.Uint64("seed", uint64(time.Now().UnixNano()), "seed of the first run")
 	runs := flag.Int("runs", 1, "number of runs; each run adds 1 to the seed")
-	nodes := flag.Int("nodes", 0, "number of nodes, 0 for the default")
-	faultDuration := flag.Duration("faults", 0, "how long faults are injected, 0 for the default")
-	planned := flag.Bool("planned", false, "planned work only, without faults")
-	plannedDuration := flag.Duration("planned-time", 0, "how long planned work is done, 0 for the default")
-	keep := flag.Bool("keep", false, "keep the logs of all runs")
-	keepDir := flag.String("dir", os.TempDir(), "directory in which the logs of failed runs are kept")
+	flag.IntVar(&c.nodes, "nodes", 0, "number of nodes, 0 for the default")
+	flag.DurationVar(&c.faultTime, "faults", 0, "how long faults are injected, 0 for the default")
+	flag.BoolVar(&c.planned, "planned", false, "planned work only, without faults")
+	flag.DurationVar(&c.plannedTime, "planned-time", 0, "how long planned work is done, 0 for the default")
+	flag.BoolVar(&c.keepLogsOfAll, "keep", false, "keep the logs of all runs, not only of failed ones")
+	flag.StringVar(&c.keepDir, "dir", os.TempDir(), "directory in which the logs of failed runs are kept")
 	flag.Parse()
 	failed := 0
 	for i := range *runs {
-		if !run(*binary, *seed+uint64(i), *nodes, *faultDuration, *planned, *plannedDuration, *keepDir, *keep) {
+		if !c.run(*seed + uint64(i)) {
 			failed++
 		}
 	}
@@ -38,28 +47,33 @@
 	}
 }
 
+// options returns the options of a run.
+func (c *command) options(dir string, seed uint64) soak.Options {
+	o := soak.DefaultOptions(c.binary, dir, seed)
+	if c.nodes > 0 {
+		o.Nodes = c.nodes
+	}
+	if c.faultTime > 0 {
+		o.FaultDuration = c.faultTime
+	}
+	if c.plannedTime > 0 {
+		o.PlannedDuration = c.plannedTime
+	}
+	return o
+}
+
 // run makes one run and keeps its logs if it failed.
-func run(binary string, seed uint64, nodes int, faultDuration time.Duration, planned bool, plannedDuration time.Duration, keepDir string, keep bool) bool {
-	dir := filepath.Join(keepDir, "soak-"+strconv.FormatUint(seed, 10))
+func (c *command) run(seed uint64) bool {
+	dir := filepath.Join(c.keepDir, "soak-"+strconv.FormatUint(seed, 10))
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		fmt.Fprintln(os.Stderr, "soak:", err)
 		return false
 	}
-	options := soak.DefaultOptions(binary, dir, seed)
-	if nodes > 0 {
-		options.Nodes = nodes
-	}
-	if faultDuration > 0 {
-		options.FaultDuration = faultDuration
-	}
-	if plannedDuration > 0 {
-		options.PlannedDuration = plannedDuration
-	}
 	start := soak.Run
-	if planned {
+	if c.planned {
 		start = soak.RunPlanned
 	}
-	report, err := start(options)
+	report, err := start(c.options(dir, seed))
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "soak: seed %d: %v (logs in %s)\n", seed, err, dir)
 		return false
@@ -75,7 +89,7 @@
 		fmt.Println("   logs in", dir)
 		return false
 	}
-	if keep {
+	if c.keepLogsOfAll {
 		return true
 	}
 	if err := os.RemoveAll(dir); err != nil {
--- a/bench/soak/planned.go
+++ b/bench/soak/planned.go
@@ -23,6 +23,9 @@
 	silenceInterval = 3 * time.Second
 	// silentShare is the share of responses with a silence, in percent.
 	silentShare = 10
+	// refusedShare is the share of requests that a replica does not take because it is
+	// full, in percent.
+	refusedShare = 2
 	// shortGap is the time between the events of short streams and of items. That of
 	// long streams is between minLongGap and maxLongGap: they take 2 to 4 s.
 	shortGap, minLongGap, maxLongGap = 10 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond
@@ -142,7 +145,10 @@
 		if strings.HasSuffix(r.Target, "large") {
 			behaviour.Copies = largeCopies
 		}
-		if rng.IntN(100) >= silentShare {
+		switch n := rng.IntN(100); {
+		case n < refusedShare:
+			return platformtest.Behaviour{Refuse: true}
+		case n >= refusedShare+silentShare:
 			return behaviour
 		}
 		points := []platformtest.SilencePoint{platformtest.SilentBeforeHead, platformtest.SilentAfterHead, platformtest.SilentBetweenEvents, platformtest.SilentWithinEvent}
