--- a/bench/soak/plannedoracle.go
+++ b/bench/soak/plannedoracle.go
@@ -145,8 +145,8 @@
 	for i := range runs {
 		at = append(at, fmt.Sprintf("run from %s to %s, whole %t", clock(runs[i].At), clock(runs[i].Ended), runs[i].Whole))
 	}
-	return fmt.Sprintf("%s %s %s at %s: no complete response (%v); reused %t, sent %s, ended %s, status %d, %d bytes; %d runs: %s", c.kind, c.id, c.path, c.node.name,
-		c.response.Err, c.reused, clock(c.sent), clock(c.ended), c.response.Status, len(c.response.Body), len(runs), strings.Join(at, "; "))
+	return fmt.Sprintf("%s %s %s at %s: no complete response (%v); reused %t, pause %s, sent %s, ended %s, status %d, %d bytes; %d runs: %s", c.kind, c.id, c.path, c.node.name,
+		c.response.Err, c.reused, c.pause, clock(c.sent), clock(c.ended), c.response.Status, len(c.response.Body), len(runs), strings.Join(at, "; "))
 }
 
 func clock(t time.Time) string { return t.UTC().Format("15:04:05.000") }
