--- a/internal/forward/standby.go
+++ b/internal/forward/standby.go
@@ -20,8 +20,6 @@
 // and a run that was given up before would be lost if there were no other.
 type standby struct {
 	placer Placer
-	// query describes the request. MaxWait and Urgent are set when the search begins.
-	query placement.Query
 	// ctx is that of the request. replace ends the attempt at the silent replica.
 	ctx      context.Context
 	replace  func()
@@ -30,9 +28,10 @@
 	timer    *time.Timer
 	deadline time.Time
 
-	mu           sync.Mutex
+	mu sync.Mutex
+	// query describes the request. MaxWait is set when the search begins.
+	query        placement.Query
 	lastProgress time.Time
-	urgent       bool // the caller has received a part of the response
 	stopSearch   context.CancelFunc
 	stopped      bool
 	granted      *replica.Replica
@@ -46,7 +45,7 @@
 	}
 	s := &standby{
 		placer: r.h.Placer, query: *r.query(time.Now()), ctx: ctx, replace: replace, silence: silence,
-		maxWait: r.maxWait, deadline: r.deadline, lastProgress: r.lastProgress, urgent: r.headerSent,
+		maxWait: r.maxWait, deadline: r.deadline, lastProgress: r.lastProgress,
 	}
 	s.query.Tried = append(slices.Clone(r.tried), target.Info().ID)
 	s.query.Identity = 0 // the caller is not rejected if no replica is found
@@ -55,15 +54,17 @@
 }
 
 // recordProgress ends a search and postpones the next one: the caller was sent a part of
-// the response at a time.
-func (s *standby) recordProgress(now time.Time) {
+// the response at a time, and only a replica with the software that began it may take
+// the request over.
+func (s *standby) recordProgress(now time.Time, begunAt *replica.Software) {
 	if s == nil {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.endSearch()
-	s.lastProgress, s.urgent = now, true
+	s.lastProgress, s.query.Urgent = now, true
+	s.query.Service, s.query.Version = begunAt.Service, &begunAt.Version
 	if !s.stopped && s.granted == nil {
 		s.timer.Reset(s.silence)
 	}
@@ -136,7 +137,7 @@
 	ctx, cancel := context.WithCancel(s.ctx)
 	s.stopSearch = cancel
 	query := s.query
-	query.Urgent, query.MaxWait = s.urgent, s.maxWait(s.lastProgress)
+	query.MaxWait = s.maxWait(s.lastProgress)
 	return ctx, &query, true
 }
 
--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -45,24 +46,27 @@
 	log   *slog.Logger
 	wake  chan struct{}
 
-	placer Placer
+	placer   Placer
+	registry *replica.Registry
 	// searchCtx bounds all searches. Stop cancels it.
 	searchCtx      context.Context
 	cancelSearches context.CancelFunc
 
 	mu            sync.Mutex
 	jobs          map[string]*ownedJob
-	searches      map[core.DeploymentID]int // running searches for slots, by service
+	searches      map[searchKey]int // running searches for slots
 	meanTokenTime *meanTokenTime
-	stopping      bool
-	wg            sync.WaitGroup
+	// leaving is set while the node takes no jobs from other nodes, because it is about to
+	// stop. stopped is set when no more items are started.
+	leaving, stopped bool
+	wg               sync.WaitGroup
 }
 
 func newRunner(s *store, cache *JobCache, o *Options) *Runner {
 	self := o.Nodes.Self()
 	r := &Runner{
-		store: s, cache: cache, exec: o.Executor, placer: o.Placer, owner: self.Owner(), clock: o.Clock, log: o.Log,
-		wake: make(chan struct{}, 1), jobs: make(map[string]*ownedJob), meanTokenTime: newMeanTokenTime(), searches: make(map[core.DeploymentID]int),
+		store: s, cache: cache, exec: o.Executor, placer: o.Placer, registry: o.Registry, owner: self.Owner(), clock: o.Clock, log: o.Log,
+		wake: make(chan struct{}, 1), jobs: make(map[string]*ownedJob), meanTokenTime: newMeanTokenTime(), searches: make(map[searchKey]int),
 	}
 	r.searchCtx, r.cancelSearches = context.WithCancel(context.Background())
 	return r
@@ -106,7 +110,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if _, known := r.jobs[entry.ID]; known || r.stopping {
+	if _, known := r.jobs[entry.ID]; known || r.stopped {
 		return
 	}
 	// The row may have changed while the items and results were read. The call
@@ -122,7 +126,7 @@
 			job.pending = append(job.pending, r.exec.newTask(job, &items[i]))
 		}
 	}
-	job.applyProgress(progress)
+	job.applyProgress(progress, time.Now())
 	// The longest items go first, so that no long item runs alone at the end.
 	slices.SortStableFunc(job.pending, func(a, b *itemTask) int { return cmp.Compare(b.item.Tokens, a.item.Tokens) })
 	r.jobs[entry.ID] = job
@@ -140,6 +144,34 @@
 	return ok
 }
 
+// executes reports whether this node executes the job.
+func (r *Runner) executes(job *ownedJob) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.jobs[job.entry.ID] == job
+}
+
+// ownedJobs returns the jobs that this node executes.
+func (r *Runner) ownedJobs() []*ownedJob {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Collect(maps.Values(r.jobs))
+}
+
+// refuseJobs makes the node take no more jobs from other nodes. Those that callers submit
+// to it are still executed.
+func (r *Runner) refuseJobs() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leaving = true
+}
+
+func (r *Runner) refusesJobs() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.leaving
+}
+
 // RowsChanged handles changed job rows. It drops jobs that are no longer open or
 // have another owner.
 func (r *Runner) RowsChanged(entries []Entry) {
@@ -170,10 +202,10 @@
 	clock, known := r.clock()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.stopping {
+	if r.stopped {
 		return
 	}
-	wanted := make(map[core.DeploymentID]int)
+	wanted := make(map[searchKey]int)
 	for _, task := range r.readyItems(now, clock) {
 		if known && clock > task.job.entry.AbandonAt {
 			r.abandon(task, "past the time at which unfinished items are abandoned")
@@ -190,33 +222,41 @@
 		if r.exec.quarantined(task) {
 			continue
 		}
-		service := route.Pick(rand.Uint64())
-		wanted[service]++
-		if wanted[service] <= r.searches[service] || r.searches[service] >= maxSearches {
+		var key searchKey
+		if r.waitsForSoftware(task, route, now) {
+			key = searchKey{software: *task.begunAt, bound: true}
+		} else {
+			key.software.Service = route.Pick(rand.Uint64())
+		}
+		wanted[key]++
+		if wanted[key] <= r.searches[key] || r.searches[key] >= maxSearches {
 			continue
 		}
-		r.searches[service]++
-		go r.placeNext(&placement.Query{
-			Service: service, Class: core.ClassBatch, Arrived: now, MaxWait: searchTimeout,
-			DueIn: task.job.entry.Due - clock, Late: !r.meanTokenTime.canMeetDue(task, clock),
-		})
+		r.searches[key]++
+		q := key.query()
+		q.Arrived, q.MaxWait, q.DueIn, q.Late = now, searchTimeout, task.job.entry.Due-clock, !r.meanTokenTime.canMeetDue(task, clock)
+		go r.placeNext(key, q)
 	}
 }
 
 // placeNext waits for a replica and starts an item there: the first in placement
-// order at that time, which may not be the item that the search began for.
-func (r *Runner) placeNext(q *placement.Query) {
+// order at that time that may go there, which may not be the item that the search
+// began for.
+func (r *Runner) placeNext(key searchKey, q *placement.Query) {
 	target := r.search(q)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.searches[q.Service]--
+	if r.searches[key]--; r.searches[key] <= 0 {
+		delete(r.searches, key)
+	}
 	if target == nil {
 		return // the next dispatch searches again
 	}
 	clock, _ := r.clock()
-	for _, task := range r.readyItems(time.Now(), clock) {
+	now, software := time.Now(), target.Info().Software()
+	for _, task := range r.readyItems(now, clock) {
 		route, status := r.exec.route(task)
-		if status == routeFound && route.HasBackend(q.Service) && !r.exec.quarantined(task) && !r.stopping {
+		if status == routeFound && route.HasBackend(q.Service) && r.mayRunAt(task, route, software, now) && !r.exec.quarantined(task) && !r.stopped {
 			r.startItem(task, route, target)
 			r.wakeDispatch() // a further search may start now
 			return
@@ -239,6 +279,9 @@
 func (r *Runner) readyItems(now time.Time, clock time.Duration) []*itemTask {
 	var all []*itemTask
 	for _, job := range r.jobs {
+		if job.handingOver {
+			continue
+		}
 		for _, task := range job.pending {
 			if !task.notBefore.After(now) {
 				all = append(all, task)
@@ -263,15 +306,20 @@
 	task.job.removePending(task)
 	task.job.running[task] = struct{}{}
 	ctx, cancel := context.WithCancelCause(task.job.ctx)
-	task.replica, task.cancel, task.started = target, cancel, time.Now()
+	task.replica, task.cancel, task.started, task.newEvents = target, cancel, time.Now(), 0
+	if software := target.Info().Software(); task.begunAt != nil && *task.begunAt != software {
+		r.log.Info("item begins anew", "job", task.job.entry.ID, "item", task.item.ID, "reason", "no replica of the version that made its output",
+			"software", string(task.begunAt.Version), "now", string(software.Version), "last_event", task.lastEvent, "waited_ms", time.Since(task.progressAt).Milliseconds())
+		task.dropOutput()
+		task.runTime = 0
+	}
 	r.wg.Add(1)
 	go func() {
 		defer r.wg.Done()
 		defer cancel(nil)
-		events := len(task.eventData)
 		outcome := r.runContained(ctx, task, target)
 		target.End(core.ClassBatch)
-		r.handleOutcome(task, route, outcome, len(task.eventData) > events)
+		r.handleOutcome(task, route, outcome, task.newEvents > 0)
 	}()
 }
 
@@ -292,8 +340,12 @@
 	defer r.wakeDispatch()
 	job := task.job
 	delete(job.running, task)
-	if progressed {
+	switch {
+	case progressed:
 		task.runTime += now.Sub(task.started)
+		task.progressAt = now
+	case task.begunAt == nil:
+		task.runTime = 0 // the output was dropped
 	}
 	task.replica, task.cancel, task.started = nil, nil, time.Time{}
 	if r.jobs[job.entry.ID] != job || outcome == outcomeStopped {
@@ -331,7 +383,7 @@
 // and drops the remaining jobs. Other nodes take these over.
 func (r *Runner) Stop(ctx context.Context) {
 	r.mu.Lock()
-	r.stopping = true
+	r.leaving, r.stopped = true, true
 	r.mu.Unlock()
 	r.cancelSearches()
 	done := make(chan struct{})
--- a/internal/placement/messages.go
+++ b/internal/placement/messages.go
@@ -105,6 +105,8 @@
 	// NumEjected is the number of leading entries of Excluded that the node has
 	// ejected.
 	NumEjected int `msgpack:"a,omitempty"`
+	// Version, if set, is the version of the software that the replica must have.
+	Version *core.SoftwareVersion `msgpack:"q,omitempty"`
 	// Waited is how long the request has waited, Objective the time in which
 	// its response should begin, and MaxWait the time after which its caller
 	// gives up, all since its arrival. They are sent as durations because the
@@ -154,6 +156,8 @@
 	GrantID   uint64         `msgpack:"g"`
 	// RejectedFor is the expected wait of a request that is rejected, else 0.
 	RejectedFor time.Duration `msgpack:"w,omitempty"`
+	// moved is set, within the node, if the request must ask the next hub.
+	moved bool
 }
 
 // withdrawal cancels a queued request or returns an unused grant.
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -36,6 +36,8 @@
 	Service core.DeploymentID
 	// Tried are the replicas that the request must not return to.
 	Tried []core.ReplicaID
+	// Version, if set, is the version of the software that the replica must have.
+	Version *core.SoftwareVersion
 	// Arrived is when the request arrived at this node.
 	Arrived time.Time
 	// Objective is the time in which the response should begin, and MaxWait the
@@ -81,7 +83,7 @@
 	defer s.localMu.Unlock()
 	now := time.Now()
 	choice := &replica.Query{
-		Service: q.Service, DataCentre: s.Nodes.Self().DataCentre, Now: now, Tried: q.Tried,
+		Service: q.Service, DataCentre: s.Nodes.Self().DataCentre, Now: now, Tried: q.Tried, Version: q.Version,
 		MayUse: func(r *replica.Replica) bool { return s.mayUseLocally(r, now) },
 	}
 	if q.Class == core.ClassBatch {
@@ -105,7 +107,7 @@
 	sent := s.sentCounts[g]
 	s.mu.Unlock()
 	if sent == nil || sent.hub != hub {
-		s.sendCounts(g, hub, s.Victims(), time.Now())
+		s.reportTo(ctx, hub, g)
 	}
 	tried := slices.Clone(q.Tried)
 	for {
@@ -120,7 +122,22 @@
 		}
 		s.sendWithdrawal(hub, g, id)
 		tried = append(tried, grant.Replica)
+		if q.Version != nil {
+			tried = s.appendOtherVersions(tried, q)
+		}
+	}
+}
+
+// appendOtherVersions adds the replicas of a service that have not the version of the
+// query. A hub of an earlier build does not read the version of a request, and would
+// grant one replica after the other.
+func (s *Service) appendOtherVersions(tried []core.ReplicaID, q *Query) []core.ReplicaID {
+	for _, r := range s.Registry.Ready(q.Service) {
+		if info := r.Info(); !info.HasVersion(q.Version) && !slices.Contains(tried, info.ID) {
+			tried = append(tried, info.ID)
+		}
 	}
+	return tried
 }
 
 // ejectedReplicas returns the replicas of a service that this node has ejected,
@@ -143,9 +160,9 @@
 // awaitGrant asks a hub for a replica and waits for the grant. For a request
 // that is rejected it returns the expected wait instead.
 func (s *Service) awaitGrant(ctx context.Context, hub core.NodeID, g group, q *Query, id uint64, tried []core.ReplicaID) (grantNotice, time.Duration, error) {
-	grants := make(chan grantNotice, 1)
+	waiting := &waitingRequest{hub: hub, grants: make(chan grantNotice, 1)}
 	s.mu.Lock()
-	s.grantChans[id] = grants
+	s.grantChans[id] = waiting
 	s.mu.Unlock()
 	defer func() {
 		s.mu.Lock()
@@ -163,7 +180,10 @@
 		case outcomeRejected:
 			return grantNotice{}, max(answer.ExpectedWait, time.Millisecond), nil
 		case outcomeQueued:
-			grant, err := receiveGrant(ctx, grants, q.retryInterval())
+			grant, err := receiveGrant(ctx, waiting.grants, q.retryInterval())
+			if grant.moved {
+				return grantNotice{}, 0, errHubStopped
+			}
 			if err != nil || grant.Replica != "" || grant.RejectedFor > 0 {
 				return grant, grant.RejectedFor, err
 			}
@@ -202,7 +222,7 @@
 	var answer placementResponse
 	err := s.Transport.Call(ctx, hub, kindRequest, &placementRequest{
 		Group: g, ID: id, DataCentre: s.Nodes.Self().DataCentre, Identity: q.Identity, Urgent: q.Urgent,
-		Excluded: append(ejected, tried...), NumEjected: len(ejected),
+		Excluded: append(ejected, tried...), NumEjected: len(ejected), Version: q.Version,
 		Waited: time.Since(q.Arrived), Objective: q.Objective, MaxWait: q.MaxWait,
 		Batch: q.Class == core.ClassBatch, DueIn: q.DueIn, Late: q.Late,
 	}, &answer)
@@ -210,10 +230,11 @@
 }
 
 // acceptGrant counts the request as in flight at the replica. It returns nil
-// if, by what this node knows, the replica takes no new work.
+// if, by what this node knows, the replica takes no new work or has another version
+// than the query asks for: the hub may know of an earlier process of the replica.
 func (s *Service) acceptGrant(hub core.NodeID, g group, q *Query, grant grantNotice) *replica.Replica {
 	r := s.Registry.Get(grant.Replica)
-	if r == nil || r.Leaving() || r.Info().Service != q.Service || slices.Contains(q.Tried, grant.Replica) {
+	if r == nil || r.Leaving() || r.Info().Service != q.Service || !r.Info().HasVersion(q.Version) || slices.Contains(q.Tried, grant.Replica) {
 		return nil
 	}
 	s.mu.Lock()
@@ -239,14 +260,10 @@
 		return nil, err
 	}
 	s.mu.Lock()
-	grants := s.grantChans[g.RequestID]
+	waiting := s.grantChans[g.RequestID]
 	s.mu.Unlock()
-	if grants == nil {
-		return nil, nil
-	}
-	select {
-	case grants <- g:
-	default: // the hub sent the grant twice
+	if waiting != nil {
+		waiting.notify(g)
 	}
 	return nil, nil
 }
--- a/internal/platformnode/statedump.go
+++ b/internal/platformnode/statedump.go
@@ -6,6 +6,7 @@
 	"gentiantide.example/gentiantide/internal/contain"
 	"gentiantide.example/gentiantide/internal/httpapi/operators"
 	"gentiantide.example/gentiantide/internal/replica"
+	"gentiantide.example/gentiantide/internal/streamversion"
 )
 
 // dumpState is the state of the process as shown by the state dump.
@@ -28,6 +29,8 @@
 	Nodes        []string      `json:"nodes"`
 	// Quarantine are the parts of prompts that crash replicas.
 	Quarantine []operators.QuarantinedPart `json:"quarantine"`
+	// StreamVersions are the versions of the services' software at which streams began.
+	StreamVersions streamversion.Dump `json:"stream_versions"`
 }
 
 // dumpReplica is one replica in the state dump.
@@ -35,9 +38,9 @@
 	replica.Info
 	Busy    float64 `json:"busy"`
 	Avoided bool    `json:"avoided"`
-	// SaysLeaving is set if the replica is leaving by its registration or by what it
-	// said in a response.
-	SaysLeaving bool `json:"says_leaving"`
+	// SaidLeaving is set if the replica has said in a response that it is leaving.
+	// Leaving, of its registration, is what the store says.
+	SaidLeaving bool `json:"said_leaving"`
 	// LimitPerSecond is the request rate that the replica names, and absent if it names
 	// none.
 	LimitPerSecond *float64 `json:"limit_per_second,omitempty"`
@@ -60,7 +63,7 @@
 	}
 	state.Jobs, state.ItemsPending, state.ItemsRunning = n.jobs.Counts()
 	for _, r := range n.registry.All() {
-		shown := dumpReplica{Info: *r.Info(), Busy: r.EstimatedLoad(now), Avoided: r.Ejected(now), SaysLeaving: r.Leaving()}
+		shown := dumpReplica{Info: *r.Info(), Busy: r.EstimatedLoad(now), Avoided: r.Ejected(now), SaidLeaving: r.SaidLeaving()}
 		if limit, ok := r.Limit(); ok && limit.Named {
 			shown.LimitPerSecond = &limit.PerSecond
 		}
@@ -70,5 +73,6 @@
 		state.Nodes = append(state.Nodes, owner)
 	}
 	state.Quarantine = operatorsQuarantine{n.quarantine}.List()
+	state.StreamVersions = n.versions.Dump()
 	return state
 }
