Let the search for jobs to resume not block their commits

What callers saw: a node that worked on no job any more and answered no read, submission or cancellation of one; the callers' channels stayed open without an answer until they gave up (LOST). Online requests went on, and the node counted as ready.

Cause: the search for unstarted jobs, with each renewal of a lease, held the lock of the cache of job rows and took that of the runner for each open job that is older than a second. A commit that completed a job held the lock of the runner and took that of the cache to write. Each waited for the other for ever.

Change: the search asks the runner after it has let go of the cache.

--- a/internal/jobs/jobcache.go
+++ b/internal/jobs/jobcache.go
@@ -120,7 +120,8 @@
 	return entry, ok
 }
 
-// Select returns the rows for which accept returns true.
+// Select returns the rows for which accept returns true. Accept must take no lock: the
+// runner updates the cache while it holds its own.
 func (c *JobCache) Select(accept func(*Entry) bool) []Entry {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
@@ -134,7 +135,7 @@
 }
 
 // OpenTokens returns the total tokens of the open jobs for which accept returns
-// true.
+// true. Accept must take no lock, as for Select.
 func (c *JobCache) OpenTokens(accept func(*Entry) bool) int64 {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
--- a/internal/jobs/orphanclaimer.go
+++ b/internal/jobs/orphanclaimer.go
@@ -55,10 +55,10 @@
 func (c *orphanClaimer) resumeUnstarted(ctx context.Context, now time.Time) {
 	r := c.runner
 	unstarted := r.cache.Select(func(e *Entry) bool {
-		return e.State == StateOpen && e.Owner == r.owner && now.Sub(e.Seen) > localStartGrace && !r.hasJob(e.ID)
+		return e.State == StateOpen && e.Owner == r.owner && now.Sub(e.Seen) > localStartGrace
 	})
 	for i := range unstarted {
-		if c.beginClaim(unstarted[i].ID) {
+		if !r.hasJob(unstarted[i].ID) && c.beginClaim(unstarted[i].ID) {
 			go func() {
 				defer contain.Recover(r.log, "resumption of job", unstarted[i].ID)
 				defer c.endClaim(unstarted[i].ID)
