Tell the caller the length of a large response if the replica named it

What callers saw: callers of HTTP/1.0 took a response above 256 KiB that the replica broke off for whole, as nothing but the close of their connection ended it; those of HTTP/1.1 noticed by the chunks.

Cause: the length was passed on only for responses that were read whole.

Change: the length that the replica named is passed on. Left: a large response in chunks, and a stream, that break off look whole to HTTP/1.0.

Evidence: TestLargeResponseThatIsCutIsNotWhole failed before, for HTTP/1.0.

--- a/internal/forward/buffered.go
+++ b/internal/forward/buffered.go
@@ -141,8 +141,13 @@
 	}
 	r.firstByte = time.Since(r.arrived)
 	r.h.Codec.CallerHeader(r.w.Header(), response.header)
-	if response.unread == nil {
-		r.w.Header().Set("Content-Length", strconv.Itoa(len(response.body)))
+	length := int64(len(response.body))
+	if response.unread != nil {
+		length = response.unread.response.Length
+	}
+	if length >= 0 {
+		// A caller that knows no chunks notices by it that the rest is missing.
+		r.w.Header().Set("Content-Length", strconv.FormatInt(length, 10))
 	}
 	r.w.WriteHeader(status)
 	_, err := r.w.Write(response.body)
