Keep no values of rows that mean nothing to a node

What callers saw: nothing so far; each node kept the values of all rows in the tables of registrations and of the operator, 64 KiB each, for peers that start, although those are not given odd rows any more.

Change: the watcher drops the value of a row that its handler ignored.

Evidence: TestValuesOfUselessRowsAreNotKept failed before.

--- a/internal/discovery/registryupdater.go
+++ b/internal/discovery/registryupdater.go
@@ -51,7 +51,7 @@
 // called before the watcher runs.
 func (u *RegistryUpdater) Watcher(store infra.PartitionedTable, table string) *watch.Watcher {
 	u.watcher = watch.New(store, table, []string{""}, u, u.log)
-	u.watcher.Useful = func(row *infra.VersionedRow) bool { return u.registry.Get(core.ReplicaID(row.Key)) != nil }
+	u.watcher.Useful = func(row *infra.VersionedRow) bool { return !u.ignored[row.Key] }
 	return u.watcher
 }
 
--- a/internal/watch/watcher.go
+++ b/internal/watch/watcher.go
@@ -49,8 +49,9 @@
 	// changes arrive in one call. Otherwise each change costs one call of every
 	// node.
 	Interval time.Duration
-	// Useful reports whether a starting peer needs a row. If nil, it needs all. Other
-	// clients may leave large rows in the table that mean nothing to a node.
+	// Useful reports whether a row that the handler got means anything to a node. If
+	// nil, all do. Other clients may leave large rows in the table, which are then
+	// neither kept nor given to peers. It is called like the methods of the handler.
 	Useful func(row *infra.VersionedRow) bool
 
 	// mu guards rows and serializes the calls of the handler.
@@ -154,6 +155,21 @@
 	defer w.mu.Unlock()
 	w.mergeRows(rows)
 	w.changed(rows)
+	w.dropValues(rows)
+}
+
+// dropValues drops the values of the rows that turned out not to be useful when the
+// handler got them. The caller holds the lock.
+func (w *Watcher) dropValues(rows []infra.VersionedRow) {
+	if w.Useful == nil {
+		return
+	}
+	for i := range rows {
+		if row, known := w.rows[rows[i].RowKey]; known && !w.Useful(&row) {
+			row.Value = nil
+			w.rows[row.RowKey] = row
+		}
+	}
 }
 
 // changed passes changed rows to the handler. If that panics, the rows are passed
@@ -201,10 +217,10 @@
 func (w *Watcher) Copy() []infra.VersionedRow {
 	w.mu.Lock()
 	out := slices.Collect(maps.Values(w.rows))
-	w.mu.Unlock()
 	if w.Useful != nil {
 		out = slices.DeleteFunc(out, func(row infra.VersionedRow) bool { return !w.Useful(&row) })
 	}
+	w.mu.Unlock()
 	slices.SortFunc(out, func(a, b infra.VersionedRow) int {
 		return cmp.Or(cmp.Compare(a.Partition, b.Partition), cmp.Compare(a.Key, b.Key))
 	})
@@ -227,6 +243,7 @@
 	}
 	w.mergeRows(rows)
 	w.changed(rows)
+	w.dropValues(rows)
 	return true
 }
 
@@ -260,6 +277,7 @@
 		// learns at least of those that are there.
 		w.changed(rows)
 	}
+	w.dropValues(rows)
 	select {
 	case <-w.loaded:
 	default:
