Keep a request at a silent replica until another one has answered

What callers saw: a stream that broke off although its replica went on 0.3 s later.

Cause: the silent replica lost its run as soon as another one was granted. If that one was full, closed the connection or had just ended, and there was no third, nothing was left.

Change: the standby sends the request to the other replica itself and ends the present attempt when the answer has come, after 0.3 s at the latest, since a request may not be at work at two replicas for longer than 0.4 s. If the present one goes on meanwhile, the new attempt is ended and counts as a run, so that a request does not run at more replicas than its route allows.

--- a/internal/forward/buffered.go
+++ b/internal/forward/buffered.go
@@ -32,24 +32,24 @@
 func (r *request) serveBuffered(ctx context.Context) Outcome {
 	var last *bufferedResponse
 	for r.mayRetry() {
-		target := r.nextReplica(ctx)
-		if target == nil {
+		a := r.nextAttempt(ctx, NoResume)
+		if a == nil {
 			break
 		}
-		attemptCtx, cancel := context.WithCancelCause(ctx)
-		standby := r.newStandby(ctx, target, standbyAfter, func() { cancel(errReplicaTimeout) })
-		response := r.readBuffered(r.send(attemptCtx, target, NoResume))
-		r.granted = standby.stop()
+		standby := r.newStandby(ctx, a, standbyAfter)
+		r.send(a)
+		response := r.readBuffered(a)
+		r.settle(standby)
 		if response != nil && response.unread != nil {
-			if attemptCtx.Err() == nil {
+			if a.ctx.Err() == nil {
 				// The end of the context would abort the connection with the rest of the body.
-				defer cancel(nil)
+				defer a.cancel(nil)
 				return r.deliver(response)
 			}
 			response.unread.release()
 			response = nil
 		}
-		cancel(nil)
+		a.cancel(nil)
 		if response == nil {
 			continue
 		}
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -122,10 +122,10 @@
 	attempt *attempt
 	// run observes the next attempt.
 	run *quarantine.Run
-	// granted is the replica that takes the request over from a silent one. The request
-	// is counted on its load.
-	granted *replica.Replica
-	outcome Outcome
+	// takesOver is the next attempt if one has taken the request over from a silent
+	// replica.
+	takesOver *attempt
+	outcome   Outcome
 }
 
 // ServeHTTP implements http.Handler.
@@ -189,7 +189,9 @@
 	if r.attempt != nil {
 		r.attempt.release()
 	}
-	r.releaseGranted()
+	if r.takesOver != nil {
+		r.drop(r.takesOver)
+	}
 	if r.recording != nil {
 		r.recording.End()
 	}
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -25,40 +25,6 @@
 	defaultObjective = 300 * time.Millisecond
 )
 
-// errOtherSoftware is the error of an attempt whose replica has started again with
-// another version, so that its events would not fit to those of the stream.
-var errOtherSoftware = errors.New("replica has started again with other software")
-
-// attempt is one request to one replica and its result.
-type attempt struct {
-	replica  *replica.Replica
-	response *replica.Response
-	run      *quarantine.Run
-	sent     time.Time
-	// started is the start of the replica's process, and software what it runs, by its
-	// registration when the request was sent.
-	started  int64
-	software replica.Software
-	// resumes is set if the attempt goes on with a stream that another one began.
-	resumes  bool
-	info     ResponseInfo
-	err      error
-	released bool
-}
-
-// notRun reports whether the attempt certainly did not run the request.
-func (a *attempt) notRun() bool {
-	if a.err != nil {
-		var failure *replica.Failure
-		return errors.As(a.err, &failure) && !failure.Sent
-	}
-	return a.info.NotRun
-}
-
-// restarted reports whether the replica has registered with other software since the
-// request was sent to it. What comes from it since then may be from either process.
-func (a *attempt) restarted() bool { return a.replica.Info().Software() != a.software }
-
 // place chooses a replica for the next attempt and counts the request on its load.
 // It returns nil if no replica is available, or no attempt or time is left.
 func (r *request) place(ctx context.Context) *replica.Replica {
@@ -103,21 +69,37 @@
 	return target
 }
 
-// nextReplica returns the replica that took the request over from a silent one, or
-// places the request.
-func (r *request) nextReplica(ctx context.Context) *replica.Replica {
-	if granted := r.granted; granted != nil {
-		r.granted = nil
-		return r.admit(granted)
+// nextAttempt returns the attempt that took the request over from a silent replica, or
+// a new one at a replica that it places the request at, or nil if there is none.
+func (r *request) nextAttempt(ctx context.Context, resumeAfter int64) *attempt {
+	if a := r.takesOver; a != nil {
+		r.takesOver = nil
+		if a.resumeAfter == resumeAfter {
+			return a
+		}
+		r.drop(a) // the silent replica has sent an event at the last moment
+	}
+	target := r.place(ctx)
+	if target == nil {
+		return nil
 	}
-	return r.place(ctx)
+	return newAttempt(ctx, target, r.run, r.begunAt, resumeAfter)
+}
+
+// drop ends an attempt that took the request over and is not needed.
+func (r *request) drop(a *attempt) {
+	a.cancel(errStandbyEnded)
+	<-a.answered
+	a.release()
+	r.count(a)
 }
 
-// releaseGranted gives back a replica to which the request was not sent.
-func (r *request) releaseGranted() {
-	if r.granted != nil {
-		r.granted.End(core.ClassOnline)
-		r.granted = nil
+// settle ends a standby, and counts what it has sent.
+func (r *request) settle(s *standby) {
+	takesOver, ended := s.stop()
+	r.takesOver = takesOver
+	for _, a := range ended {
+		r.count(a)
 	}
 }
 
@@ -140,103 +122,29 @@
 	return maxWait - firstTokenTime
 }
 
-// send sends the request to the replica that place returned.
-func (r *request) send(ctx context.Context, target *replica.Replica, resumeAfter int64) *attempt {
-	now := time.Now()
-	info := target.Info()
-	r.tried = append(r.tried, info.ID)
-	r.sends++
-	a := &attempt{replica: target, run: r.run, sent: now, started: info.Started, software: info.Software(), resumes: r.begunAt != nil}
+// send makes an attempt, or waits for the answer to one that a standby has begun.
+func (r *request) send(a *attempt) {
 	r.attempt = a
-	if r.begunAt != nil && a.software != *r.begunAt {
-		a.err = errOtherSoftware
-		a.release()
-		return a
+	if r.recording != nil && a.err == nil {
+		r.recording.Send(a.software.Version)
 	}
-	if r.recording != nil {
-		r.recording.Send(info.Version)
+	if a.answered != nil {
+		<-a.answered
+	} else {
+		r.exchange(a)
 	}
-	a.response, a.err = target.Send(ctx, &replica.Request{
-		ID: r.reqInfo.ID, Method: r.in.Method, Target: r.in.RequestURI, Host: r.in.Host,
-		Header: r.h.Codec.ReplicaHeader(r.in.Header, SendOptions{
-			Remaining: r.deadline.Sub(now), Replica: info.ID, ResumeAfter: resumeAfter,
-		}),
-		Body: r.body, HasBody: r.in.ContentLength != 0 || len(r.body) > 0,
-		MatchResponse: r.h.Codec.ResponseMatcher(r.reqInfo.ID),
-	})
-	r.recordResult(a)
-	return a
+	r.count(a)
 }
 
-// recordResult counts runs and updates the state of the replica from the result of
-// the attempt.
-func (r *request) recordResult(a *attempt) {
-	now := time.Now()
-	if a.err != nil {
-		if !a.notRun() {
-			r.runs++
-			a.run.RecordEnd(a.err, true)
-		}
-		a.release()
-		// A caller that disconnected, a deadline, the end of the node or a quarantine is
-		// no fault of the replica.
-		if !errors.Is(a.err, context.Canceled) && !errors.Is(a.err, errRouteTimeout) && !errors.Is(a.err, errStopOver) && !errors.Is(a.err, quarantine.ErrQuarantined) {
-			wait := a.replica.RecordError(a.err, now)
-			r.h.Log.Info("replica failed", "request", r.reqInfo.ID, "replica", a.replica.Info().ID,
-				"error", a.err, "after_ms", now.Sub(a.sent).Milliseconds(), "avoid_ms", wait.Milliseconds())
-		}
-		return
-	}
-	a.info = r.h.Codec.ParseResponse(r.reqInfo.ID, a.response.Status, a.response.Header)
-	a.info.Record(a.replica, a.started, a.sent, r.reqInfo.ID, r.h.Log)
-	switch {
-	case a.info.Misdirected:
-		a.replica.RecordFailure(now)
-		r.h.Log.Info("address belongs to another replica", "request", r.reqInfo.ID, "replica", a.replica.Info().ID)
-	case a.info.Foreign:
-		r.runs++ // whatever it is, it may have run the request
-		wait := a.replica.RecordFailure(now)
-		r.h.Log.Info("response is not of a replica", "request", r.reqInfo.ID, "replica", a.replica.Info().ID, "status", a.response.Status, "avoid_ms", wait.Milliseconds())
-	case !a.info.NotRun:
+// count counts an attempt whose exchange is over.
+func (r *request) count(a *attempt) {
+	r.tried = append(r.tried, a.replica.Info().ID)
+	r.sends++
+	if !a.notRun() {
 		r.runs++
 	}
 }
 
-// mayLackBody reports whether a response of which no byte of the body came may have been
-// cut: it is a success whose body only the end of the connection ends.
-func (r *request) mayLackBody(a *attempt) bool {
-	return !a.response.Framed && a.response.Status < http.StatusMultipleChoices && r.in.Method != http.MethodHead
-}
-
-// release closes the response and removes the request from the replica's load.
-// Later calls do nothing. The connection is reused if the response was read
-// completely.
-func (a *attempt) release() {
-	if a.released {
-		return
-	}
-	a.released = true
-	if a.response != nil {
-		a.response.Close()
-	}
-	a.run.End()
-	a.replica.End(core.ClassOnline)
-}
-
-// discard releases a response that is not passed on to the caller.
-func (a *attempt) discard() {
-	if a.err != nil {
-		return
-	}
-	buf := make([]byte, 512)
-	for range 4 { // an error response is short; once it is read, the connection can be reused
-		if _, err := a.response.Read(buf); err != nil {
-			break
-		}
-	}
-	a.release()
-}
-
 // mayRetry reports whether another replica may run the request: it has not run yet,
 // or the route permits more runs.
 func (r *request) mayRetry() bool {
--- a/internal/forward/standby.go
+++ b/internal/forward/standby.go
@@ -2,100 +2,125 @@
 
 import (
 	"context"
+	"errors"
+	"net/http"
 	"slices"
 	"sync"
 	"time"
 
 	"gentiantide.example/gentiantide/internal/core"
 	"gentiantide.example/gentiantide/internal/placement"
+	"gentiantide.example/gentiantide/internal/quarantine"
 	"gentiantide.example/gentiantide/internal/replica"
+	"gentiantide.example/gentiantide/internal/routetable"
 )
 
-// standbyRetryInterval is the pause before a silent replica's request asks again for
-// another replica after it was refused one.
-const standbyRetryInterval = 200 * time.Millisecond
+const (
+	// standbyRetryInterval is the pause before a silent replica's request asks again for
+	// another replica after it was refused one.
+	standbyRetryInterval = 200 * time.Millisecond
+	// overlapTimeout is how long both replicas may have the request while the answer of
+	// the other one is awaited. Engines answer within 100 ms as a rule; a request may
+	// not be at work at two of them for longer than 400 ms.
+	overlapTimeout = 300 * time.Millisecond
+)
+
+// errStandbyEnded is the cancellation cause of an attempt that a standby has begun: the
+// silent replica has gone on, or its attempt has ended.
+var errStandbyEnded = errors.New("replica that had the request has answered")
 
-// standby looks for another replica while the one that has the request is silent. The
-// silent one keeps the request until the other is granted: it may be sound and go on,
-// and a run that was given up before would be lost if there were no other.
+// standby looks for another replica while the one that has the request is silent, and
+// sends the request there. The silent one keeps the request until the other has
+// answered: it may be sound and go on, and its run would be lost if the other one were
+// full or gone.
 type standby struct {
-	placer Placer
-	// ctx is that of the request. replace ends the attempt at the silent replica.
-	ctx      context.Context
-	replace  func()
-	silence  time.Duration // after which the search begins
-	maxWait  func(lastProgress time.Time) time.Duration
-	timer    *time.Timer
-	deadline time.Time
+	r       *request
+	ctx     context.Context // that of the request
+	present *attempt        // at the replica that may fall silent
+	silence time.Duration   // after which the search begins
+	timer   *time.Timer
+	// exchange sends the request of an attempt and reads the head of the response.
+	exchange func(*attempt)
+	// searches counts the goroutines that search.
+	searches sync.WaitGroup
 
 	mu sync.Mutex
 	// query describes the request. MaxWait is set when the search begins.
 	query        placement.Query
 	lastProgress time.Time
-	stopSearch   context.CancelFunc
-	stopped      bool
-	granted      *replica.Replica
+	begunAt      *replica.Software
+	resumeAfter  int64
+	// sends and runs are how many replicas the request may still be sent to, and may
+	// still run at.
+	sends, runs int
+	stopSearch  context.CancelFunc
+	stopped     bool
+	// takesOver is the attempt that takes the place of the present one. ended are those
+	// that did not; the request has not counted them yet.
+	takesOver *attempt
+	ended     []*attempt
 }
 
-// newStandby returns the standby of the next attempt, which goes to the target, or nil
-// if no other replica may take the request over from it.
-func (r *request) newStandby(ctx context.Context, target *replica.Replica, silence time.Duration, replace func()) *standby {
-	if !r.route.Retryable() || r.runs+1 >= r.route.MaxAttempts || r.sends+1 >= maxSends || silence <= 0 {
-		return nil
-	}
+// newStandby returns the standby of an attempt that is about to be made, or nil if no
+// other replica may take the request over from it.
+func (r *request) newStandby(ctx context.Context, present *attempt, silence time.Duration) *standby {
 	s := &standby{
-		placer: r.h.Placer, query: *r.query(time.Now()), ctx: ctx, replace: replace, silence: silence,
-		maxWait: r.maxWait, deadline: r.deadline, lastProgress: r.lastProgress,
+		r: r, ctx: ctx, present: present, silence: silence, exchange: r.exchange, query: *r.query(time.Now()), lastProgress: r.lastProgress,
+		begunAt: r.begunAt, resumeAfter: present.resumeAfter, sends: maxSends - r.sends - 1, runs: r.route.MaxAttempts - r.runs - 1,
+	}
+	if !r.route.Retryable() || s.sends <= 0 || s.runs <= 0 || silence <= 0 {
+		return nil
 	}
-	s.query.Tried = append(slices.Clone(r.tried), target.Info().ID)
+	s.query.Tried = append(slices.Clone(r.tried), present.replica.Info().ID)
 	s.query.Identity = 0 // the caller is not rejected if no replica is found
 	s.timer = time.AfterFunc(silence, s.search)
 	return s
 }
 
-// recordProgress ends a search and postpones the next one: the caller was sent a part of
-// the response at a time, and only a replica with the software that began it may take
-// the request over.
-func (s *standby) recordProgress(now time.Time, begunAt *replica.Software) {
+// recordProgress ends a search and postpones the next one: the caller was sent the
+// response up to an event, and only the software that began it may go on with it.
+func (s *standby) recordProgress(now time.Time, begunAt *replica.Software, lastEvent int64) {
 	if s == nil {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.endSearch()
-	s.lastProgress, s.query.Urgent = now, true
-	s.query.Service, s.query.Version = begunAt.Service, &begunAt.Version
-	if !s.stopped && s.granted == nil {
+	s.lastProgress, s.begunAt, s.resumeAfter = now, begunAt, lastEvent
+	s.query.Urgent, s.query.Service, s.query.Version = true, begunAt.Service, &begunAt.Version
+	if !s.stopped && s.takesOver == nil {
 		s.timer.Reset(s.silence)
 	}
 }
 
-// stop ends the search and returns the replica that was granted, or nil. The caller
-// releases it or sends the request there.
-func (s *standby) stop() *replica.Replica {
+// disable ends the search for good, as no other replica can go on with the response.
+func (s *standby) disable() {
 	if s == nil {
-		return nil
+		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.stopped = true
 	s.timer.Stop()
 	s.endSearch()
-	granted := s.granted
-	s.granted = nil
-	return granted
 }
 
-// disable ends the search for good, as no other replica can go on with the response.
-func (s *standby) disable() {
+// stop ends the search. It returns the attempt that has taken over, or nil, and those
+// that have not.
+func (s *standby) stop() (takesOver *attempt, ended []*attempt) {
 	if s == nil {
-		return
+		return nil, nil
+	}
+	s.disable()
+	s.mu.Lock()
+	takesOver = s.takesOver
+	s.mu.Unlock()
+	if takesOver == nil {
+		s.searches.Wait() // what it has begun ends with the search
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.stopped = true
-	s.timer.Stop()
-	s.endSearch()
+	return s.takesOver, s.ended
 }
 
 // endSearch requires the lock.
@@ -106,17 +131,21 @@
 	}
 }
 
-// search asks for another replica until one is granted, the silent one goes on or the
+// search asks for another replica until one has answered, the silent one goes on or the
 // attempt ends.
 func (s *standby) search() {
 	ctx, query, ok := s.beginSearch()
 	if !ok {
 		return
 	}
-	for time.Until(s.deadline) >= minRemaining && ctx.Err() == nil {
-		target, _ := s.placer.Place(ctx, query)
-		if target != nil && s.take(ctx, target) {
-			return
+	defer s.searches.Done()
+	for time.Until(s.r.deadline) >= minRemaining && ctx.Err() == nil {
+		target, _ := s.r.h.Placer.Place(ctx, query)
+		if target != nil {
+			if s.try(ctx, target) {
+				return
+			}
+			query.Tried = append(query.Tried, target.Info().ID)
 		}
 		select {
 		case <-ctx.Done():
@@ -126,32 +155,93 @@
 }
 
 // beginSearch returns the context and the query of a search, or false if the attempt
-// has ended.
+// has ended or no other replica may run the request.
 func (s *standby) beginSearch() (context.Context, *placement.Query, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.stopped || s.granted != nil {
+	if s.stopped || s.takesOver != nil || s.sends <= 0 || s.runs <= 0 {
 		return nil, nil, false
 	}
 	s.endSearch()
-	ctx, cancel := context.WithCancel(s.ctx)
+	ctx, cancel := context.WithCancel(s.present.ctx)
 	s.stopSearch = cancel
+	s.searches.Add(1)
 	query := s.query
-	query.MaxWait = s.maxWait(s.lastProgress)
+	query.Tried = slices.Clone(s.query.Tried)
+	query.MaxWait = s.r.maxWait(s.lastProgress)
 	return ctx, &query, true
 }
 
-// take ends the attempt at the silent replica in favour of a target. It releases the
-// target and returns false if the search has ended, or if the target is no better.
-func (s *standby) take(search context.Context, target *replica.Replica) bool {
+// try sends the request to a replica and reports whether the search is over.
+func (s *standby) try(search context.Context, target *replica.Replica) bool {
+	run, ok := (*quarantine.Run)(nil), search.Err() == nil && !target.Ejected(time.Now())
+	if ok {
+		run, ok = s.r.h.Quarantine.Begin(s.r.parts, target)
+	}
+	if !ok {
+		target.End(core.ClassOnline)
+		return false
+	}
+	s.mu.Lock()
+	a, exchange := newAttempt(s.ctx, target, run, s.begunAt, s.resumeAfter), s.exchange
+	s.mu.Unlock()
+	a.answered = make(chan struct{})
+	detach := context.AfterFunc(search, func() { a.cancel(errStandbyEnded) })
+	timer := time.AfterFunc(overlapTimeout, func() { s.replace(a, detach) })
+	exchange(a)
+	timer.Stop()
+	close(a.answered)
+	if s.r.answers(a) && s.replace(a, detach) {
+		return true
+	}
+	return s.end(a)
+}
+
+// replace ends the present attempt in favour of another one. It returns false if the
+// search has ended before.
+func (s *standby) replace(a *attempt, detach func() bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if search.Err() != nil || target.Ejected(time.Now()) {
-		target.End(core.ClassOnline)
+	if s.takesOver == a {
+		return true
+	}
+	if s.takesOver != nil || !detach() {
 		return false
 	}
+	s.takesOver = a
 	s.endSearch()
-	s.granted = target
-	s.replace()
+	s.present.cancel(errReplicaTimeout)
 	return true
 }
+
+// end records that an attempt does not take over, unless it has, without an answer. It
+// reports whether the search is over.
+func (s *standby) end(a *attempt) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.takesOver == a {
+		return true
+	}
+	a.cancel(errStandbyEnded)
+	a.release()
+	s.ended = append(s.ended, a)
+	s.query.Tried = append(s.query.Tried, a.replica.Info().ID)
+	s.sends--
+	if !a.notRun() {
+		s.runs--
+	}
+	return s.sends <= 0 || s.runs <= 0
+}
+
+// answers reports whether the response of an attempt is one that can take the place of a
+// silent replica's.
+func (r *request) answers(a *attempt) bool {
+	switch {
+	case a.err != nil || a.info.NotRun || !a.info.Signed:
+		return false
+	case r.route.Kind == routetable.KindStream:
+		return a.response.Status == http.StatusOK && (!a.resumes || a.response.EventStream())
+	default:
+		return a.response.Status < http.StatusInternalServerError
+	}
+}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -68,8 +68,8 @@
 // false if another attempt may be made.
 func (s *streamRelay) attempt(ctx context.Context) (Outcome, bool) {
 	r := s.r
-	target := r.nextReplica(ctx)
-	if target == nil {
+	a := r.nextAttempt(ctx, s.lastEvent)
+	if a == nil {
 		if !r.headerSent {
 			return r.respondFailure(ctx), true
 		}
@@ -77,11 +77,10 @@
 			"service", string(r.begunAt.Service), "software", string(r.begunAt.Version), "last_event", s.lastEvent)
 		return s.abort(ctx), true
 	}
-	attemptCtx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	standby := r.newStandby(ctx, target, s.stallTimeout(), func() { cancel(errReplicaTimeout) })
-	defer func() { r.granted = standby.stop() }()
-	a := r.send(attemptCtx, target, s.lastEvent)
+	defer a.cancel(nil)
+	standby := r.newStandby(ctx, a, s.stallTimeout())
+	defer func() { r.settle(standby) }()
+	r.send(a)
 	switch {
 	case a.err != nil:
 		return "", false
@@ -100,14 +99,14 @@
 		return "", false
 	}
 	s.resumed = s.hasLastEvent
-	err := s.copy(attemptCtx, a, standby)
+	err := s.copy(a, standby)
 	if errors.Is(err, errNotRecorded) {
 		a.release()
 		r.h.Log.Info("stream ended before its first event", "request", r.reqInfo.ID, "replica", a.replica.Info().ID, "software", string(a.software.Version), "error", err)
 		return "", false
 	}
 	otherSoftware := errors.Is(err, errOtherSoftware)
-	if !errors.Is(err, errCallerWrite) && !otherSoftware && context.Cause(attemptCtx) == nil {
+	if !errors.Is(err, errCallerWrite) && !otherSoftware && context.Cause(a.ctx) == nil {
 		a.run.RecordEnd(err, a.response.Framed)
 	}
 	a.release()
@@ -122,7 +121,7 @@
 		a.replica.RecordFailure(time.Now())
 	}
 	r.h.Log.Info("stream interrupted", "request", r.reqInfo.ID, "replica", a.replica.Info().ID,
-		"last_event", s.lastEvent, "software", string(a.software.Version), "error", err, "cause", context.Cause(attemptCtx))
+		"last_event", s.lastEvent, "software", string(a.software.Version), "error", err, "cause", context.Cause(a.ctx))
 	return "", false
 }
 
@@ -148,18 +147,18 @@
 
 // copy forwards events until the stream ends. It returns nil only for a complete
 // stream.
-func (s *streamRelay) copy(ctx context.Context, a *attempt, standby *standby) error {
+func (s *streamRelay) copy(a *attempt, standby *standby) error {
 	var splitter sse.Splitter
 	buf := make([]byte, streamBuffer)
 	for {
 		n, err := a.response.Read(buf)
 		if n > 0 {
-			progress, addErr := s.relayEvents(ctx, a, &splitter, buf[:n])
+			progress, addErr := s.relayEvents(a, &splitter, buf[:n])
 			if progress {
 				s.r.stopWatch() // the run has begun without a crash
 				a.run.RecordEvent(time.Now())
 				a.response.RecordProgress()
-				standby.recordProgress(s.r.lastProgress, s.r.begunAt)
+				standby.recordProgress(s.r.lastProgress, s.r.begunAt, s.lastEvent)
 				if s.unnumbered || s.softwareUnknown {
 					standby.disable()
 				}
@@ -180,7 +179,7 @@
 // relayEvents forwards the events that p completes, and reports whether any of them
 // is more than a comment. Event IDs must increase by 1, also across attempts, and what
 // resumes a stream must have them: an error that a replica sends instead has none.
-func (s *streamRelay) relayEvents(ctx context.Context, a *attempt, splitter *sse.Splitter, p []byte) (progress bool, err error) {
+func (s *streamRelay) relayEvents(a *attempt, splitter *sse.Splitter, p []byte) (progress bool, err error) {
 	wrote := false
 	err = splitter.Add(p, func(e sse.Event) error {
 		switch {
@@ -189,7 +188,7 @@
 		case s.resumed && !e.HasID && !e.IsComment():
 			return errEventOrder
 		}
-		if err := s.r.awaitRecord(ctx, a); err != nil {
+		if err := s.r.awaitRecord(a.ctx, a); err != nil {
 			return err
 		}
 		if err := s.checkSoftware(a); err != nil {
