Spread the records of streams over 32 partitions

While the store is slow a transaction takes 0.3 s, and a partition refuses those that would wait for more than a second.

--- a/internal/streamversion/keys.go
+++ b/internal/streamversion/keys.go
@@ -15,9 +15,10 @@
 	// StreamsTable has a row for each stream that began at another version than the base
 	// version of its service.
 	StreamsTable = "streams"
-	// numPartitions spreads the rows of streams. A partition of the store takes some
-	// hundred transactions a second, and a node has one at a time for each.
-	numPartitions = 8
+	// numPartitions spreads the rows of streams. A partition makes one transaction after
+	// another, which takes 0.3 s while the store is slow, and refuses those that would wait
+	// for over a second.
+	numPartitions = 32
 )
 
 // streamKey identifies a stream: the service and the ID of the request that brought its
