--- a/internal/callerconn/closures_test.go
+++ b/internal/callerconn/closures_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -15,7 +14,6 @@
 	"github.com/onsi/gomega"
 	"github.com/uber-go/tally/v4"
 
-	"gentiantide.example/gentiantide/internal/netopt"
 	"gentiantide.example/gentiantide/internal/routetable"
 )
 
@@ -52,8 +50,6 @@
 // counter and no log line tells the reason.
 func TestClosedConnectionsAreCountedAndLogged(t *testing.T) {
 	g := gomega.NewWithT(t)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	g.Expect(err).NotTo(gomega.HaveOccurred())
 	held := make(chan struct{})
 	handler := http.HandlerFunc(func(w http.ResponseWriter, in *http.Request) {
 		switch in.Header.Get("X-Do") {
@@ -69,22 +65,23 @@
 	})
 	scope := tally.NewTestScope("", nil)
 	var log lockedBuffer
-	limits := routetable.Limits{HeaderTimeout: 50 * time.Millisecond, IdleTimeout: 50 * time.Millisecond}
-	s := New(netopt.NewDrainable(listener.(*net.TCPListener)), handler, func() routetable.Limits { return limits }, scope, slog.New(slog.NewTextHandler(&log, nil)))
-	go s.Run()
+	s, limits := serve(t, handler, routetable.Limits{}, scope, slog.New(slog.NewTextHandler(&log, nil)))
+	short := routetable.Limits{HeaderTimeout: 50 * time.Millisecond, IdleTimeout: 50 * time.Millisecond}
 	ends := func(c *callerConn) { _, _ = io.ReadAll(c) }
 
 	c := dialCaller(g, s)
 	g.Expect(c.send("X-Do: abort\r\n")).To(gomega.Succeed())
 	ends(c)
+	limits.Store(&short)
 	c = dialCaller(g, s) // sends nothing
 	ends(c)
 	c = dialCaller(g, s)
 	g.Expect(c.send("")).To(gomega.Succeed())
 	ends(c)
+	limits.Store(&routetable.Limits{})
 	c = dialCaller(g, s)
 	g.Expect(c.send("")).To(gomega.Succeed())
-	_, _, err = c.receive()
+	_, _, err := c.receive()
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	_ = c.Close()
 	c = dialCaller(g, s)
@@ -92,7 +89,7 @@
 	<-held
 	over, cancel := context.WithCancel(context.Background())
 	cancel()
-	g.Expect(s.Shutdown(over, time.Now())).NotTo(gomega.Succeed())
+	g.Expect(s.Shutdown(over)).NotTo(gomega.Succeed())
 	s.Close()
 	ends(c)
 
--- a/internal/callerconn/server.go
+++ b/internal/callerconn/server.go
@@ -113,14 +113,10 @@
 	return all
 }
 
-// Shutdown goes on accepting connections and serving requests until none is in
-// progress, because the balancer may go on to use the node, or until acceptUntil. It
-// then closes the listener, serves what it has accepted, and ends the connections on
-// which no request is in progress. It fails if ctx ends before.
-func (s *Server) Shutdown(ctx context.Context, acceptUntil time.Time) error {
-	acceptCtx, cancel := context.WithDeadline(ctx, acceptUntil)
-	defer cancel()
-	_ = s.wait(acceptCtx, func() bool { return !s.busy() }) // at its end the listener is closed in any case
+// Shutdown accepts the connections that wait in the kernel's queue, closes the
+// listener, serves what it has accepted, and ends the connections on which no request
+// is in progress. It fails if ctx ends before.
+func (s *Server) Shutdown(ctx context.Context) error {
 	s.listener.Drain()
 	_ = s.listener.Close()
 	<-s.accepted
@@ -133,23 +129,6 @@
 	return s.wait(ctx, func() bool { return len(s.openConns()) == 0 })
 }
 
-// busy reports whether a request is in progress, or may be on its way on a connection
-// that was just accepted.
-func (s *Server) busy() bool {
-	for _, c := range s.openConns() {
-		switch c.currentPhase() {
-		case phaseIdle:
-		case phaseNew:
-			if time.Since(c.opened) < firstBytesWait {
-				return true
-			}
-		default:
-			return true
-		}
-	}
-	return false
-}
-
 func (s *Server) wait(ctx context.Context, done func() bool) error {
 	ticker := time.NewTicker(stopCheckInterval)
 	defer ticker.Stop()
--- a/internal/callerconn/server_test.go
+++ b/internal/callerconn/server_test.go
@@ -21,19 +21,24 @@
 
 const waitTimeout = 20 * time.Second
 
-// startServers serves 204 to each request, with limits that the test changes.
-func startServers(t *testing.T, limits routetable.Limits) (*Server, *atomic.Pointer[routetable.Limits]) {
+// startServer serves 204 to each request, with limits that the test changes.
+func startServer(t *testing.T, limits routetable.Limits) (*Server, *atomic.Pointer[routetable.Limits]) {
+	handler := http.HandlerFunc(func(w http.ResponseWriter, in *http.Request) {
+		_, _ = io.Copy(io.Discard, in.Body)
+		w.WriteHeader(http.StatusNoContent)
+	})
+	return serve(t, handler, limits, tally.NoopScope, slog.New(slog.DiscardHandler))
+}
+
+// serve starts a server with limits that the test changes.
+func serve(t *testing.T, handler http.Handler, limits routetable.Limits, scope tally.Scope, log *slog.Logger) (*Server, *atomic.Pointer[routetable.Limits]) {
 	var current atomic.Pointer[routetable.Limits]
 	current.Store(&limits)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	handler := http.HandlerFunc(func(w http.ResponseWriter, in *http.Request) {
-		_, _ = io.Copy(io.Discard, in.Body)
-		w.WriteHeader(http.StatusNoContent)
-	})
-	s := New(netopt.NewDrainable(listener.(*net.TCPListener)), handler, func() routetable.Limits { return *current.Load() }, tally.NoopScope, slog.New(slog.DiscardHandler))
+	s := New(netopt.NewDrainable(listener.(*net.TCPListener)), handler, func() routetable.Limits { return *current.Load() }, scope, log)
 	go s.Run()
 	t.Cleanup(func() {
 		_ = listener.Close()
@@ -86,7 +91,7 @@
 func TestCallerLimitsAreApplied(t *testing.T) {
 	g := gomega.NewWithT(t)
 	limits := routetable.Limits{HeaderBytes: 8 << 10, HeaderTimeout: 50 * time.Millisecond, IdleTimeout: 50 * time.Millisecond}
-	s, _ := startServers(t, limits)
+	s, _ := startServer(t, limits)
 
 	c := dialCaller(g, s)
 	g.Expect(c.send("X-Long: " + strings.Repeat("x", 16<<10) + "\r\n")).To(gomega.Succeed())
@@ -116,7 +121,7 @@
 // Guards against connections that keep the former limits after a change.
 func TestChangedCallerLimits(t *testing.T) {
 	g := gomega.NewWithT(t)
-	s, limits := startServers(t, routetable.Limits{HeaderBytes: 8 << 10})
+	s, limits := startServer(t, routetable.Limits{HeaderBytes: 8 << 10})
 	long := "X-Long: " + strings.Repeat("x", 16<<10) + "\r\n"
 	former := dialCaller(g, s)
 	former.expectKept(g, "")
@@ -140,14 +145,14 @@
 	g := gomega.NewWithT(t)
 	const callers = 50
 	for range 10 {
-		s, _ := startServers(t, routetable.Limits{})
+		s, _ := startServer(t, routetable.Limits{})
 		conns := make([]*callerConn, callers)
 		for i := range conns {
 			conns[i] = dialCaller(g, s)
 			g.Expect(conns[i].send("")).To(gomega.Succeed())
 		}
 		ended := make(chan error, 1)
-		go func() { ended <- s.Shutdown(context.Background(), time.Now().Add(waitTimeout)) }()
+		go func() { ended <- s.Shutdown(context.Background()) }()
 		for _, c := range conns {
 			status, _, err := c.receive()
 			g.Expect(err).NotTo(gomega.HaveOccurred())
--- a/internal/platformnode/stop.go
+++ b/internal/platformnode/stop.go
@@ -14,10 +14,6 @@
 	OutOfRotationDelay = 2300 * time.Millisecond
 	// exitMargin is the part of the stop grace period reserved for the exit.
 	exitMargin = 700 * time.Millisecond
-	// lastAccept is how long after the stop signal connections are accepted while
-	// requests are in progress. Callers whom a node refuses as stopping return to
-	// other stopping nodes until they give up; those who cannot connect do not.
-	lastAccept = 2800 * time.Millisecond
 	// lastLongRequest is how long after the stop signal streams and batch jobs are
 	// accepted. The platform's rules let a stream be cut at the end of the grace period
 	// only if it was sent within 3 s.
@@ -29,11 +25,10 @@
 	leaveTimeout = time.Second
 )
 
-// stop drains the node. It reports that the node is not ready and goes on serving
-// until the load balancer has removed the node, and for a little longer while requests
-// are in progress: if fewer than half of a data centre are ready, the balancer uses
-// all of its nodes. It then waits for the requests in progress, and at the end answers
-// those that have no response yet. Batch work is handed over at the same time.
+// stop drains the node. It reports that the node is not ready, goes on serving
+// until the load balancer has removed the node, and then waits for the requests
+// in progress. At the end it answers those that have no response yet. Batch work is
+// handed over at the same time.
 func (n *Node) stop(callers *callerconn.Server) {
 	n.stopping.Store(true)
 	n.nodes.MarkStopping()
@@ -53,7 +48,7 @@
 	case <-ctx.Done():
 	case <-time.After(n.OutOfRotationDelay):
 	}
-	if err := callers.Shutdown(ctx, began.Add(lastAccept)); err != nil {
+	if err := callers.Shutdown(ctx); err != nil {
 		n.log.Warn("closing connections with requests in progress at the end of the stop grace period", "in_flight", n.counters.InFlight(), "error", err)
 		callers.Close()
 	}
