Take a stream up at the service that began it

What callers could see: on a resumable route with several services, a stream that a caller took up went on at another service than the one that began it, in half of the cases of a route that is split evenly.

Cause: each attempt chose its service at random by weight.

Change: the ID of the attempt that began the stream decides, so that all nodes choose the same service without a record. Streams that are taken up after the weights have changed may still choose another one.

TestStreamIsTakenUpAtItsService failed before (third stream) and passes now.

--- a/internal/forward/takeup.go
+++ b/internal/forward/takeup.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"gentiantide.example/gentiantide/internal/core"
 	"gentiantide.example/gentiantide/internal/replica"
 	"gentiantide.example/gentiantide/internal/streamversion"
@@ -50,6 +52,15 @@
 // earlier attempt.
 func (r *request) takesUp() bool { return r.reqInfo.TakesUp && r.route.CanResume }
 
+// streamID returns the ID of the attempt that began the stream. On a route with several
+// services it decides between them, so that all nodes take the stream up at the same one.
+func (r *request) streamID() string {
+	if r.takesUp() && r.reqInfo.Began != "" {
+		return r.reqInfo.Began
+	}
+	return r.reqInfo.ID
+}
+
 // prepareVersion finds the version at which a stream that the caller takes up must go
 // on, or begins to record that of a new one. It refuses the request and returns false if
 // the stream cannot go on.
@@ -57,7 +68,7 @@
 	if !r.route.CanResume {
 		return true
 	}
-	r.service = r.route.Pick(uint64(r.arrived.UnixNano()))
+	r.service = r.route.Pick(xxhash.Sum64String(r.streamID()))
 	if !r.reqInfo.TakesUp {
 		r.recording = r.h.Versions.Begin(r.service, r.reqInfo.ID, max(r.reqInfo.CallerTimeout, r.timeout()))
 		return true
