Let a hub begin with the service time that the former one has measured

What callers saw: 503 for short requests right after the first hub had stopped.

Cause: the next hub had no estimate of the service time and assumed 0.8 s. With 16 slots granted within a few ms, its forecast for the eighth request in the queue was 2.02 s, 0.07 s more than the caller waits (a trial with log lines).

Change: the totals that a hub sends to all nodes have its estimate; a node that becomes the hub begins with it.

TestHubBeginsWithTheServiceTimeOfTheFormerOne is new. A trial in which a hub without an estimate rejects nothing made a test of internal/placement wait without end and was not kept.

--- a/internal/placement/hub.go
+++ b/internal/placement/hub.go
@@ -58,8 +58,10 @@
 	announce func(group)
 	// announced reports whether all nodes were just told that the group's hub changes.
 	announced func(group, time.Time) bool
-	log       *slog.Logger
-	stopping  atomic.Bool
+	// formerServiceTime returns what the former hub of a group has measured, or 0.
+	formerServiceTime func(group) time.Duration
+	log               *slog.Logger
+	stopping          atomic.Bool
 	// groupAdded gets an entry when a group is added.
 	groupAdded chan struct{}
 
@@ -97,6 +99,7 @@
 	state, ok := h.groups[g]
 	if !ok {
 		state = &groupState{scheduler: newScheduler(), lastMessageAt: now}
+		state.serviceTime.adopt(h.formerServiceTime(g))
 		h.groups[g] = state
 		h.log.Info("became hub of a group", "group", g.key())
 		select {
@@ -341,7 +344,7 @@
 // prepareTotals encodes the totals of a group. The function returned sends them
 // to the nodes that report to this hub and is called without the lock.
 func (h *hub) prepareTotals(g group, state *groupState, now time.Time) func() {
-	message := &groupTotals{Group: g, First: h.firstHub(g)}
+	message := &groupTotals{Group: g, First: h.firstHub(g), ServiceTime: state.serviceTime.measured()}
 	state.sentNotices.attach(&message.Notices, knownNotices(h.registry, g, now), now)
 	for _, r := range state.replicas {
 		sum := state.sum(r.id)
--- a/internal/placement/hubchange_test.go
+++ b/internal/placement/hubchange_test.go
@@ -97,6 +97,7 @@
 		h := newHub(&Options{Transport: peer.New("a", log), Registry: registry, Log: log}, nil)
 		h.firstHub = func(group) *nodes.Record { return nil }
 		h.announced = func(group, time.Time) bool { return announced }
+		h.formerServiceTime = func(group) time.Duration { return 0 }
 		state := h.ensureGroup(testGroup, now)
 		g.Expect(state.replicas[0].usableSince.Add(replicaSettleTime)).To(gomega.Equal(settled))
 	}
@@ -118,3 +119,25 @@
 		f.Expect(f.nodes[id].usableHubs(testGroup)[0]).To(gomega.Equal(hub))
 	}
 }
+
+// Guards against a hub that rejects short requests because it assumes a long service time
+// after it has taken over: it begins with what the former hub has measured.
+func TestHubBeginsWithTheServiceTimeOfTheFormerOne(t *testing.T) {
+	f := announcedFleet(t, oneReplica(8), "a", "b", "c")
+	hub := f.hub()
+	for _, id := range f.others(hub) {
+		f.Expect(<-f.place(t.Context(), id)).NotTo(gomega.BeNil())
+	}
+	former := f.nodes[hub].hub
+	former.mu.Lock()
+	former.groups[testGroup].serviceTime.adopt(20 * time.Millisecond)
+	former.mu.Unlock()
+	next := f.nodes[f.others(hub)[0]].candidates.Load().hubs(testGroup)[1]
+	f.Eventually(func() time.Duration { return f.nodes[next].formerServiceTime(testGroup) }, testTimeout, "5ms").Should(gomega.BeNumerically(">", 0))
+	f.nodes[hub].Stop(t.Context())
+	f.Eventually(func() int { return f.nodes[next].hub.reported(testGroup) }, testTimeout, "5ms").Should(gomega.BeNumerically(">", 0))
+	h := f.nodes[next].hub
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	f.Expect(h.groups[testGroup].serviceTime.seconds()).To(gomega.BeNumerically("<", defaultServiceTime.Seconds()))
+}
--- a/internal/placement/messages.go
+++ b/internal/placement/messages.go
@@ -175,6 +175,9 @@
 	// First is the node that the hub takes for the first hub of the group, if that
 	// is another one. Nodes that do not know of it use this hub.
 	First *nodes.Record `msgpack:"f,omitempty"`
+	// ServiceTime is how long an online request occupies its slot by what the hub has
+	// measured, or 0. A node that becomes the hub begins with it.
+	ServiceTime time.Duration `msgpack:"m,omitempty"`
 }
 
 // preemption asks a node to preempt one batch item at a replica.
--- a/internal/placement/service.go
+++ b/internal/placement/service.go
@@ -69,6 +69,8 @@
 	grantChans map[uint64]*waitingRequest
 	// announcedAt is when all nodes were last told of a change of a group's hub.
 	announcedAt map[group]time.Time
+	// serviceTimes are the estimates that the hubs of the groups last sent.
+	serviceTimes map[group]time.Duration
 	// sentCounts is the state of the reports to hubs, by group.
 	sentCounts   map[group]*sentCounts
 	lastSequence uint64
@@ -89,7 +91,7 @@
 func New(o Options) *Service {
 	s := &Service{
 		Options: o, runID: rand.Uint64(), peerAddresses: make(map[core.NodeID]string), downHubs: make(map[core.NodeID]*downHub),
-		grantChans: make(map[uint64]*waitingRequest), announcedAt: make(map[group]time.Time), sentCounts: make(map[group]*sentCounts), localShares: make(localShares), startAnnounced: make(chan struct{}),
+		grantChans: make(map[uint64]*waitingRequest), announcedAt: make(map[group]time.Time), serviceTimes: make(map[group]time.Duration), sentCounts: make(map[group]*sentCounts), localShares: make(localShares), startAnnounced: make(chan struct{}),
 	}
 	// Starts at a random number, because a hub may still have requests from an
 	// earlier run of this node.
@@ -97,6 +99,7 @@
 	s.candidates.Store(newHubCandidates(o.Nodes.View(), o.Nodes.Self()))
 	s.hub = newHub(&s.Options, s.sendPreemption)
 	s.hub.firstHub, s.hub.announce, s.hub.announced = s.firstHub, s.announce, s.recentlyAnnounced
+	s.hub.formerServiceTime = s.formerServiceTime
 	o.Transport.Handle(kindHub, s.handleHub)
 	o.Transport.Handle(kindHubChange, s.handleHubChange)
 	o.Transport.Handle(kindGrant, s.handleGrant)
@@ -273,6 +276,13 @@
 	return c
 }
 
+// formerServiceTime returns the estimate that the hub of a group last sent, or 0.
+func (s *Service) formerServiceTime(g group) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.serviceTimes[g]
+}
+
 // handleTotals applies the work of all nodes, as reported by the hub that this
 // node currently uses.
 func (s *Service) handleTotals(_ context.Context, from core.NodeID, body []byte) ([]byte, error) {
@@ -288,6 +298,11 @@
 	if t.First != nil {
 		s.learnHub(*t.First, from)
 	}
+	if t.ServiceTime > 0 {
+		s.mu.Lock()
+		s.serviceTimes[t.Group] = t.ServiceTime
+		s.mu.Unlock()
+	}
 	for _, rc := range t.Replicas {
 		if r := s.Registry.Get(rc.ID); r != nil {
 			online, batch := r.LocalLoad()
--- a/internal/placement/servicetime.go
+++ b/internal/placement/servicetime.go
@@ -44,6 +44,12 @@
 	e.grantedSinceSample, e.busyAtSample, e.nodesAtSample, e.sampledAt = 0, busy, nodeChanges, now
 }
 
+// measured returns the estimate, or 0 until there is one.
+func (e *serviceTimeEstimator) measured() time.Duration { return inSeconds(e.mean) }
+
+// adopt takes over the estimate of another hub, if there is one.
+func (e *serviceTimeEstimator) adopt(estimate time.Duration) { e.mean = estimate.Seconds() }
+
 // seconds returns the estimate, or the default until there is one.
 func (e *serviceTimeEstimator) seconds() float64 {
 	if e.mean == 0 {
