Let no attempt of other software take over once a stream has begun

Found by reading: the standby's attempt is bound to a version from the first event on, but the answer begins with its header, which a comment before the first event sends as well. An attempt that was begun before that could take over at another version than that of the header. It is dropped now, as one is that began after another event.

--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -74,10 +74,10 @@
 func (r *request) nextAttempt(ctx context.Context, resumeAfter int64) *attempt {
 	if a := r.takesOver; a != nil {
 		r.takesOver = nil
-		if a.resumeAfter == resumeAfter {
+		if a.resumeAfter == resumeAfter && (r.begunAt == nil || a.software == *r.begunAt) {
 			return a
 		}
-		r.drop(a) // the silent replica has sent an event at the last moment
+		r.drop(a) // the silent replica has sent something at the last moment
 	}
 	target := r.place(ctx)
 	if target == nil {
