Send an event only from the attempt that has the stream

What callers saw: two resumable streams were broken off when all replicas of their service had been silent for 1.28 s and went on at the same moment (soak, planned work).

Cause: the silent replica's event reached the caller while the other replica's answer took the stream over. The other attempt was asked to go on after the event before, so that neither could go on, and the route allows two runs.

Change: before an event is sent to the caller the standby is asked. Either it ends its search, or the other attempt has taken over and sends the event itself.

TestEventIsSentByTheAttemptThatHasTheStream guards it; without the change the interface does not exist.

--- a/internal/forward/standby.go
+++ b/internal/forward/standby.go
@@ -77,6 +77,21 @@
 	return s
 }
 
+// claim reports whether the caller may still be sent an event of the present attempt, and
+// ends the search if it is more than a comment. Once another attempt has taken over, that
+// one sends the event: both would leave a stream that neither can go on with.
+func (s *standby) claim(comment bool) bool {
+	if s == nil {
+		return true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.takesOver == nil && !comment {
+		s.endSearch()
+	}
+	return s.takesOver == nil
+}
+
 // recordProgress ends a search and postpones the next one: the caller was sent the
 // response up to an event, and only the software that began it may go on with it.
 func (s *standby) recordProgress(now time.Time, begunAt *replica.Software, lastEvent int64) {
--- a/internal/forward/standby_test.go
+++ b/internal/forward/standby_test.go
@@ -202,6 +202,30 @@
 	})
 }
 
+// Guards against a stream that nobody can go on with: both replicas went on at the same
+// moment, the caller got an event of the one, and the other had taken over without it.
+func TestEventIsSentByTheAttemptThatHasTheStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		st := newStandbyTest(0, 0, answer(100*time.Millisecond))
+		time.Sleep(testSilence + 50*time.Millisecond) // the other one has not answered
+		g.Expect(st.standby.claim(true)).To(gomega.BeTrue())
+		g.Expect(st.standby.claim(false)).To(gomega.BeTrue())
+		time.Sleep(testSilence)
+		g.Expect(st.replaced()).To(gomega.BeFalse())
+		_, ended := st.standby.stop()
+		g.Expect(ended).To(gomega.HaveLen(1))
+
+		st = newStandbyTest(0, 0, answer(0))
+		time.Sleep(testSilence + 50*time.Millisecond)
+		g.Expect(st.replaced()).To(gomega.BeTrue())
+		g.Expect(st.standby.claim(true)).To(gomega.BeFalse())
+		g.Expect(st.standby.claim(false)).To(gomega.BeFalse())
+		takesOver, _ := st.standby.stop()
+		takesOver.cancel(nil)
+	})
+}
+
 // Guards against a request that moves from a silent replica to one that has failed.
 func TestStandbyDoesNotUseEjectedReplica(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -153,7 +153,7 @@
 	for {
 		n, err := a.response.Read(buf)
 		if n > 0 {
-			progress, addErr := s.relayEvents(a, &splitter, buf[:n])
+			progress, addErr := s.relayEvents(a, standby, &splitter, buf[:n])
 			if progress {
 				s.r.stopWatch() // the run has begun without a crash
 				a.run.RecordEvent(time.Now())
@@ -179,7 +179,7 @@
 // relayEvents forwards the events that p completes, and reports whether any of them
 // is more than a comment. Event IDs must increase by 1, also across attempts, and what
 // resumes a stream must have them: an error that a replica sends instead has none.
-func (s *streamRelay) relayEvents(a *attempt, splitter *sse.Splitter, p []byte) (progress bool, err error) {
+func (s *streamRelay) relayEvents(a *attempt, standby *standby, splitter *sse.Splitter, p []byte) (progress bool, err error) {
 	wrote := false
 	err = splitter.Add(p, func(e sse.Event) error {
 		switch {
@@ -191,6 +191,9 @@
 		if err := s.r.awaitRecord(a.ctx, a); err != nil {
 			return err
 		}
+		if !standby.claim(e.IsComment()) {
+			return errReplicaTimeout
+		}
 		if err := s.checkSoftware(a); err != nil {
 			return err
 		}
