Remove a branch of the large responses that could not be reached

Two branches merged the same rule for a large response whose attempt was ended at that moment: one released it and cleared it, so that the next never ran. One of them stays; behaviour is the same. internal/forward and the tests of large, cut, safe, unsafe and silent responses in platform/nodetest pass with the race detector.

--- a/internal/forward/buffered.go
+++ b/internal/forward/buffered.go
@@ -40,14 +40,10 @@
 		r.send(a)
 		response := r.readBuffered(a)
 		r.settle(standby)
-		if response != nil && response.unread != nil {
-			if a.ctx.Err() == nil {
-				// The end of the context would abort the connection with the rest of the body.
-				defer a.cancel(nil)
-				return r.deliver(response)
-			}
-			response.unread.release()
-			response = nil
+		if response != nil && response.unread != nil && a.ctx.Err() == nil {
+			// The end of the context would abort the connection with the rest of the body.
+			defer a.cancel(nil)
+			return r.deliver(response)
 		}
 		a.cancel(nil)
 		if response == nil {
