--- a/review/_world/nodes.go
+++ b/review/_world/nodes.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -107,7 +108,7 @@
 	zones := []string{"luzon-a", "luzon-b", "luzon-c"}
 	for i := range n {
 		name := fmt.Sprintf("front-%s-%d", zones[i%3], 1+i/3)
-		w.nodes = append(w.nodes, &node{w: w, name: name, zone: zones[i%3], front: freeAddress(), ready: freeAddress(), peers: freeAddress()})
+		w.nodes = append(w.nodes, &node{w: w, name: name, zone: zones[i%3], front: w.freeAddress(), ready: w.freeAddress(), peers: w.freeAddress()})
 	}
 	var seeds strings.Builder
 	for _, n := range w.nodes[:min(3, len(w.nodes))] {
@@ -119,11 +120,22 @@
 	}
 }
 
-func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	must(err)
-	defer l.Close()
-	return l.Addr().String()
+// freeAddress returns a free address for a listener of a process. Its port lies below
+// those that the kernel gives to outgoing connections, which could take it meanwhile.
+func (w *world) freeAddress() string {
+	const least, ports = 15000, 15000
+	for range 1000 {
+		address := fmt.Sprintf("127.0.0.1:%d", least+rand.IntN(ports))
+		l, err := net.Listen("tcp", address)
+		if err != nil || w.taken[address] {
+			continue
+		}
+		must(l.Close())
+		w.taken[address] = true
+		return address
+	}
+	w.cannotRun("no free port was found")
+	return ""
 }
 
 // start runs the process of the deploy file, and again after each end, until the world
--- a/review/_world/world.go
+++ b/review/_world/world.go
@@ -27,6 +27,7 @@
 	ended        atomic.Bool
 	processes    sync.WaitGroup
 	serial       atomic.Int64
+	taken        map[string]bool // addresses of the nodes
 
 	mu   sync.Mutex
 	runs map[string][]run // by request
@@ -74,7 +75,7 @@
 	must(err)
 	w := &world{
 		root: root, dir: dir, record: record, began: time.Now(), trouble: os.Getenv("TROUBLE") != "0",
-		store: platformtest.NewStore(), runs: make(map[string][]run),
+		store: platformtest.NewStore(), runs: make(map[string][]run), taken: make(map[string]bool),
 	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	must(err)
