--- a/review/_world/replica.go
+++ b/review/_world/replica.go
@@ -21,6 +21,8 @@
 	endless
 	// crashes ends the replica when it begins to write the answer.
 	crashes
+	// truncated ends the answer after its head, with the channel.
+	truncated
 )
 
 // replica is a stand-in of a model replica or of a plain service.
@@ -37,6 +39,8 @@
 	gap    time.Duration
 	// first is the time until the first event of a stream.
 	first time.Duration
+	// unframed answers streams with neither a length nor chunks: they end with the channel.
+	unframed bool
 	// conductOf says what to do with a request. It may be nil.
 	conductOf func(r *replica, in *http.Request) conduct
 	// downFor is how long the replica is gone after a crash.
@@ -193,15 +197,19 @@
 		r.crash("it begins to answer request " + id)
 		return false
 	}
-	head := r.head(200, id, "X-Response-Signature: "+signature(id)+"\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n")
-	if _, err := io.WriteString(conn, head); err != nil {
+	framing, part := "Transfer-Encoding: chunked\r\n", chunk
+	if r.unframed {
+		framing, part = "", func(s string) string { return s }
+	}
+	head := r.head(200, id, "X-Response-Signature: "+signature(id)+"\r\nContent-Type: text/event-stream\r\n"+framing)
+	if _, err := io.WriteString(conn, head); err != nil || what == truncated {
 		return false
 	}
 	if what == endless {
 		began, sent := time.Now(), 0
-		part := strings.Repeat(garbage, 512)
+		bytes := strings.Repeat(garbage, 512)
 		for {
-			n, err := io.WriteString(conn, chunk(part))
+			n, err := io.WriteString(conn, part(bytes))
 			sent += n
 			if err != nil {
 				r.w.logf("replica %s has sent %d KB without end for request %s in %d ms, until its caller closed", r.id, sent>>10, id, time.Since(began).Milliseconds())
@@ -213,10 +221,13 @@
 		if n > first {
 			time.Sleep(r.gap)
 		}
-		if _, err := io.WriteString(conn, chunk(fmt.Sprintf("id: %d\ndata: %s\n\n", n, eventText(id, n)))); err != nil {
+		if _, err := io.WriteString(conn, part(fmt.Sprintf("id: %d\ndata: %s\n\n", n, eventText(id, n)))); err != nil {
 			return false
 		}
 	}
+	if r.unframed {
+		return false
+	}
 	_, err := io.WriteString(conn, "0\r\n\r\n")
 	return err == nil
 }
--- a/review/_world/world.go
+++ b/review/_world/world.go
@@ -137,7 +137,7 @@
 	w.mu.Lock()
 	w.runs[id] = append(w.runs[id], run{replica, what, body, time.Now()})
 	w.mu.Unlock()
-	w.logf("replica %s runs request %s (%s)", replica, id, [...]string{"sound", "answers without end", "crashes"}[what])
+	w.logf("replica %s runs request %s (%s)", replica, id, [...]string{"sound", "answers without end", "crashes", "answer ends after its head"}[what])
 }
 
 // runsOf returns the runs of a request.
