--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/gentiantided ] && [ -x target/review/world ] || { echo "build first: the deploy file's build, then review/build.sh" >&2; exit 2; }
-exec target/review/world memory review/2
+exec target/review/world starve review/2
