--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 # built by the deploy file.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-exec go build -ldflags=-linkmode=external -o target/review/world ./review/_world
+exec go build -ldflags=-linkmode=external -o target/review/world ./review/_world/platform
