Prefer parts that were never harmless when crashes are attributed

The nodes then quarantined the template that it shares with all items of the route, and not the part that crashes replicas. 48 of 64 sound items, accepted with 202, were never listed.

Cause: the hub asks all nodes when a run with a part last proved harmless, and used the answer only if that run began after the crashes. When all replicas are down there is none, so that the position in the prompt decided between two parts that explain the same crashes.

Change: a part with which any run has proved harmless, also before the crashes, is held responsible only if no other part is in a series of crashes. For plain requests that proved harmless, crashes in one moment count once, as they do for parts of prompts: the same cause refused a popular request after three replicas had failed together.

Ruled out: that the item is sent again at once makes the outage, and not the wrong decision.

--- a/internal/quarantine/crashtally.go
+++ b/internal/quarantine/crashtally.go
@@ -37,15 +37,19 @@
 	sameCrashTime = time.Second
 	// crashRetention is how long a crash counts.
 	crashRetention = 10 * time.Minute
-	// maxCrashes and maxSuspects bound the memory of the tally: crashes, and runs for
-	// each of them.
+	// maxCrashes, maxSuspects and maxHarmless bound the memory of the tally: crashes, runs
+	// for each of them, and harmless parts. The nodes name the latter for each decision.
 	maxCrashes  = 256
 	maxSuspects = 16
+	maxHarmless = 4096
 )
 
 // crashTally finds the parts that crashing requests have in common.
 type crashTally struct {
 	crashes []*crash // in the order of time
+	// harmless are the parts with which a run has proved harmless at some time, before
+	// the crashes or after.
+	harmless map[Part]bool
 }
 
 // crash is one crash of a replica with the runs that may have caused it.
@@ -63,6 +67,8 @@
 	// first and last are the indices of the first and the last of its crashes, and
 	// crashes is their number.
 	first, last, crashes int
+	// harmless is set if a run with the part has proved harmless at some time.
+	harmless bool
 	// moments are the times of its crashes, each momentLength or more after the one
 	// before.
 	moments []time.Time
@@ -98,7 +104,7 @@
 		for _, suspect := range c.suspects {
 			for depth, part := range suspect {
 				if found[part] == nil {
-					found[part] = &candidate{part: part, first: i, last: -1}
+					found[part] = &candidate{part: part, first: i, last: -1, harmless: t.harmless[part]}
 				}
 				found[part].observe(i, depth, c.at)
 			}
@@ -135,21 +141,43 @@
 func suspects(candidates []*candidate) []*candidate {
 	var out []*candidate
 	for _, c := range candidates {
-		if c.part.isRequest() && c.crashes >= minCrashes {
+		if c.part.isRequest() && c.series() >= minCrashes {
 			out = append(out, c)
 		}
 	}
-	if likely := mostLikely(candidates); likely != nil && len(likely.moments) >= minCrashes {
+	if likely := mostLikely(candidates); likely != nil && likely.series() >= minCrashes {
 		out = append(out, likely)
 	}
 	return out
 }
 
+// series returns how many crashes of the candidate are no coincidence. Of those in the
+// same moment one counts, as replicas fail together with a rack or a switch. Each crash
+// counts of a request that has never proved harmless: it may be at several replicas at
+// once, and no other request is in its crashes by chance for long without proving
+// harmless.
+func (c *candidate) series() int {
+	if c.part.isRequest() && !c.harmless {
+		return c.crashes
+	}
+	return len(c.moments)
+}
+
 // mostLikely returns the part of prompts that most likely causes the crashes, or nil if
-// there is none: the most specific one of those that explain almost as many crashes
-// as the first.
+// there is none. Parts that have proved harmless are considered if no other part is in
+// a series of crashes: what has been harmless may crash replicas of another version.
 func mostLikely(candidates []*candidate) *candidate {
 	candidates = slices.DeleteFunc(slices.Clone(candidates), func(c *candidate) bool { return c.part.isRequest() })
+	unproved := slices.DeleteFunc(slices.Clone(candidates), func(c *candidate) bool { return c.harmless })
+	if likely := mostSpecific(unproved); likely != nil && likely.series() >= minCrashes {
+		return likely
+	}
+	return mostSpecific(candidates)
+}
+
+// mostSpecific returns the last part of prompts among those that explain almost as many
+// crashes as the first candidate, or nil if there is no candidate.
+func mostSpecific(candidates []*candidate) *candidate {
 	var likely *candidate
 	for _, c := range candidates {
 		enough := likely == nil || float64(c.crashes) >= specificShare*float64(candidates[0].crashes)
@@ -161,16 +189,12 @@
 }
 
 // convincing reports whether the crashes suffice for a decision. anyProof is when the
-// latest run with any part began that proved harmless. Each crash of a request counts,
-// as it may be at several replicas at once, and no other request is in it by chance for
-// long without proving harmless.
+// latest run with any part began that proved harmless. A request need not explain a
+// share of all crashes: many may crash replicas at the same time.
 func (c *candidate) convincing(anyProof time.Time) bool {
-	if c.part.isRequest() {
-		return c.crashes >= certainCrashes || c.crashes >= minCrashes && anyProof.After(c.moments[0])
-	}
-	n := len(c.moments)
 	share := float64(c.crashes) / float64(c.last-c.first+1)
-	return n >= certainCrashes || n >= minCrashes && share >= minShare && anyProof.After(c.moments[0])
+	return c.series() >= certainCrashes ||
+		c.series() >= minCrashes && (c.part.isRequest() || share >= minShare) && anyProof.After(c.moments[0])
 }
 
 // dueAt returns when the candidate can be decided on.
@@ -182,8 +206,12 @@
 }
 
 // acquit removes a part from the crashes up to the time at which a run with it began
-// that proved harmless.
+// that proved harmless, and remembers this for later crashes.
 func (t *crashTally) acquit(part Part, at time.Time) {
+	if t.harmless == nil || len(t.harmless) >= maxHarmless {
+		t.harmless = make(map[Part]bool)
+	}
+	t.harmless[part] = true
 	for _, c := range t.crashes {
 		if c.at.After(at) {
 			continue
--- a/internal/quarantine/crashtally_test.go
+++ b/internal/quarantine/crashtally_test.go
@@ -139,6 +139,10 @@
 		tally.add("i-busy", []Part{own(i)}, now)
 	}
 	g.Expect(tally.crashes[len(tally.crashes)-1].suspects).To(gomega.HaveLen(maxSuspects))
+	for i := range 3 * maxHarmless {
+		tally.acquit(own(i), now)
+	}
+	g.Expect(len(tally.harmless)).To(gomega.BeNumerically("<=", maxHarmless))
 	tally.add("i-late", []Part{"late"}, now.Add(crashRetention+time.Second))
 	g.Expect(tally.crashes).To(gomega.HaveLen(1))
 }
