Take an error of a replica for no proof that a request is harmless

What callers could see: a request, or a part of a prompt, that crashes replicas and that one of them refused with a 5xx before running it counted as harmless.

Cause: each response that was read whole counted as proof, whatever its status. Since proofs from before the crashes count, a wrong one matters for good and not only for the present crashes.

Change: a response with a status of 500 or more proves nothing. It still counts as a suspect if the connection breaks and the replica is gone.

Evidence: without the condition TestErrorProvesNothing fails ("Expected <bool>: false to equal <bool>: true").

--- a/internal/forward/buffered.go
+++ b/internal/forward/buffered.go
@@ -106,8 +106,7 @@
 	if err == nil && n == 0 && r.mayLackBody(a) {
 		err = errNoBody
 	}
-	a.run.RecordEvent(a.sent) // the response is whole, so that its run counts from when it was sent
-	a.run.RecordEnd(err, a.response.Framed)
+	a.run.RecordWhole(a.sent, a.response.Status >= http.StatusInternalServerError, err, a.response.Framed)
 	a.release()
 	if err != nil {
 		a.replica.RecordFailure(time.Now())
--- a/internal/quarantine/run.go
+++ b/internal/quarantine/run.go
@@ -76,6 +76,16 @@
 	}
 }
 
+// RecordWhole records the end of a response that is no stream, to a request sent at a
+// time. failed says whether the replica answered with a failure: it may not have begun
+// to run the request, so that the response proves nothing.
+func (r *Run) RecordWhole(sent time.Time, failed bool, err error, framed bool) {
+	if !failed {
+		r.RecordEvent(sent)
+	}
+	r.RecordEnd(err, framed)
+}
+
 // End ends the observation. The request is no trial any more.
 func (r *Run) End() {
 	if r != nil && len(r.trial) > 0 {
--- a/internal/quarantine/service_test.go
+++ b/internal/quarantine/service_test.go
@@ -437,3 +437,19 @@
 		})
 	}
 }
+
+// Guards against a request that goes on crashing replicas because one of them refused it
+// with an error, which was taken for a proof that it is harmless.
+func TestErrorProvesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 1)
+		s := f.services["n0"]
+		for part, failed := range map[Part]bool{"refused": true, "answered": false} {
+			run, ok := s.Begin([]Part{part}, crashedReplica())
+			f.Expect(ok).To(gomega.BeTrue())
+			run.RecordWhole(time.Now(), failed, nil, true)
+			run.End()
+			f.Expect(s.proofs.get(part).IsZero()).To(gomega.Equal(failed))
+		}
+	})
+}
