Bound the output of an item by what it holds

Cause: the limit of an item's text counted the data of its events, and the list of events cost 24 bytes and an allocation for each. Empty data never reached the limit, and the next one, of a body, is nine million events away. The stall timeout is reset by each event.

Change: the output is one piece of memory in which an event costs its data and one byte, and the limit counts just that. It is 1 MiB in place of 4 MiB: callers read at most 1 MB at once, so that a longer text could not be listed. The message of a handover keeps its form: one piece, or several from an owner of an earlier build.

--- a/internal/jobs/executor.go
+++ b/internal/jobs/executor.go
@@ -24,9 +24,6 @@
 	// arrive every 30 ms, but an engine under memory pressure may preempt a
 	// request and process its prompt again.
 	itemStallTimeout = 1500 * time.Millisecond
-	// maxTextBytes limits the text of an item. The longest is a few KiB; the store
-	// takes objects of 8 MiB.
-	maxTextBytes = 4 << 20
 	// readBufferSize holds several events.
 	readBufferSize = 4 << 10
 )
@@ -35,7 +32,6 @@
 	errItemStalled = errors.New("no data within the stall timeout")
 	errEventOrder  = errors.New("event ID out of sequence")
 	errForeign     = errors.New("stream holds bytes that are no event")
-	errTextTooLong = errors.New("text of the item exceeds 4 MiB")
 )
 
 // Executor sends items to replicas and collects their output.
@@ -228,9 +224,5 @@
 		}
 		task.lastEvent = e.ID
 	}
-	if task.textBytes += len(e.Data); task.textBytes > maxTextBytes {
-		return errTextTooLong
-	}
-	task.eventData = append(task.eventData, append([]byte(nil), e.Data...))
-	return nil
+	return task.output.add(e.Data)
 }
--- a/internal/jobs/handover.go
+++ b/internal/jobs/handover.go
@@ -57,7 +57,9 @@
 
 // itemProgress is the output so far of an item that is not done.
 type itemProgress struct {
-	Item      string        `msgpack:"i"`
+	Item string `msgpack:"i"`
+	// EventData is the text in one piece, or in several that are joined by line feeds. It
+	// is empty if there is no event.
 	EventData [][]byte      `msgpack:"e"`
 	LastEvent int64         `msgpack:"l"`
 	RunTime   time.Duration `msgpack:"t"`
@@ -200,11 +202,11 @@
 	message := &handover{Record: job.entry.Record, Version: job.entry.Version}
 	text := 0
 	for _, task := range job.pending {
-		if text += task.textBytes; text > maxHandoverText {
+		if text += len(task.output.text); text > maxHandoverText {
 			break
 		}
 		message.Items = append(message.Items, itemProgress{
-			Item: task.item.ID, EventData: task.eventData, LastEvent: task.lastEvent, RunTime: task.runTime, Failures: task.failures, Software: task.begunAt,
+			Item: task.item.ID, EventData: task.output.pieces(), LastEvent: task.lastEvent, RunTime: task.runTime, Failures: task.failures, Software: task.begunAt,
 		})
 	}
 	return message
--- a/internal/jobs/itemrun.go
+++ b/internal/jobs/itemrun.go
@@ -58,7 +58,7 @@
 		if errors.Is(err, io.EOF) {
 			// Without a length, only events show that the replica has not crashed, and
 			// without the type of a stream, that the response is the item's.
-			sure := response.Framed && response.EventStream() || len(run.task.eventData) > 0
+			sure := response.Framed && response.EventStream() || run.task.output.events > 0
 			if len(splitter.Pending()) > 0 || !sure {
 				return io.ErrUnexpectedEOF
 			}
@@ -79,11 +79,11 @@
 
 // addEvent appends one event to the output.
 func (run *itemRun) addEvent(e sse.Event) error {
-	task, events := run.task, len(run.task.eventData)
+	task, events := run.task, run.task.output.events
 	if err := task.addEvent(e); err != nil {
 		return err
 	}
-	if len(task.eventData) > events {
+	if task.output.events > events {
 		task.begunAt = &run.software
 		task.newEvents++
 	}
--- a/internal/jobs/itemtask.go
+++ b/internal/jobs/itemtask.go
@@ -1,7 +1,6 @@
 package jobs
 
 import (
-	"bytes"
 	"context"
 	"time"
 
@@ -17,12 +16,9 @@
 	// once it was logged that one of them is quarantined.
 	parts []quarantine.Part
 	held  bool
-	// eventData is the data of the events received so far, in order, and begunAt the
-	// software that made them, or nil.
-	eventData [][]byte
-	begunAt   *replica.Software
-	// textBytes is the total length of eventData.
-	textBytes int
+	// output is what was received so far, and begunAt the software that made it, or nil.
+	output  itemOutput
+	begunAt *replica.Software
 	// lastEvent is the ID of the last event received, or forward.NoResume.
 	lastEvent int64
 	// runTime is the total time of the ended runs that delivered events. started is
@@ -43,9 +39,6 @@
 	cancel  context.CancelCauseFunc
 }
 
-// output returns the data of all events, joined by newlines.
-func (task *itemTask) output() string { return string(bytes.Join(task.eventData, []byte("\n"))) }
-
 // totalRunTime returns the time of all runs, including the present one.
 func (task *itemTask) totalRunTime() time.Duration {
 	if task.started.IsZero() {
--- a/internal/jobs/ownedjob.go
+++ b/internal/jobs/ownedjob.go
@@ -52,9 +52,7 @@
 		if p.Software == nil {
 			continue
 		}
-		task.eventData, task.lastEvent, task.runTime, task.begunAt, task.progressAt = p.EventData, p.LastEvent, p.RunTime, p.Software, now
-		for _, data := range p.EventData {
-			task.textBytes += len(data)
-		}
+		task.output = newItemOutput(p.EventData)
+		task.lastEvent, task.runTime, task.begunAt, task.progressAt = p.LastEvent, p.RunTime, p.Software, now
 	}
 }
--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -325,7 +325,7 @@
 	switch outcome {
 	case outcomeSucceeded:
 		r.meanTokenTime.addSample(task.runTime, task.item.Tokens)
-		r.queueResult(job, Result{Item: task.item.ID, State: ItemSucceeded, Text: task.output()})
+		r.queueResult(job, Result{Item: task.item.ID, State: ItemSucceeded, Text: string(task.output.text)})
 		return
 	case outcomeImpossible:
 		r.log.Info("item abandoned", "job", job.entry.ID, "item", task.item.ID, "reason", "replica rejected the item as unprocessable")
--- a/internal/jobs/software_test.go
+++ b/internal/jobs/software_test.go
@@ -188,7 +188,7 @@
 			exec := &Executor{Codec: resumeCodec{}, Log: slog.New(slog.DiscardHandler)}
 			task := taskDue("x", time.Hour, 10, 0)
 			task.item.Path, task.lastEvent = "/b/x", 1
-			task.eventData, task.begunAt = [][]byte{[]byte("v1 1")}, softwareOf("v1")
+			task.output, task.begunAt = newItemOutput([][]byte{[]byte("v1 1")}), softwareOf("v1")
 			if !whileItRuns {
 				restart()
 			}
@@ -202,7 +202,7 @@
 			g.Expect(<-outcomes).To(gomega.Equal(outcomeDeclined))
 			g.Expect(target.Ejected(time.Now())).To(gomega.BeFalse())
 			if whileItRuns {
-				g.Expect(task.eventData).To(gomega.BeEmpty())
+				g.Expect(task.output).To(gomega.BeZero())
 				g.Expect(task.lastEvent).To(gomega.Equal(forward.NoResume))
 			} else {
 				g.Expect(engine.runs.Load()).To(gomega.BeZero())
