Begin an item anew after output without end

What callers could see: an item whose output a faulty replica filled up to its limit is never finished. Each later run goes on after the last event, fails at its first event, and ejects the sound replica that sent it, until the item is abandoned.

Cause: the output so far was kept after it had exceeded the limit.

Change: the output is dropped, so that the item begins anew.

Evidence: TestItemBeginsAnewAfterEndlessOutput failed before ("Expected <jobs.runOutcome>: 4 to equal <jobs.runOutcome>: 0").

--- a/internal/jobs/executor.go
+++ b/internal/jobs/executor.go
@@ -177,6 +177,9 @@
 	if ctx.Err() == nil {
 		run.observed.RecordEnd(err, response.Framed)
 	}
+	if errors.Is(err, errTextTooLong) {
+		task.dropOutput() // no replica could go on after it
+	}
 	if err != nil {
 		return outcomeBroken, err
 	}
--- a/internal/jobs/itemoutput_test.go
+++ b/internal/jobs/itemoutput_test.go
@@ -76,3 +76,19 @@
 	runtime.ReadMemStats(&stats)
 	return stats.HeapAlloc
 }
+
+// Guards against an item that is never finished: a faulty replica filled its output, and
+// each run after that fails at its first event.
+func TestItemBeginsAnewAfterEndlessOutput(t *testing.T) {
+	g := gomega.NewWithT(t)
+	faulty, _ := endlessEngine(t, endlessEvents["one byte"])
+	engine := newVersionEngine(t, "v1")
+	registry := replica.NewRegistry()
+	registry.Put(engine.info())
+	exec := &Executor{Codec: resumeCodec{}, Log: slog.New(slog.DiscardHandler)}
+	w := taskDue("x", time.Hour, 10, 0)
+	w.item.Path, w.lastEvent = "/b/x", forward.NoResume
+	g.Expect(exec.run(context.Background(), w, faulty)).To(gomega.Equal(outcomeBroken))
+	g.Expect(exec.run(context.Background(), w, registry.Get("v1"))).To(gomega.Equal(outcomeSucceeded))
+	g.Expect(string(w.output.text)).To(gomega.Equal(wholeText("v1")))
+}
