Refuse requests that are complete late in a stop

A request that may not be repeated was passed on in the last milliseconds and got 504 in place of a refusal with which it could go to another node. A node with a stop of less than four seconds accepted streams after it had ended all requests.

Cause: a stopping node decided by the moment at which the head had arrived, and the body may take until the deadline of the request. Requests that are no streams were accepted until the very end. The time until which streams are accepted did not depend on the length of the stop.

Change: the node decides again when the body is there. Requests that are no streams are refused in the last second before the end, unless their deadline is earlier. Streams are refused from then on at the latest. A request that passes these checks while the stop ends is cancelled before and not while it is sent.

--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -159,18 +159,16 @@
 	}
 	r := &request{h: h, w: w, in: in, reqInfo: reqInfo, parts: reqInfo.PromptParts, route: route, configVersion: table.Version, arrived: arrived, lastProgress: arrived, outcome: OutcomeBroken}
 	r.deadline = arrived.Add(r.timeout())
-	if h.Stop.refuses(route.Kind, arrived, r.deadline) {
-		h.Log.Info("request refused", "request", reqInfo.ID, "reason", "stopping")
-		refuse(w, http.StatusServiceUnavailable, "stopping", stoppingRetryAfter)
-		return
-	}
-	if r.refuseQuarantined() {
+	if r.refuseStopping(arrived) || r.refuseQuarantined() {
 		return
 	}
 	if r.body, err = readBody(w, in, table.Limits, r.deadline); err != nil {
 		r.refuseBody(err)
 		return
 	}
+	if r.refuseStopping(time.Now()) { // the body may have taken seconds
+		return
+	}
 	if route.Kind != routetable.KindBatch {
 		whole := quarantine.RequestPart(HostName(in.Host), in.Method, in.RequestURI, r.body)
 		r.parts, r.identity = append(r.parts, whole), xxhash.Sum64String(string(whole))
@@ -251,6 +249,17 @@
 	refuse(r.w, status, reason, 0)
 }
 
+// refuseStopping refuses the request if the node stops and has too little time left for
+// it at a time.
+func (r *request) refuseStopping(now time.Time) bool {
+	if !r.h.Stop.refuses(r.route.Kind, now, r.deadline) {
+		return false
+	}
+	r.h.Log.Info("request refused", "request", r.reqInfo.ID, "reason", "stopping")
+	refuse(r.w, http.StatusServiceUnavailable, "stopping", stoppingRetryAfter)
+	return true
+}
+
 // refuseQuarantined refuses the request if one of its parts is quarantined. The caller
 // may return when the quarantine ends. Batch jobs are accepted; their items are held.
 func (r *request) refuseQuarantined() bool {
@@ -270,7 +279,7 @@
 	defer cancel()
 	ctx, cancelCause := context.WithCancelCause(ctx)
 	defer cancelCause(nil)
-	defer r.h.Stop.watch(cancelCause)()
+	defer r.h.Stop.Watch(cancelCause)()
 	r.stopWatch = r.h.Quarantine.Watch(r.parts, cancelCause)
 	defer r.stopWatch()
 	switch r.route.Kind {
--- a/internal/forward/stop.go
+++ b/internal/forward/stop.go
@@ -9,9 +9,14 @@
 	"gentiantide.example/gentiantide/internal/routetable"
 )
 
-// stoppingRetryAfter is the Retry-After of a stopping node. Another node can serve
-// the request at once.
-const stoppingRetryAfter = 20 * time.Millisecond
+const (
+	// stoppingRetryAfter is the Retry-After of a stopping node. Another node can serve
+	// the request at once.
+	stoppingRetryAfter = 20 * time.Millisecond
+	// shortRequestTime is what a request that is no stream may take at a stopping node.
+	// Most take less than 0.1 s.
+	shortRequestTime = time.Second
+)
 
 // errStopOver is the cancellation cause of requests that are still in progress when
 // the node has to end them.
@@ -27,9 +32,9 @@
 
 // stopTimes are the times of a stop that has begun.
 type stopTimes struct {
-	// lastLong is until when requests are accepted that may take long: streams and
-	// batch jobs.
-	lastLong time.Time
+	// lastLong is until when requests are accepted that may take long, streams and batch
+	// jobs, and lastShort until when the others are.
+	lastLong, lastShort time.Time
 	// over is when the requests in progress are ended.
 	over time.Time
 }
@@ -41,27 +46,36 @@
 	return s
 }
 
-// Begin begins the stop. Streams and batch jobs are refused after lastLong unless
-// their deadline is before over; all requests in progress are ended at over.
+// Begin begins the stop. Streams and batch jobs are refused after lastLong, and other
+// requests shortRequestTime before over, unless their deadline is before over. All
+// requests in progress are ended at over.
 func (s *Stop) Begin(lastLong, over time.Time) {
-	s.times.Store(&stopTimes{lastLong: lastLong, over: over})
+	lastShort := over.Add(-shortRequestTime)
+	if lastLong.After(lastShort) {
+		lastLong = lastShort
+	}
+	s.times.Store(&stopTimes{lastLong: lastLong, lastShort: lastShort, over: over})
 	time.AfterFunc(time.Until(over), s.cancel)
 }
 
-// refuses reports whether a request comes too late in the stop.
-func (s *Stop) refuses(kind routetable.Kind, arrived, deadline time.Time) bool {
+// refuses reports whether a request that is complete at a time comes too late in the
+// stop.
+func (s *Stop) refuses(kind routetable.Kind, complete, deadline time.Time) bool {
 	times := s.times.Load()
-	if times == nil || !arrived.After(times.lastLong) {
+	if times == nil || !deadline.After(times.over) {
 		return false
 	}
-	if kind != routetable.KindStream && kind != routetable.KindBatch {
-		// The response is sent as a whole, and what has none by then is answered 504.
-		return arrived.After(times.over)
+	if kind == routetable.KindStream || kind == routetable.KindBatch {
+		return complete.After(times.lastLong)
 	}
-	return deadline.After(times.over)
+	return complete.After(times.lastShort)
 }
 
-// watch calls end when the stop is over. The returned function ends the watch.
-func (s *Stop) watch(end context.CancelCauseFunc) (stop func() bool) {
+// Watch calls end when the stop is over, or now if it is. The returned function ends the
+// watch.
+func (s *Stop) Watch(end context.CancelCauseFunc) (stop func() bool) {
+	if s.over.Err() != nil {
+		end(errStopOver)
+	}
 	return context.AfterFunc(s.over, func() { end(errStopOver) })
 }
--- a/internal/forward/stop_test.go
+++ b/internal/forward/stop_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -27,5 +28,30 @@
 	for _, kind := range []routetable.Kind{routetable.KindSafe, routetable.KindUnsafe} {
 		g.Expect(s.refuses(kind, late, over.Add(time.Hour))).To(gomega.BeFalse())
 		g.Expect(s.refuses(kind, over.Add(time.Millisecond), over.Add(time.Hour))).To(gomega.BeTrue())
+		g.Expect(s.refuses(kind, over.Add(-shortRequestTime), over.Add(time.Hour))).To(gomega.BeFalse())
+		g.Expect(s.refuses(kind, over.Add(time.Millisecond-shortRequestTime), over.Add(time.Hour))).To(gomega.BeTrue())
+		g.Expect(s.refuses(kind, over.Add(time.Millisecond-shortRequestTime), over)).To(gomega.BeFalse())
 	}
 }
+
+// Guards against a node with little time to stop that accepts streams although it ends
+// all requests before the usual time for them is over.
+func TestShortStopRefusesStreams(t *testing.T) {
+	g := gomega.NewWithT(t)
+	over := time.Now().Add(2 * time.Second)
+	s := NewStop()
+	s.Begin(over.Add(time.Second), over)
+	g.Expect(s.refuses(routetable.KindStream, over.Add(-time.Millisecond), over.Add(time.Hour))).To(gomega.BeTrue())
+	g.Expect(s.refuses(routetable.KindStream, over.Add(-2*time.Second), over.Add(time.Hour))).To(gomega.BeFalse())
+}
+
+// Guards against a request that is still sent to a replica after the end of the stop.
+func TestRequestAfterTheStopIsEndedAtOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := NewStop()
+	s.Begin(time.Now(), time.Now())
+	<-s.over.Done()
+	ctx, cancel := context.WithCancelCause(t.Context())
+	defer s.Watch(cancel)()
+	g.Expect(context.Cause(ctx)).To(gomega.MatchError(errStopOver))
+}
