Take a resumed run that brought nothing for cut

Cause: without a length or chunks, only events show that an answer was not cut before its body. The item looked at all of its output, the stream at whether its caller had been sent a header, so that what an earlier attempt had brought stood for the present one.

Change: one rule for both. Such an answer is complete only if this attempt has brought an event, or a byte of a body that is no stream of events. A comment is no event. An item of which only the end was lost begins anew after two empty runs in a row, as nothing tells them from cut ones.

--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -149,11 +149,13 @@
 // stream.
 func (s *streamRelay) copy(a *attempt, standby *standby) error {
 	var splitter sse.Splitter
+	begun := false // an event of this replica has come, or a byte of another body
 	buf := make([]byte, streamBuffer)
 	for {
 		n, err := a.response.Read(buf)
 		if n > 0 {
 			progress, addErr := s.relayEvents(a, standby, &splitter, buf[:n])
+			begun = begun || progress || !a.response.EventStream()
 			if progress {
 				s.r.stopWatch() // the run has begun without a crash
 				a.run.RecordEvent(time.Now())
@@ -168,7 +170,7 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			return s.finish(a, splitter.Pending())
+			return s.finish(a, begun, splitter.Pending())
 		}
 		if err != nil {
 			return err
@@ -255,13 +257,14 @@
 
 // finish ends the response after the replica ended its body. Trailing bytes that
 // are no complete event are an error in a stream of events: the replica stopped in
-// the middle of one. So is the end of a connection before the first byte of the body,
-// if only that end shows where it ends. A body of another type is forwarded as it is.
-func (s *streamRelay) finish(a *attempt, remainder []byte) error {
+// the middle of one. So is the end of a connection before the first event of this
+// replica, whatever others have sent, if only that end shows where the body ends. A body
+// of another type is forwarded as it is.
+func (s *streamRelay) finish(a *attempt, begun bool, remainder []byte) error {
 	if len(remainder) > 0 && (s.resumed || s.r.route.CanResume || a.response.EventStream()) {
 		return errTruncatedEvent
 	}
-	if !s.r.headerSent && len(remainder) == 0 && s.r.mayLackBody(a) {
+	if !begun && len(remainder) == 0 && s.r.mayLackBody(a) {
 		return errNoEvent
 	}
 	s.sendHeader(a)
--- a/internal/jobs/executor.go
+++ b/internal/jobs/executor.go
@@ -24,6 +24,10 @@
 	// arrive every 30 ms, but an engine under memory pressure may preempt a
 	// request and process its prompt again.
 	itemStallTimeout = 1500 * time.Millisecond
+	// maxEmptyRuns is the number of runs in a row that resume an item and end with the
+	// connection before their first event. Either they were cut, or the item is complete
+	// and its end was lost. It then begins anew.
+	maxEmptyRuns = 2
 	// readBufferSize holds several events.
 	readBufferSize = 4 << 10
 )
@@ -32,6 +36,7 @@
 	errItemStalled = errors.New("no data within the stall timeout")
 	errEventOrder  = errors.New("event ID out of sequence")
 	errForeign     = errors.New("stream holds bytes that are no event")
+	errNoEvent     = fmt.Errorf("stream without a length ended before its first event: %w", io.ErrUnexpectedEOF)
 )
 
 // Executor sends items to replicas and collects their output.
@@ -145,7 +150,7 @@
 // reads the response.
 func (e *Executor) sendItem(ctx context.Context, run *itemRun, target *replica.Replica) (runOutcome, error) {
 	task, info, sent := run.task, target.Info(), time.Now()
-	run.target, run.software = target, info.Software()
+	run.target, run.software, task.newEvents = target, info.Software(), 0
 	if task.lastEvent == forward.NoResume {
 		task.dropOutput() // of events without IDs: the replica begins with the first one
 	}
@@ -177,8 +182,11 @@
 	if ctx.Err() == nil {
 		run.observed.RecordEnd(err, response.Framed)
 	}
-	if errors.Is(err, errTextTooLong) {
-		task.dropOutput() // no replica could go on after it
+	if errors.Is(err, errNoEvent) {
+		task.emptyRuns++
+	}
+	if errors.Is(err, errTextTooLong) || task.emptyRuns >= maxEmptyRuns {
+		task.dropOutput() // no replica can go on after it
 	}
 	if err != nil {
 		return outcomeBroken, err
--- a/internal/jobs/itemrun.go
+++ b/internal/jobs/itemrun.go
@@ -56,12 +56,15 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			// Without a length, only events show that the replica has not crashed, and
-			// without the type of a stream, that the response is the item's.
-			sure := response.Framed && response.EventStream() || run.task.output.events > 0
-			if len(splitter.Pending()) > 0 || !sure {
+			// Without a length, only events of this run show that the replica has not
+			// crashed, and without the type of a stream, that the response is the item's.
+			sure := response.Framed && response.EventStream() || run.task.newEvents > 0
+			if len(splitter.Pending()) > 0 {
 				return io.ErrUnexpectedEOF
 			}
+			if !sure {
+				return errNoEvent
+			}
 			if run.restarted() {
 				return errOtherSoftware
 			}
@@ -86,6 +89,7 @@
 	if task.output.events > events {
 		task.begunAt = &run.software
 		task.newEvents++
+		task.emptyRuns = 0
 	}
 	return nil
 }
--- a/internal/jobs/itemtask.go
+++ b/internal/jobs/itemtask.go
@@ -30,9 +30,11 @@
 	// notBefore is the earliest time at which the item may be sent again.
 	notBefore time.Time
 	// newEvents is the number of events that the present run has received. progressAt
-	// is when the last run ended that received any.
+	// is when the last run ended that received any, and emptyRuns the number of runs in a
+	// row that ended with errNoEvent.
 	newEvents  int
 	progressAt time.Time
+	emptyRuns  int
 	// replica and cancel are set while the item runs. replica is nil once the run
 	// has been chosen for preemption.
 	replica *replica.Replica
--- a/internal/jobs/software.go
+++ b/internal/jobs/software.go
@@ -61,5 +61,5 @@
 
 // dropOutput throws the output so far away, so that the item begins anew.
 func (task *itemTask) dropOutput() {
-	task.output, task.lastEvent, task.begunAt, task.newEvents = itemOutput{}, forward.NoResume, nil, 0
+	task.output, task.lastEvent, task.begunAt, task.newEvents, task.emptyRuns = itemOutput{}, forward.NoResume, nil, 0, 0
 }
