Send items that may have crashed their replica one at a time

Sound streams and items were lost with each wave.

Cause: an item whose replica had crashed was pending again at once, with all others of its job, while the quarantine counts crashes in one moment as one, because a rack may fail together. So each wave was one of the three crashes that a decision needs.

Change: an item whose replica broke off before the first event of its output, with an error like that of a crash, is sent again after 1 s, then 2 s and so on up to 8 s, and a node runs one such item at a time until its output begins. Other items run beside it.

Ruled out: counting crashes of one moment one by one, which would quarantine a part of a sound job whose replicas fail with a rack.

--- a/internal/jobs/itemrun.go
+++ b/internal/jobs/itemrun.go
@@ -97,6 +97,7 @@
 // recordProgress records that a complete event has arrived.
 func (run *itemRun) recordProgress(response *replica.Response) {
 	run.stopWatch() // the run has begun without a crash
+	run.task.begun.Store(true)
 	run.observed.RecordEvent(time.Now())
 	response.RecordProgress()
 	if run.watchdog.Stop() {
--- a/internal/jobs/itemtask.go
+++ b/internal/jobs/itemtask.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"gentiantide.example/gentiantide/internal/quarantine"
@@ -35,6 +36,12 @@
 	newEvents  int
 	progressAt time.Time
 	emptyRuns  int
+	// crashes is the number of runs in a row that may have crashed their replica, see
+	// suspect.go. crashed is set if the present run may have, and begun once it has
+	// received an event.
+	crashes int
+	crashed bool
+	begun   atomic.Bool
 	// replica and cancel are set while the item runs. replica is nil once the run
 	// has been chosen for preemption.
 	replica *replica.Replica
--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -55,6 +55,7 @@
 	jobs          map[string]*ownedJob
 	searches      map[searchKey]int // running searches for slots
 	meanTokenTime *meanTokenTime
+	suspects      suspectGate
 	// leaving is set while the node takes no jobs from other nodes, because it is about to
 	// stop. stopped is set when no more items are started.
 	leaving, stopped bool
@@ -245,8 +246,8 @@
 	return target
 }
 
-// readyItems returns the pending items that may be sent now, in placement order.
-// The caller holds the lock.
+// readyItems returns the pending items that may be sent now, in placement order, with
+// one suspect at most. The caller holds the lock.
 func (r *Runner) readyItems(now time.Time, clock time.Duration) []*itemTask {
 	var all []*itemTask
 	for _, job := range r.jobs {
@@ -260,7 +261,7 @@
 		}
 	}
 	sortForPlacement(all, r.meanTokenTime, clock)
-	return all
+	return r.suspects.filter(all, now)
 }
 
 // abandon gives a pending item a result with the state ItemDeadLetter. The caller
@@ -278,6 +279,7 @@
 	task.job.running[task] = struct{}{}
 	ctx, cancel := context.WithCancelCause(task.job.ctx)
 	task.replica, task.cancel, task.started, task.newEvents = target, cancel, time.Now(), 0
+	r.suspects.start(task)
 	if software := target.Info().Software(); task.begunAt != nil && *task.begunAt != software {
 		r.log.Info("item begins anew", "job", task.job.entry.ID, "item", task.item.ID, "reason", "no replica of the version that made its output",
 			"software", string(task.begunAt.Version), "now", string(software.Version), "last_event", task.lastEvent, "waited_ms", time.Since(task.progressAt).Milliseconds())
@@ -311,6 +313,7 @@
 	defer r.wakeDispatch()
 	job := task.job
 	delete(job.running, task)
+	r.suspects.end(task, now)
 	switch {
 	case progressed:
 		task.runTime += now.Sub(task.started)
--- a/internal/quarantine/run.go
+++ b/internal/quarantine/run.go
@@ -71,7 +71,7 @@
 	case r == nil || r.proved:
 	case err == nil && framed && !r.began.IsZero():
 		r.prove()
-	case err == nil && !framed || connectionBroken(err):
+	case err == nil && !framed || ConnectionBroken(err):
 		r.suspect()
 	}
 }
@@ -133,9 +133,9 @@
 	}
 }
 
-// connectionBroken reports whether an exchange ended because the other side closed
+// ConnectionBroken reports whether an exchange ended because the other side closed
 // or reset the connection, as a crash does.
-func connectionBroken(err error) bool {
+func ConnectionBroken(err error) bool {
 	for _, broken := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
 		if errors.Is(err, broken) {
 			return true
