Quarantine an item that crashes replicas by itself

Cause: a plain request is identified by its content, so that it can be quarantined by itself; an item was known by the parts that it shares only. If these are sound, nothing stopped it.

Change: an item has such a part, too.

--- a/internal/jobs/executor.go
+++ b/internal/jobs/executor.go
@@ -50,7 +50,8 @@
 
 // newTask returns the state of an item that has not run.
 func (e *Executor) newTask(job *ownedJob, item *Item) *itemTask {
-	return &itemTask{job: job, item: item, lastEvent: forward.NoResume, parts: e.Codec.PromptParts(item.header())}
+	whole := quarantine.RequestPart(job.entry.Host, http.MethodPost, item.Path, item.Body)
+	return &itemTask{job: job, item: item, lastEvent: forward.NoResume, parts: append(e.Codec.PromptParts(item.header()), whole)}
 }
 
 // quarantined reports whether a part of the item's prompt is quarantined. The item
