Let a standby in flight take over when the silent replica fails

Cause: the end of an attempt ended the search of its standby, with the attempt in flight, whether or not the attempt had failed.

Change: if the attempt has failed, the one in flight takes over, and the request waits for its answer. After a whole answer it is ended as before.

Evidence: TestStandbyInFlightTakesOverFromFailedReplica asks for what the former code could not do: it returned no attempt to take over, and the one in flight among the ended ones.

--- a/internal/forward/buffered.go
+++ b/internal/forward/buffered.go
@@ -39,7 +39,7 @@
 		standby := r.newStandby(ctx, a, standbyAfter)
 		r.send(a)
 		response := r.readBuffered(a)
-		r.settle(standby)
+		r.settle(standby, response == nil || response.status >= http.StatusInternalServerError)
 		if response != nil && response.unread != nil && a.ctx.Err() == nil {
 			// The end of the context would abort the connection with the rest of the body.
 			defer a.cancel(nil)
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -94,9 +94,10 @@
 	r.count(a)
 }
 
-// settle ends a standby, and counts what it has sent.
-func (r *request) settle(s *standby) {
-	takesOver, ended := s.stop()
+// settle ends the standby of an attempt that has failed or not, and counts what it has
+// sent.
+func (r *request) settle(s *standby, failed bool) {
+	takesOver, ended := s.stop(failed)
 	r.takesOver = takesOver
 	for _, a := range ended {
 		r.count(a)
--- a/internal/forward/standby.go
+++ b/internal/forward/standby.go
@@ -55,6 +55,10 @@
 	sends, runs int
 	stopSearch  context.CancelFunc
 	stopped     bool
+	// inFlight is the attempt whose answer is awaited, and detach lets it outlive the
+	// search. detach returns false if the search has ended before.
+	inFlight *attempt
+	detach   func() bool
 	// takesOver is the attempt that takes the place of the present one. ended are those
 	// that did not; the request has not counted them yet.
 	takesOver *attempt
@@ -121,11 +125,14 @@
 }
 
 // stop ends the search. It returns the attempt that has taken over, or nil, and those
-// that have not.
-func (s *standby) stop() (takesOver *attempt, ended []*attempt) {
+// that have not. If the present attempt has failed, one in flight takes over.
+func (s *standby) stop(failed bool) (takesOver *attempt, ended []*attempt) {
 	if s == nil {
 		return nil, nil
 	}
+	if failed {
+		s.adopt()
+	}
 	s.disable()
 	s.mu.Lock()
 	takesOver = s.takesOver
@@ -138,6 +145,15 @@
 	return s.takesOver, s.ended
 }
 
+// adopt lets the attempt in flight take over from one that has failed.
+func (s *standby) adopt() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.takesOver == nil && s.inFlight != nil && s.detach() {
+		s.takesOver = s.inFlight
+	}
+}
+
 // endSearch requires the lock.
 func (s *standby) endSearch() {
 	if s.stopSearch != nil {
@@ -202,25 +218,28 @@
 	s.mu.Unlock()
 	a.answered = make(chan struct{})
 	detach := context.AfterFunc(search, func() { a.cancel(errStandbyEnded) })
-	timer := time.AfterFunc(overlapTimeout, func() { s.replace(a, detach) })
+	s.mu.Lock()
+	s.inFlight, s.detach = a, detach
+	s.mu.Unlock()
+	timer := time.AfterFunc(overlapTimeout, func() { s.replace(a) })
 	exchange(a)
 	timer.Stop()
 	close(a.answered)
-	if s.r.answers(a) && s.replace(a, detach) {
+	if s.r.answers(a) && s.replace(a) {
 		return true
 	}
 	return s.end(a)
 }
 
-// replace ends the present attempt in favour of another one. It returns false if the
-// search has ended before.
-func (s *standby) replace(a *attempt, detach func() bool) bool {
+// replace ends the present attempt in favour of the one in flight. It returns false if
+// the search has ended before.
+func (s *standby) replace(a *attempt) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.takesOver == a {
 		return true
 	}
-	if s.takesOver != nil || !detach() {
+	if s.takesOver != nil || !s.detach() {
 		return false
 	}
 	s.takesOver = a
@@ -237,6 +256,7 @@
 	if s.takesOver == a {
 		return true
 	}
+	s.inFlight = nil
 	a.cancel(errStandbyEnded)
 	a.release()
 	s.ended = append(s.ended, a)
--- a/internal/forward/standby_test.go
+++ b/internal/forward/standby_test.go
@@ -114,7 +114,7 @@
 		time.Sleep(time.Second)
 		g.Expect(st.replaced()).To(gomega.BeTrue())
 		g.Expect(st.placer.sent()[0].Tried).To(gomega.Equal([]core.ReplicaID{"silent"}))
-		takesOver, ended := st.standby.stop()
+		takesOver, ended := st.standby.stop(false)
 		g.Expect(takesOver.replica).To(gomega.BeIdenticalTo(st.placer.replica))
 		g.Expect(takesOver.answered).To(gomega.BeClosed())
 		g.Expect(ended).To(gomega.BeEmpty())
@@ -132,7 +132,7 @@
 		g.Expect(st.replaced()).To(gomega.BeFalse())
 		time.Sleep(2 * time.Millisecond)
 		g.Expect(st.replaced()).To(gomega.BeTrue())
-		takesOver, _ := st.standby.stop()
+		takesOver, _ := st.standby.stop(false)
 		g.Expect(takesOver.replica).To(gomega.BeIdenticalTo(st.placer.replica))
 		g.Expect(takesOver.answered).NotTo(gomega.BeClosed())
 		takesOver.cancel(nil)
@@ -149,7 +149,7 @@
 		g.Expect(st.replaced()).To(gomega.BeFalse())
 		g.Expect(st.load()).To(gomega.Equal(0))
 		g.Expect(st.placer.sent()[1].Tried).To(gomega.Equal([]core.ReplicaID{"silent", "other"}))
-		takesOver, ended := st.standby.stop()
+		takesOver, ended := st.standby.stop(false)
 		g.Expect(takesOver).To(gomega.BeNil())
 		g.Expect(ended).To(gomega.HaveLen(maxSends - 1))
 		for _, a := range ended {
@@ -171,7 +171,7 @@
 		g.Expect(st.load()).To(gomega.Equal(0))
 		time.Sleep(5 * testSilence) // silent again, but two replicas have had it
 		g.Expect(st.placer.sent()).To(gomega.HaveLen(1))
-		takesOver, ended := st.standby.stop()
+		takesOver, ended := st.standby.stop(false)
 		g.Expect(takesOver).To(gomega.BeNil())
 		g.Expect(ended).To(gomega.HaveLen(1))
 		g.Expect(ended[0].notRun()).To(gomega.BeFalse())
@@ -195,7 +195,7 @@
 		g.Expect(st.placer.sent()).To(gomega.HaveLen(2))
 		g.Expect(st.placer.sent()[1].Urgent).To(gomega.BeTrue())
 		g.Expect(*st.placer.sent()[1].Version).To(gomega.Equal(core.SoftwareVersion("v1")))
-		takesOver, _ := st.standby.stop()
+		takesOver, _ := st.standby.stop(false)
 		g.Expect(takesOver.resumeAfter).To(gomega.Equal(int64(3)))
 		g.Expect(takesOver.resumes).To(gomega.BeTrue())
 		takesOver.cancel(nil)
@@ -213,7 +213,7 @@
 		g.Expect(st.standby.claim(false)).To(gomega.BeTrue())
 		time.Sleep(testSilence)
 		g.Expect(st.replaced()).To(gomega.BeFalse())
-		_, ended := st.standby.stop()
+		_, ended := st.standby.stop(false)
 		g.Expect(ended).To(gomega.HaveLen(1))
 
 		st = newStandbyTest(0, 0, answer(0))
@@ -221,7 +221,7 @@
 		g.Expect(st.replaced()).To(gomega.BeTrue())
 		g.Expect(st.standby.claim(true)).To(gomega.BeFalse())
 		g.Expect(st.standby.claim(false)).To(gomega.BeFalse())
-		takesOver, _ := st.standby.stop()
+		takesOver, _ := st.standby.stop(false)
 		takesOver.cancel(nil)
 	})
 }
@@ -237,6 +237,30 @@
 		g.Expect(st.placer.sent()).NotTo(gomega.BeEmpty())
 		g.Expect(st.replaced()).To(gomega.BeFalse())
 		g.Expect(st.load()).To(gomega.Equal(0))
-		st.standby.stop()
+		st.standby.stop(false)
+	})
+}
+
+// Guards against a request that fails with the silent replica although another one has it
+// and is about to answer: the route allows no further run.
+func TestStandbyInFlightTakesOverFromFailedReplica(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		st := newStandbyTest(0, 0, answer(200*time.Millisecond))
+		time.Sleep(testSilence + 100*time.Millisecond)
+		takesOver, ended := st.standby.stop(true)
+		g.Expect(takesOver).NotTo(gomega.BeNil())
+		g.Expect(ended).To(gomega.BeEmpty())
+		<-takesOver.answered
+		g.Expect(takesOver.err).NotTo(gomega.HaveOccurred())
+		g.Expect(takesOver.response.Status).To(gomega.Equal(http.StatusOK))
+		g.Expect(st.load()).To(gomega.Equal(1), "it is released by the request")
+		takesOver.cancel(nil)
+
+		st = newStandbyTest(0, 0, answer(200*time.Millisecond))
+		time.Sleep(testSilence - 100*time.Millisecond) // no search has begun
+		takesOver, ended = st.standby.stop(true)
+		g.Expect(takesOver).To(gomega.BeNil())
+		g.Expect(ended).To(gomega.BeEmpty())
 	})
 }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -66,7 +66,7 @@
 
 // attempt sends the request to one replica and forwards the response. It reports
 // false if another attempt may be made.
-func (s *streamRelay) attempt(ctx context.Context) (Outcome, bool) {
+func (s *streamRelay) attempt(ctx context.Context) (outcome Outcome, done bool) {
 	r := s.r
 	a := r.nextAttempt(ctx, s.lastEvent)
 	if a == nil {
@@ -79,7 +79,7 @@
 	}
 	defer a.cancel(nil)
 	standby := r.newStandby(ctx, a, s.stallTimeout())
-	defer func() { r.settle(standby) }()
+	defer func() { r.settle(standby, !done) }()
 	r.send(a)
 	switch {
 	case a.err != nil:
