Contain a panic in the search of a standby

No input that causes one is known.

Cause: the search runs in a goroutine of a timer, which nothing contained.

Change: it is contained like the handlers of requests; the request stays with its present replica.

Evidence: without the change TestPanicInASearchIsContained ends the test binary with "panic: no place".

--- a/internal/forward/standby.go
+++ b/internal/forward/standby.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"gentiantide.example/gentiantide/internal/contain"
 	"gentiantide.example/gentiantide/internal/core"
 	"gentiantide.example/gentiantide/internal/placement"
 	"gentiantide.example/gentiantide/internal/quarantine"
@@ -170,6 +171,7 @@
 		return
 	}
 	defer s.searches.Done()
+	defer contain.Recover(s.r.h.Log, "search for another replica", s.r.reqInfo.ID)
 	for time.Until(s.r.deadline) >= minRemaining && ctx.Err() == nil {
 		target, _ := s.r.h.Placer.Place(ctx, query)
 		if target != nil {
--- a/internal/forward/standby_test.go
+++ b/internal/forward/standby_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"net/http"
 	"slices"
 	"sync"
@@ -25,13 +26,18 @@
 	from    time.Time
 
 	mu      sync.Mutex
+	panics  bool
 	queries []placement.Query
 }
 
 func (p *fakePlacer) Place(ctx context.Context, q *placement.Query) (*replica.Replica, time.Duration) {
 	p.mu.Lock()
 	p.queries = append(p.queries, *q)
+	panics := p.panics
 	p.mu.Unlock()
+	if panics {
+		panic("no place")
+	}
 	select {
 	case <-ctx.Done():
 	case <-time.After(p.delay):
@@ -82,7 +88,7 @@
 	now := time.Now()
 	st := &standbyTest{placer: &fakePlacer{replica: registry.Get("other"), delay: delay, from: now.Add(from)}}
 	r := &request{
-		h: &Handler{Placer: st.placer}, arrived: now, lastProgress: now, deadline: now.Add(20 * time.Second), identity: 7,
+		h: &Handler{Placer: st.placer, Log: slog.New(slog.DiscardHandler)}, arrived: now, lastProgress: now, deadline: now.Add(20 * time.Second), identity: 7,
 		route: &routetable.Route{Kind: routetable.KindSafe, MaxAttempts: 2, CallerIdleTimeout: 2 * time.Second},
 	}
 	st.present = newAttempt(context.Background(), registry.Get("silent"), nil, nil, NoResume)
@@ -264,3 +270,20 @@
 		g.Expect(ended).To(gomega.BeEmpty())
 	})
 }
+
+// Guards against a panic in the search for another replica that ends the process with
+// the requests of all callers.
+func TestPanicInASearchIsContained(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		st := newStandbyTest(0, 0, answer(0))
+		st.placer.mu.Lock()
+		st.placer.panics = true
+		st.placer.mu.Unlock()
+		time.Sleep(2 * testSilence)
+		takesOver, ended := st.standby.stop(false)
+		g.Expect(takesOver).To(gomega.BeNil())
+		g.Expect(ended).To(gomega.BeEmpty())
+		g.Expect(st.replaced()).To(gomega.BeFalse())
+	})
+}
