Ask again for a replica for a stream that was refused one

Cause: a stream that has begun and is refused a slot by the forecast was broken off at once, although its caller waits for the next event for two seconds or more, and the replicas go on together a moment later.

--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -41,6 +41,13 @@
 	return r.admit(target)
 }
 
+// mayPlaceAgain reports whether a stream that has begun may ask once more for a replica.
+func (r *request) mayPlaceAgain(ctx context.Context) bool {
+	wait := time.Until(r.arrived.Add(r.maxWait(r.lastProgress)))
+	return ctx.Err() == nil && r.sends < maxSends && wait > standbyRetryInterval &&
+		r.begunAt != nil && r.h.Versions.HasReplica(r.begunAt.Service, r.begunAt.Version)
+}
+
 // query describes the request to the placer.
 func (r *request) query(now time.Time) *placement.Query {
 	query := &placement.Query{
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -68,7 +68,7 @@
 // false if another attempt may be made.
 func (s *streamRelay) attempt(ctx context.Context) (outcome Outcome, done bool) {
 	r := s.r
-	a := r.nextAttempt(ctx, s.lastEvent)
+	a := s.nextAttempt(ctx)
 	if a == nil {
 		if !r.headerSent {
 			return r.respondFailure(ctx), true
@@ -125,6 +125,24 @@
 	return "", false
 }
 
+// nextAttempt is that of the request. A stream that has begun asks again for a replica
+// after it was refused one, for as long as its caller waits for the next event and its
+// version has replicas: a slot may be free a moment later.
+func (s *streamRelay) nextAttempt(ctx context.Context) *attempt {
+	r := s.r
+	for {
+		a := r.nextAttempt(ctx, s.lastEvent)
+		if a != nil || !r.headerSent || !r.mayPlaceAgain(ctx) {
+			return a
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(standbyRetryInterval):
+		}
+	}
+}
+
 // stallTimeout is the longest time without a complete event.
 func (s *streamRelay) stallTimeout() time.Duration {
 	return time.Duration(streamStallShare * float64(s.r.route.CallerIdleTimeout))
