Log items that are sent later because of a crash

What operators saw: an item whose replica broke off was sent again after seconds, and no line said why.

Change: one line with the number of crashes and the delay. The watch of a stop is not exported any more; nothing outside the package used it.

No run but the tests: behaviour is as before.

--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -279,7 +279,7 @@
 	defer cancel()
 	ctx, cancelCause := context.WithCancelCause(ctx)
 	defer cancelCause(nil)
-	defer r.h.Stop.Watch(cancelCause)()
+	defer r.h.Stop.watch(cancelCause)()
 	r.stopWatch = r.h.Quarantine.Watch(r.parts, cancelCause)
 	defer r.stopWatch()
 	switch r.route.Kind {
--- a/internal/forward/stop.go
+++ b/internal/forward/stop.go
@@ -71,9 +71,9 @@
 	return complete.After(times.lastShort)
 }
 
-// Watch calls end when the stop is over, or now if it is. The returned function ends the
+// watch calls end when the stop is over, or now if it is. The returned function ends the
 // watch.
-func (s *Stop) Watch(end context.CancelCauseFunc) (stop func() bool) {
+func (s *Stop) watch(end context.CancelCauseFunc) (stop func() bool) {
 	if s.over.Err() != nil {
 		end(errStopOver)
 	}
--- a/internal/forward/stop_test.go
+++ b/internal/forward/stop_test.go
@@ -52,6 +52,6 @@
 	s.Begin(time.Now(), time.Now())
 	<-s.over.Done()
 	ctx, cancel := context.WithCancelCause(t.Context())
-	defer s.Watch(cancel)()
+	defer s.watch(cancel)()
 	g.Expect(context.Cause(ctx)).To(gomega.MatchError(errStopOver))
 }
--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -313,7 +313,10 @@
 	defer r.wakeDispatch()
 	job := task.job
 	delete(job.running, task)
-	r.suspects.end(task, now)
+	if r.suspects.end(task, now) {
+		r.log.Info("item may have crashed its replica; sending it later", "job", job.entry.ID, "item", task.item.ID,
+			"crashes", task.crashes, "delay_ms", task.notBefore.Sub(now).Milliseconds())
+	}
 	switch {
 	case progressed:
 		task.runTime += now.Sub(task.started)
--- a/internal/jobs/suspect.go
+++ b/internal/jobs/suspect.go
@@ -59,8 +59,9 @@
 	}
 }
 
-// end records that the run of an item has ended.
-func (g *suspectGate) end(task *itemTask, now time.Time) {
+// end records that the run of an item has ended, and reports whether the item is sent
+// again later because it may have crashed its replica.
+func (g *suspectGate) end(task *itemTask, now time.Time) (delayed bool) {
 	if g.running == task {
 		g.running = nil
 	}
@@ -72,6 +73,7 @@
 	case task.begun.Load():
 		task.crashes = 0
 	}
+	return task.crashed
 }
 
 // filter returns the items that may start, of which one at most is a suspect.
