Test the memory of many items with output without end

Change: a test with 16 items at once, with the collector's limit of the smallest VM. The stand-in writes blocks of events, as single ones took the test to 50 s with the race detector.

--- a/internal/jobs/itemoutput_test.go
+++ b/internal/jobs/itemoutput_test.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"net/http/httptest"
 	"runtime"
+	"runtime/debug"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -22,6 +24,9 @@
 // its text, copied once while it grows, and the buffers of both sides of the connection.
 const maxOutputMemory = 16 << 20
 
+// engineBlock is how many bytes an engine writes at once.
+const engineBlock = 4 << 10
+
 // endlessEvents are events that a faulty replica may send without end, by name. Each
 // function returns the event with a number.
 var endlessEvents = map[string]func(n int) string{
@@ -36,12 +41,18 @@
 	sent = new(atomic.Int64)
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Content-Type", "text/event-stream")
+		var block strings.Builder
 		for n := 1; ; n++ {
-			written, err := io.WriteString(w, event(n))
+			block.WriteString(event(n))
+			if block.Len() < engineBlock {
+				continue
+			}
+			written, err := io.WriteString(w, block.String())
 			if err != nil {
 				return
 			}
 			sent.Add(int64(written))
+			block.Reset()
 		}
 	}))
 	t.Cleanup(server.Close)
@@ -77,6 +88,39 @@
 	return stats.HeapAlloc
 }
 
+// smallestVM is the memory of the smallest VMs that nodes run on.
+const smallestVM = 112 << 20
+
+// Guards against a node that exceeds the memory of its VM because all replicas of a
+// service answer items with events without end, to many of them at once.
+func TestEndlessEventsOfManyItemsStayWithinMemory(t *testing.T) {
+	g := gomega.NewWithT(t)
+	// As in the daemon, which gives the collector half of the memory.
+	defer debug.SetMemoryLimit(debug.SetMemoryLimit(smallestVM / 2))
+	target, _ := endlessEngine(t, endlessEvents["without data"])
+	exec := &Executor{Codec: signedCodec{}, Log: slog.New(slog.DiscardHandler)}
+	before := liveHeap()
+	var running atomic.Int64
+	for range 16 {
+		running.Add(1)
+		go func() {
+			defer running.Add(-1)
+			w := taskDue("x", time.Hour, 10, 0)
+			w.item.Path, w.lastEvent = "/b/x", forward.NoResume
+			_ = exec.run(context.Background(), w, target)
+		}()
+	}
+	var peak uint64
+	for running.Load() > 0 {
+		var stats runtime.MemStats
+		runtime.ReadMemStats(&stats)
+		peak = max(peak, stats.HeapAlloc)
+		time.Sleep(time.Millisecond)
+	}
+	t.Logf("peak of the heap: %d MiB", (int64(peak)-int64(before))>>20)
+	g.Expect(int64(peak) - int64(before)).To(gomega.BeNumerically("<", smallestVM))
+}
+
 // Guards against an item that is never finished: a faulty replica filled its output, and
 // each run after that fails at its first event.
 func TestItemBeginsAnewAfterEndlessOutput(t *testing.T) {
