Revert the quarantine of single items

What callers would have seen: a sound item that happened to be at three replicas when these crashed is held back for a minute or more.

The item is held back for a part of its prompt only, as before.

--- a/internal/forward/codec.go
+++ b/internal/forward/codec.go
@@ -16,9 +16,6 @@
 	// PromptParts returns the parts of a request's prompt that other requests may
 	// share, from the first to the last.
 	PromptParts(h http.Header) []quarantine.Part
-	// PromptEnd returns the last part of a request's prompt, which belongs to the request
-	// itself, or "" if the request has no prompt.
-	PromptEnd(h http.Header) string
 	// ReplicaHeader returns the headers of the request to a replica: the caller's
 	// end-to-end headers and those that encode the options.
 	ReplicaHeader(h http.Header, send SendOptions) http.Header
--- a/internal/jobs/executor.go
+++ b/internal/jobs/executor.go
@@ -50,16 +50,7 @@
 
 // newTask returns the state of an item that has not run.
 func (e *Executor) newTask(job *ownedJob, item *Item) *itemTask {
-	return &itemTask{job: job, item: item, lastEvent: forward.NoResume, parts: append(e.Codec.PromptParts(item.header()), e.ownPart(job, item))}
-}
-
-// ownPart returns the part that identifies an item when it comes again: by the end of its
-// prompt, or by its path and body if it names no prompt.
-func (e *Executor) ownPart(job *ownedJob, item *Item) quarantine.Part {
-	if end := e.Codec.PromptEnd(item.header()); end != "" {
-		return quarantine.RequestPart(job.entry.Host, http.MethodPost, "", []byte(end))
-	}
-	return quarantine.RequestPart(job.entry.Host, http.MethodPost, item.Path, item.Body)
+	return &itemTask{job: job, item: item, lastEvent: forward.NoResume, parts: e.Codec.PromptParts(item.header())}
 }
 
 // quarantined reports whether a part of the item's prompt is quarantined. The item
--- a/internal/jobs/itemrun.go
+++ b/internal/jobs/itemrun.go
@@ -13,7 +13,8 @@
 
 // itemRun is one run of an item at a replica.
 type itemRun struct {
-	task     *itemTask
+	task *itemTask
+	// observed is nil if the item shares no part of its prompt.
 	observed *quarantine.Run
 	// stopWatch ends the watch that cancels the run when a part is quarantined.
 	stopWatch func()
--- a/internal/jobs/itemtask.go
+++ b/internal/jobs/itemtask.go
@@ -13,8 +13,8 @@
 type itemTask struct {
 	job  *ownedJob
 	item *Item
-	// parts are the parts of the item's prompt that others may share, and one that
-	// identifies the item. held is set once it was logged that one is quarantined.
+	// parts are the parts of the item's prompt that others may share. held is set
+	// once it was logged that one of them is quarantined.
 	parts []quarantine.Part
 	held  bool
 	// output is what was received so far, and begunAt the software that made it, or nil.
--- a/internal/quarantine/crashtally.go
+++ b/internal/quarantine/crashtally.go
@@ -135,25 +135,17 @@
 	}
 }
 
-// suspects returns the candidates that may be held responsible, in the order in which
-// they are decided on: the most likely part of prompts if it never proved harmless, then
-// each request that crashed enough replicas, however many others crash replicas at the
-// same time, and then a part that proved harmless once.
+// suspects returns the candidates that may be held responsible: each request that
+// crashed enough replicas, however many others crash replicas at the same time, and
+// then the most likely part of prompts.
 func suspects(candidates []*candidate) []*candidate {
 	var out []*candidate
-	likely := mostLikely(candidates)
-	if likely != nil && likely.series() < minCrashes {
-		likely = nil
-	}
-	if likely != nil && !likely.harmless {
-		out = append(out, likely)
-	}
 	for _, c := range candidates {
 		if c.part.isRequest() && c.series() >= minCrashes {
 			out = append(out, c)
 		}
 	}
-	if likely != nil && likely.harmless {
+	if likely := mostLikely(candidates); likely != nil && likely.series() >= minCrashes {
 		out = append(out, likely)
 	}
 	return out
