Let no ended attempt of a standby take over

What callers could see: by reading, a request whose next attempt has given back its slot and its connection. The timer that bounds the wait for an answer may fire at the moment at which the replica declines the request, and then replaced the present attempt by the one that had just ended.

Cause: the timer took any attempt for the one in flight.

Change: only the attempt in flight takes over.

Evidence: TestEndedStandbyDoesNotTakeOver fails without the check.

--- a/internal/forward/standby.go
+++ b/internal/forward/standby.go
@@ -241,7 +241,7 @@
 	if s.takesOver == a {
 		return true
 	}
-	if s.takesOver != nil || !s.detach() {
+	if s.takesOver != nil || s.inFlight != a || !s.detach() {
 		return false
 	}
 	s.takesOver = a
--- a/internal/forward/standby_test.go
+++ b/internal/forward/standby_test.go
@@ -287,3 +287,21 @@
 		g.Expect(st.replaced()).To(gomega.BeFalse())
 	})
 }
+
+// Guards against an attempt that takes over after it has ended and given back its slot:
+// the time for its answer is over at the moment at which the replica declines it.
+func TestEndedStandbyDoesNotTakeOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		st := newStandbyTest(0, 0, func(a *attempt) { a.info.NotRun = true })
+		time.Sleep(testSilence + time.Millisecond)
+		synctest.Wait()
+		st.standby.mu.Lock()
+		ended := st.standby.ended
+		st.standby.mu.Unlock()
+		g.Expect(ended).To(gomega.HaveLen(1))
+		g.Expect(st.standby.replace(ended[0])).To(gomega.BeFalse())
+		g.Expect(st.replaced()).To(gomega.BeFalse())
+		st.standby.stop(false)
+	})
+}
