Take an item whose output has begun for no suspect

What callers could see: an item that lost its end waited a second or more before it began anew, as if it had crashed its replica.

Cause: whether the output had begun was looked at after it was dropped.

Change: it is looked at before the run.

Evidence: TestItemThatLostItsEndBeginsAnew fails without the change ("an item whose output had begun crashed no replica").

--- a/internal/jobs/emptyrun_test.go
+++ b/internal/jobs/emptyrun_test.go
@@ -49,9 +49,12 @@
 	w := taskDue("x", time.Hour, 10, 0)
 	w.item.Path, w.lastEvent = "/b/x", forward.NoResume
 	var outcomes []runOutcome
+	suspect := false
 	for range 2 + maxEmptyRuns {
 		outcomes = append(outcomes, exec.run(context.Background(), w, registry.Get("i-1")))
+		suspect = suspect || w.crashed
 	}
 	g.Expect(outcomes).To(gomega.Equal([]runOutcome{outcomeBroken, outcomeBroken, outcomeBroken, outcomeSucceeded}))
 	g.Expect(string(w.output.text)).To(gomega.Equal("1\n2\n3"))
+	g.Expect(suspect).To(gomega.BeFalse(), "an item whose output had begun crashed no replica")
 }
--- a/internal/jobs/executor.go
+++ b/internal/jobs/executor.go
@@ -117,7 +117,7 @@
 		watchdog: time.AfterFunc(itemStallTimeout, func() { cancel(errItemStalled) }),
 	}
 	defer run.end()
-	start, from := time.Now(), task.lastEvent
+	start, from, fresh := time.Now(), task.lastEvent, task.output.events == 0
 	outcome, err := e.sendItem(runCtx, run, target)
 	switch {
 	case outcome != outcomeBroken && outcome != outcomeNotRun:
@@ -132,7 +132,7 @@
 			e.Log.Info("replica failed; ejecting it", "item", task.item.ID, "replica", target.Info().ID, "error", err, "avoid_ms", wait.Milliseconds())
 		}
 	}
-	task.crashed = task.mayHaveCrashed(outcome, err)
+	task.crashed = fresh && task.mayHaveCrashed(outcome, err)
 	e.Log.Info("item run ended", "job", task.job.entry.ID, "item", task.item.ID, "replica", target.Info().ID,
 		"outcome", outcome.String(), "from_event", from, "last_event", task.lastEvent, "ms", time.Since(start).Milliseconds(), "error", err)
 	return outcome
