--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -56,6 +56,9 @@
 	// Submit accepts a batch job. The request body was read before the call.
 	Submit func(w http.ResponseWriter, in *http.Request, reqInfo *RequestInfo, route *routetable.Route, body []byte) Outcome
 	Placer Placer
+	// Quota admits requests by the limits of their organisations. It is nil if none are
+	// limited.
+	Quota Quota
 	// Versions keeps streams that callers take up at one version of the replicas'
 	// software.
 	Versions Versions
--- a/internal/forward/requestinfo.go
+++ b/internal/forward/requestinfo.go
@@ -24,4 +24,6 @@
 	// OnlyReplica is the only replica that may run the request, or empty. Nodes name it
 	// when they send a request to a replica.
 	OnlyReplica core.ReplicaID
+	// Key is the key of the caller, or empty. It must not be logged or sent on.
+	Key string
 }
--- a/internal/placement/messages.go
+++ b/internal/placement/messages.go
@@ -123,6 +123,12 @@
 	Batch bool          `msgpack:"b,omitempty"`
 	DueIn time.Duration `msgpack:"e,omitempty"`
 	Late  bool          `msgpack:"l,omitempty"`
+	// Org, Weight, Priority, Tokens and Repeatable are as in Query.
+	Org        core.Org `msgpack:"k,omitempty"`
+	Weight     float64  `msgpack:"h,omitempty"`
+	Priority   int      `msgpack:"z,omitempty"`
+	Tokens     int      `msgpack:"t,omitempty"`
+	Repeatable bool     `msgpack:"f,omitempty"`
 }
 
 // outcome is the result of a placement request.
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -53,6 +53,17 @@
 	Class core.Class
 	DueIn time.Duration
 	Late  bool
+	// Org is the organisation that the request belongs to, or empty. Weight is its
+	// weight among the organisations, 1 if it is 0, and Priority the rank of the request:
+	// 0 is the highest.
+	Org      core.Org
+	Weight   float64
+	Priority int
+	// Tokens is what the request costs a replica: tokens of the prompt plus the output
+	// that is expected, or 0 if it is unknown.
+	Tokens int
+	// Repeatable is set if the request may be sent to another replica after a failure.
+	Repeatable bool
 }
 
 // Place returns a replica and counts the request as in flight there; the caller
@@ -225,6 +236,7 @@
 		Excluded: append(ejected, tried...), NumEjected: len(ejected), Version: q.Version,
 		Waited: time.Since(q.Arrived), Objective: q.Objective, MaxWait: q.MaxWait,
 		Batch: q.Class == core.ClassBatch, DueIn: q.DueIn, Late: q.Late,
+		Org: q.Org, Weight: q.Weight, Priority: q.Priority, Tokens: q.Tokens, Repeatable: q.Repeatable,
 	}, &answer)
 	return answer, err
 }
--- a/internal/routetable/route.go
+++ b/internal/routetable/route.go
@@ -37,6 +37,13 @@
 	// MaxQueuedTokens limits the tokens of unfinished items across all nodes. 0
 	// means no limit.
 	MaxQueuedTokens int64
+	// Public is set if callers need no key.
+	Public bool
+	// Priority is the rank of its requests, unless their organisation has one. 0 is the
+	// highest.
+	Priority int
+	// Sticky is set if its requests have prompts of which replicas keep parts.
+	Sticky bool
 }
 
 // Retryable reports whether a request of the route may be retried after it may
--- a/internal/routetable/table.go
+++ b/internal/routetable/table.go
@@ -10,7 +10,9 @@
 type Table struct {
 	Version int64
 	Limits  Limits
-	byHost  map[string][]*Route // longest prefix first
+	// Organisations are nil if the configuration names none. Then callers need no key.
+	Organisations *Organisations
+	byHost        map[string][]*Route // longest prefix first
 }
 
 // NewTable returns a table of the given routes. Of two routes with the same host
