Weigh what a replica keeps of a prompt against its load

Change: the hub keeps a view of what each process of a replica was sent (internal/promptcache) and takes the time to read what it keeps off its score, for the request and for those that it would hold up. Only on routes that are marked sticky; the choice is among free slots, so that no request waits for it.

--- a/internal/forward/codec.go
+++ b/internal/forward/codec.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"gentiantide.example/gentiantide/internal/core"
+	"gentiantide.example/gentiantide/internal/promptcache"
 	"gentiantide.example/gentiantide/internal/quarantine"
 	"gentiantide.example/gentiantide/internal/replica"
 )
@@ -16,6 +17,9 @@
 	// PromptParts returns the parts of a request's prompt that other requests may
 	// share, from the first to the last.
 	PromptParts(h http.Header) []quarantine.Part
+	// Prompt returns all parts of a request's prompt, each with its length, and the
+	// number of tokens that the request occupies at most, or 0 if it is unknown.
+	Prompt(h http.Header) (parts []promptcache.Part, tokens int)
 	// ReplicaHeader returns the headers of the request to a replica: the caller's
 	// end-to-end headers and those that encode the options.
 	ReplicaHeader(h http.Header, send SendOptions) http.Header
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -15,6 +15,7 @@
 
 	"gentiantide.example/gentiantide/internal/core"
 	"gentiantide.example/gentiantide/internal/placement"
+	"gentiantide.example/gentiantide/internal/promptcache"
 	"gentiantide.example/gentiantide/internal/quarantine"
 	"gentiantide.example/gentiantide/internal/replica"
 	"gentiantide.example/gentiantide/internal/routetable"
@@ -83,6 +84,10 @@
 	body          []byte
 	// parts are the parts of the prompt, and one that identifies the request.
 	parts []quarantine.Part
+	// prompt are the parts of the prompt if replicas keep some, and tokens what the
+	// request occupies at a replica, or 0 if it is unknown.
+	prompt []promptcache.Part
+	tokens int
 	// identity is the same for each attempt of the caller.
 	identity uint64
 	arrived  time.Time
@@ -179,6 +184,9 @@
 			return
 		}
 	}
+	if route.Sticky {
+		r.prompt, r.tokens = h.Codec.Prompt(in.Header)
+	}
 	h.Counters.Begin()
 	defer r.finish()
 	r.outcome = r.serve()
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -53,6 +53,7 @@
 	query := &placement.Query{
 		Tried: r.tried, Arrived: r.arrived,
 		Objective: r.objective(), MaxWait: r.maxWait(r.lastProgress), Urgent: r.headerSent || r.takesUp(), Identity: r.identity,
+		Prompt: r.prompt, Tokens: r.tokens,
 	}
 	if r.begunAt != nil {
 		query.Service, query.Version = r.begunAt.Service, &r.begunAt.Version
--- a/internal/placement/groupreplicas.go
+++ b/internal/placement/groupreplicas.go
@@ -26,7 +26,7 @@
 			since = newSince
 		}
 		limit, _ := r.Limit()
-		out = append(out, replicaSlots{id: info.ID, dc: info.DataCentre, version: info.Version, slots: max(1, info.Slots), limit: limit.Limit, usableSince: since})
+		out = append(out, replicaSlots{id: info.ID, dc: info.DataCentre, version: info.Version, slots: max(1, info.Slots), limit: limit.Limit, started: info.Started, usableSince: since})
 	}
 	for _, r := range ready {
 		if !r.Ejected(now) {
--- a/internal/placement/hub.go
+++ b/internal/placement/hub.go
@@ -61,7 +61,10 @@
 	// formerServiceTime returns what the former hub of a group has measured, or 0.
 	formerServiceTime func(group) time.Duration
 	log               *slog.Logger
-	stopping          atomic.Bool
+	// memory returns how many tokens a replica of a service holds, or 0.
+	memory         func(core.DeploymentID) int
+	promptCounters promptCounters
+	stopping       atomic.Bool
 	// groupAdded gets an entry when a group is added.
 	groupAdded chan struct{}
 
@@ -85,7 +88,7 @@
 }
 
 func newHub(o *Options, sendPreemption func(core.NodeID, core.ReplicaID)) *hub {
-	h := &hub{transport: o.Transport, registry: o.Registry, sendPreemption: sendPreemption, log: o.Log, groupAdded: make(chan struct{}, 1), groups: make(map[group]*groupState)}
+	h := &hub{transport: o.Transport, registry: o.Registry, sendPreemption: sendPreemption, log: o.Log, memory: o.Memory, promptCounters: newPromptCounters(o.Scope), groupAdded: make(chan struct{}, 1), groups: make(map[group]*groupState)}
 	o.Transport.Handle(kindRequest, h.handleRequest)
 	o.Transport.Handle(kindProbe, h.handleProbe)
 	o.Transport.Handle(kindCounts, h.handleCounts)
@@ -121,6 +124,9 @@
 		if !ok && h.announced(g, now) {
 			newSince = now.Add(announcedSettleTime - replicaSettleTime)
 		}
+		if h.memory != nil {
+			state.prompts.memory = h.memory(g.Service)
+		}
 		state.setReplicas(groupReplicas(state.replicas, g, ready, now, newSince), now)
 	}
 	return state
@@ -356,6 +362,7 @@
 			"replicas", len(state.replicas), "service_ms", int64(state.serviceTime.mean*1e3), "per_second", f.throughput, "spare_per_second", f.spare)
 		state.queuedSinceLog, state.rejectedSinceLog = 0, 0
 	}
+	h.reportPrompts(g, state, now)
 	body, err := msgpack.Marshal(message)
 	if err != nil {
 		h.log.Error("cannot encode the totals of a group", "error", err)
--- a/internal/placement/messages.go
+++ b/internal/placement/messages.go
@@ -5,6 +5,7 @@
 
 	"gentiantide.example/gentiantide/internal/core"
 	"gentiantide.example/gentiantide/internal/nodes"
+	"gentiantide.example/gentiantide/internal/promptcache"
 )
 
 const (
@@ -129,6 +130,8 @@
 	Priority   int      `msgpack:"z,omitempty"`
 	Tokens     int      `msgpack:"t,omitempty"`
 	Repeatable bool     `msgpack:"f,omitempty"`
+	// Prompt are the parts of the prompt, if replicas keep some.
+	Prompt []promptcache.Part `msgpack:"j,omitempty"`
 }
 
 // outcome is the result of a placement request.
--- a/internal/placement/openings.go
+++ b/internal/placement/openings.go
@@ -17,6 +17,7 @@
 	victim   Victim // the item that is preempted first, if batch is positive
 	settled  bool   // replicaSettleTime has passed, so that it may get items
 	tokens   int    // requests that its limit allows now
+	kept     int    // tokens of the prompt in question that the replica keeps
 }
 
 func (o *opening) free() int { return o.slots - o.busy }
@@ -39,14 +40,14 @@
 
 func (o *opening) tooSlow() bool { return o.slowdown > maxFreeSlowdown }
 
-// score is the relative time that a request would take at the replica. Lower is
-// better.
+// score is the relative time that a request would take at the replica, less what is
+// saved if the replica keeps the beginning of its prompt. Lower is better.
 func (o *opening) score(q *queuedRequest) float64 {
 	load := float64(o.busy + 1)
 	if o.dc != q.dc {
 		load += replica.RemoteCost
 	}
-	return load * o.slowdown / float64(o.slots)
+	return load*o.slowdown/float64(o.slots) - o.promptSaving()
 }
 
 // openings are the replicas that can take requests at one time. They are gathered
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -10,6 +10,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"gentiantide.example/gentiantide/internal/core"
+	"gentiantide.example/gentiantide/internal/promptcache"
 	"gentiantide.example/gentiantide/internal/replica"
 )
 
@@ -64,6 +65,8 @@
 	Tokens int
 	// Repeatable is set if the request may be sent to another replica after a failure.
 	Repeatable bool
+	// Prompt are the parts of the prompt, if replicas keep some.
+	Prompt []promptcache.Part
 }
 
 // Place returns a replica and counts the request as in flight there; the caller
@@ -236,7 +239,7 @@
 		Excluded: append(ejected, tried...), NumEjected: len(ejected), Version: q.Version,
 		Waited: time.Since(q.Arrived), Objective: q.Objective, MaxWait: q.MaxWait,
 		Batch: q.Class == core.ClassBatch, DueIn: q.DueIn, Late: q.Late,
-		Org: q.Org, Weight: q.Weight, Priority: q.Priority, Tokens: q.Tokens, Repeatable: q.Repeatable,
+		Org: q.Org, Weight: q.Weight, Priority: q.Priority, Tokens: q.Tokens, Repeatable: q.Repeatable, Prompt: q.Prompt,
 	}, &answer)
 	return answer, err
 }
--- a/internal/placement/queue.go
+++ b/internal/placement/queue.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"gentiantide.example/gentiantide/internal/core"
+	"gentiantide.example/gentiantide/internal/promptcache"
 )
 
 // onTimeShare is the fraction of its objective that a request may wait and
@@ -34,6 +35,10 @@
 	batch       bool
 	dueAt       time.Time
 	willMissDue bool
+	// prompt are the parts of its prompt, if replicas keep some, and tokens what it
+	// occupies at a replica.
+	prompt []promptcache.Part
+	tokens int
 }
 
 func newQueuedRequest(node core.NodeID, req *placementRequest, now time.Time) *queuedRequest {
@@ -47,6 +52,7 @@
 		startBy:     arrivedAt.Add(time.Duration(float64(req.Objective) * onTimeShare)),
 		abandonedAt: arrivedAt.Add(req.MaxWait),
 		batch:       req.Batch, dueAt: now.Add(req.DueIn), willMissDue: req.Late,
+		prompt: req.Prompt, tokens: req.Tokens,
 	}
 }
 
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -40,6 +40,8 @@
 	version core.SoftwareVersion
 	slots   int
 	limit   replica.Limit
+	// started tells the processes of a replica apart, as in its registration.
+	started int64
 	// usableSince is when the hub began to use the replica, or used it again after
 	// it was ejected.
 	usableSince time.Time
@@ -87,13 +89,14 @@
 	serviceTime      serviceTimeEstimator
 	demand           demand
 	rejected         rejectedRequests
+	prompts          *prompts
 }
 
 func newScheduler() *scheduler {
 	return &scheduler{
 		ledger: newLedger(), grants: make(map[uint64]pendingGrant),
 		pendingByReplica: make(map[core.ReplicaID]int), slowdowns: make(map[core.ReplicaID]slowdownReport),
-		untracked: make(map[core.ReplicaID]untrackedLoad), ejectionVotes: newEjectionVotes(), limits: newRateLimits(), rejected: make(rejectedRequests),
+		untracked: make(map[core.ReplicaID]untrackedLoad), ejectionVotes: newEjectionVotes(), limits: newRateLimits(), rejected: make(rejectedRequests), prompts: newPrompts(),
 	}
 }
 
@@ -141,10 +144,13 @@
 		}
 		ahead = append(ahead, o)
 	}
-	r, preempts = s.openings(now).choose(q, s.headroom())
+	open := s.openings(now)
+	most := s.prompts.match(open, q.prompt)
+	r, preempts = open.choose(q, s.headroom())
 	if r == nil || slices.ContainsFunc(ahead, func(o *queuedRequest) bool { return !o.excludes(&r.replicaSlots) }) {
 		return nil, false
 	}
+	s.prompts.sent(r, q, most)
 	return r, preempts
 }
 
@@ -171,6 +177,7 @@
 func (s *scheduler) setReplicas(replicas []replicaSlots, now time.Time) {
 	s.replicas = replicas
 	s.limits.update(replicas, now)
+	s.prompts.setReplicas(replicas)
 }
 
 func (s *scheduler) totalSlots() int {
@@ -270,11 +277,13 @@
 			remaining = append(remaining, s.queue[i:]...) // only items follow an item, as before orders them last
 			break
 		}
+		most := s.prompts.match(open, q.prompt)
 		r, preempts := open.choose(q, headroom)
 		if r == nil {
 			remaining = append(remaining, q)
 			continue
 		}
+		s.prompts.sent(r, q, most)
 		out = append(out, s.assign(q, r, preempts, now))
 		open.take(r)
 	}
--- a/internal/placement/service.go
+++ b/internal/placement/service.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"github.com/vmihailenco/msgpack/v5"
 
 	"gentiantide.example/gentiantide/internal/core"
@@ -43,7 +44,11 @@
 	// Victims returns, for each replica at which this node has batch items, the
 	// item that Preempt would choose.
 	Victims func() map[core.ReplicaID]Victim
-	Log     *slog.Logger
+	// Memory returns how many tokens a replica of a service holds, or 0 if that is
+	// unknown. It may be nil.
+	Memory func(core.DeploymentID) int
+	Log    *slog.Logger
+	Scope  tally.Scope
 }
 
 // Service gets replicas for this node's requests from the hubs, and runs the
--- a/internal/platformnode/node.go
+++ b/internal/platformnode/node.go
@@ -129,6 +129,7 @@
 		Transport: n.peers, Registry: n.registry, Nodes: n.nodes, Log: log,
 		Preempt: func(r *replica.Replica) bool { return n.jobs.Preempt(r) },
 		Victims: func() map[core.ReplicaID]placement.Victim { return n.jobs.Victims() },
+		Memory:  n.replicaMemory, Scope: scope,
 	})
 	n.jobs = jobs.New(jobs.Options{
 		Table: n.store, Objects: n.store, Nodes: n.nodes, Clock: n.store.Clock, JobRetention: settings.JobRetention, Log: log,
@@ -243,6 +244,15 @@
 	return 0
 }
 
+// replicaMemory returns how many tokens a replica of a service holds, or 0 if the
+// configuration does not say.
+func (n *Node) replicaMemory(service core.DeploymentID) int {
+	if table := n.configs.Table.Load(); table != nil {
+		return table.Memory[service]
+	}
+	return 0
+}
+
 // callerLimits returns the limits in the operator's configuration.
 func (n *Node) callerLimits() routetable.Limits {
 	if table := n.configs.Table.Load(); table != nil {
--- a/internal/routetable/table.go
+++ b/internal/routetable/table.go
@@ -4,6 +4,8 @@
 	"sort"
 	"strings"
 	"time"
+
+	"gentiantide.example/gentiantide/internal/core"
 )
 
 // Table is one version of the routing configuration.
@@ -12,7 +14,10 @@
 	Limits  Limits
 	// Organisations are nil if the configuration names none. Then callers need no key.
 	Organisations *Organisations
-	byHost        map[string][]*Route // longest prefix first
+	// Memory is the number of tokens that a replica of a service holds, where the
+	// configuration names it. It must not be changed.
+	Memory map[core.DeploymentID]int
+	byHost map[string][]*Route // longest prefix first
 }
 
 // NewTable returns a table of the given routes. Of two routes with the same host
