Ask callers for the key of their organisation

Cause: requests ran whoever sent them, replicas got the key and whatever organisation the caller named, and any caller could read, repeat and end the jobs of all others. Change: with organisations in the configuration, a request on a route that is not public needs a valid key (401), looked up once per request in the configuration in force. Replicas get the organisation at each send (first, repeat, resumed, standby, item) and never the key. The record of a job carries its organisation; later calls need a key of it. The limit on waiting tokens is that of each organisation. Placement queries carry organisation, priority and whether the request may be repeated; an admitted request that no replica ran gives its use back. Fixtures of items' tests get an empty routing table, which the executor reads now.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -78,6 +78,7 @@
 		ID: r.reqInfo.ID, Method: r.in.Method, Target: r.in.RequestURI, Host: r.in.Host,
 		Header: r.h.Codec.ReplicaHeader(r.in.Header, SendOptions{
 			Remaining: r.deadline.Sub(a.sent), Replica: a.replica.Info().ID, ResumeAfter: a.resumeAfter,
+			Identified: r.reqInfo.Identified, Org: r.reqInfo.Org,
 		}),
 		Body: r.body, HasBody: r.in.ContentLength != 0 || len(r.body) > 0,
 		MatchResponse: r.h.Codec.ResponseMatcher(r.reqInfo.ID),
--- a/internal/forward/codec.go
+++ b/internal/forward/codec.go
@@ -39,6 +39,10 @@
 	// ResumeAfter is the ID of the last event that the caller has received, or
 	// NoResume to run the request from the start.
 	ResumeAfter int64
+	// Identified is set if the configuration names organisations. The replica is then
+	// told Org, or none if it is empty, whatever the caller has sent, and no key.
+	Identified bool
+	Org        core.Org
 }
 
 // NoResume is the value of ResumeAfter for a request that runs from the start.
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -56,6 +56,8 @@
 	// Submit accepts a batch job. The request body was read before the call.
 	Submit func(w http.ResponseWriter, in *http.Request, reqInfo *RequestInfo, route *routetable.Route, body []byte) Outcome
 	Placer Placer
+	// Keys decides by their keys which callers are served.
+	Keys *KeyGate
 	// Quota admits requests by the limits of their organisations. It is nil if none are
 	// limited.
 	Quota Quota
@@ -80,7 +82,11 @@
 	reqInfo       RequestInfo
 	route         *routetable.Route
 	configVersion int64
-	body          []byte
+	// org is the organisation of the caller, or nil. quota is its decision on the
+	// request, if it is limited.
+	org   *routetable.Organisation
+	quota QuotaDecision
+	body  []byte
 	// parts are the parts of the prompt, and one that identifies the request.
 	parts []quarantine.Part
 	// identity is the same for each attempt of the caller.
@@ -160,11 +166,16 @@
 		refuse(w, http.StatusNotFound, "no_route", 0)
 		return
 	}
-	r := &request{h: h, w: w, in: in, reqInfo: reqInfo, parts: reqInfo.PromptParts, route: route, configVersion: table.Version, arrived: arrived, lastProgress: arrived, outcome: OutcomeBroken}
+	org, ok := h.Keys.Admit(w, table, route, &reqInfo, arrived)
+	if !ok {
+		return
+	}
+	r := &request{h: h, w: w, in: in, reqInfo: reqInfo, parts: reqInfo.PromptParts, route: route, org: org, configVersion: table.Version, arrived: arrived, lastProgress: arrived, outcome: OutcomeBroken}
 	r.deadline = arrived.Add(r.timeout())
-	if r.refuseStopping(arrived) || r.refuseQuarantined() {
+	if r.refuseStopping(arrived) || r.refuseQuarantined() || r.refuseOverLimit(arrived) {
 		return
 	}
+	defer r.returnQuota()
 	if r.body, err = readBody(w, in, table.Limits, r.deadline); err != nil {
 		r.refuseBody(err)
 		return
--- a/internal/forward/requestinfo.go
+++ b/internal/forward/requestinfo.go
@@ -26,4 +26,8 @@
 	OnlyReplica core.ReplicaID
 	// Key is the key of the caller, or empty. It must not be logged or sent on.
 	Key string
+	// Identified is set by the Handler if the configuration names organisations. Org is
+	// then that of the caller, or empty if the route is public and the caller has none.
+	Identified bool
+	Org        core.Org
 }
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -21,6 +21,9 @@
 	minRemaining = 20 * time.Millisecond
 	// firstTokenTime is how long before its caller gives up a request must get a slot.
 	firstTokenTime = 50 * time.Millisecond
+	// organisationWeight is the weight of each organisation among those whose requests
+	// wait: the configuration names none, so all are equal.
+	organisationWeight = 1
 	// defaultObjective is the objective of a route that sets none.
 	defaultObjective = 300 * time.Millisecond
 )
@@ -53,6 +56,7 @@
 	query := &placement.Query{
 		Tried: r.tried, Arrived: r.arrived,
 		Objective: r.objective(), MaxWait: r.maxWait(r.lastProgress), Urgent: r.headerSent || r.takesUp(), Identity: r.identity,
+		Org: r.reqInfo.Org, Weight: organisationWeight, Priority: r.route.PriorityFor(r.org), Repeatable: r.route.Retryable(),
 	}
 	if r.begunAt != nil {
 		query.Service, query.Version = r.begunAt.Service, &r.begunAt.Version
--- a/internal/jobs/commit_test.go
+++ b/internal/jobs/commit_test.go
@@ -36,7 +36,7 @@
 	rows := infratest.NewRows()
 	s := &store{table: rows, objects: infratest.NewObjects()}
 	log := slog.New(slog.DiscardHandler)
-	exec := &Executor{Codec: plainCodec{}, Routes: &atomic.Pointer[routetable.Table]{}, Log: log}
+	exec := &Executor{Codec: plainCodec{}, Routes: noRoutes(), Log: log}
 	cache := NewJobCache(log)
 	id, lifetime, _ := strings.Cut(owner, "/")
 	self := nodes.Record{ID: core.NodeID(id), Lifetime: lifetime}
@@ -179,3 +179,6 @@
 	f.rows.SetFaultPlan(infratest.FaultPlan{Down: true})
 	f.Expect(intake.Submit(t.Context(), sub, route, time.Second)).To(gomega.Equal(SubmitUnavailable))
 }
+
+// noRoutes is the routing configuration of a node that has not read one yet.
+func noRoutes() *atomic.Pointer[routetable.Table] { return &atomic.Pointer[routetable.Table]{} }
--- a/internal/jobs/emptyrun_test.go
+++ b/internal/jobs/emptyrun_test.go
@@ -45,7 +45,7 @@
 	g := gomega.NewWithT(t)
 	registry := replica.NewRegistry()
 	registry.Put(replica.Info{ID: "i-1", Service: "m", Address: lostEndEngine(t).Listener.Addr().String(), Slots: 8})
-	exec := &Executor{Codec: resumeCodec{}, Log: slog.New(slog.DiscardHandler)}
+	exec := &Executor{Codec: resumeCodec{}, Routes: noRoutes(), Log: slog.New(slog.DiscardHandler)}
 	w := taskDue("x", time.Hour, 10, 0)
 	w.item.Path, w.lastEvent = "/b/x", forward.NoResume
 	var outcomes []runOutcome
--- a/internal/jobs/executor.go
+++ b/internal/jobs/executor.go
@@ -160,7 +160,7 @@
 	}
 	response, err := target.Send(ctx, &replica.Request{
 		ID: task.item.ID, Method: http.MethodPost, Target: task.item.Path, Host: task.job.entry.Host,
-		Header: e.Codec.ReplicaHeader(task.item.header(), forward.SendOptions{Replica: info.ID, ResumeAfter: task.lastEvent}),
+		Header: e.Codec.ReplicaHeader(task.item.header(), e.sendOptions(task, info.ID)),
 		Body:   task.item.Body, HasBody: true, MatchResponse: e.Codec.ResponseMatcher(task.item.ID),
 	})
 	if err != nil {
--- a/internal/jobs/executor_test.go
+++ b/internal/jobs/executor_test.go
@@ -40,7 +40,7 @@
 			registry := replica.NewRegistry()
 			registry.Put(replica.Info{ID: "i-1", Service: "m", Address: server.Listener.Addr().String(), Slots: 8})
 			target := registry.Get("i-1")
-			exec := &Executor{Codec: signedCodec{}, Log: slog.New(slog.DiscardHandler)}
+			exec := &Executor{Codec: signedCodec{}, Routes: noRoutes(), Log: slog.New(slog.DiscardHandler)}
 			w := taskDue("x", time.Hour, 10, 0)
 			w.item.Path, w.lastEvent = "/b/x", forward.NoResume
 			g.Expect(exec.run(context.Background(), w, target)).To(gomega.Equal(want.outcome))
--- a/internal/jobs/intake.go
+++ b/internal/jobs/intake.go
@@ -9,6 +9,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"gentiantide.example/gentiantide/internal/core"
 	"gentiantide.example/gentiantide/internal/infra"
 	"gentiantide.example/gentiantide/internal/routetable"
 )
@@ -25,6 +26,8 @@
 	// SubmitUnavailable means that the store is unavailable. None of the job's
 	// items will run.
 	SubmitUnavailable SubmitOutcome = "away"
+	// SubmitForeign means that the ID is that of a job that the caller may not see.
+	SubmitForeign SubmitOutcome = "foreign"
 	// SubmitUnknown means that the job may or may not have been stored.
 	SubmitUnknown SubmitOutcome = "unknown"
 )
@@ -46,8 +49,9 @@
 	// onAccepted is called with each accepted job that this node is to execute.
 	onAccepted func(Entry, []Item)
 
-	mu      sync.Mutex
-	pending int64 // tokens of submissions that this node is storing
+	mu sync.Mutex
+	// pending are the tokens of submissions that this node is storing, by organisation.
+	pending map[core.Org]int64
 	serial  uint64
 }
 
@@ -56,40 +60,48 @@
 // answer, it is retried until its outcome is known or ctx ends.
 func (in *Intake) Submit(ctx context.Context, sub *Submission, route *routetable.Route, retryFor time.Duration) SubmitOutcome {
 	deadline := time.Now().Add(retryFor)
-	if _, known := in.cache.Get(sub.ID); known {
-		return SubmitAccepted
+	if entry, known := in.cache.Get(sub.ID); known {
+		return in.known(sub, &entry.Record)
 	}
 	tokens := sub.Tokens()
-	if !in.reserve(route, tokens) {
+	if !in.reserve(sub, route, tokens) {
 		return in.rejectFull(ctx, sub, route)
 	}
-	defer in.release(tokens)
+	defer in.release(sub.Access.Org, tokens)
 	record, err := in.storeItems(ctx, sub, route, deadline)
 	if err != nil {
 		in.log.Warn("job items not stored", "job", sub.ID, "error", err)
 		return SubmitUnavailable
 	}
-	return in.insert(ctx, record, sub.Items, deadline)
+	return in.insert(ctx, sub, record, deadline)
 }
 
-// reserve counts the tokens as pending if they fit the route's limit.
-func (in *Intake) reserve(route *routetable.Route, tokens int64) bool {
+// reserve counts the tokens as pending if they fit the route's limit, which applies to
+// each organisation, or to all callers together if the configuration names none.
+func (in *Intake) reserve(sub *Submission, route *routetable.Route, tokens int64) bool {
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	if route.MaxQueuedTokens > 0 {
-		waiting := in.cache.OpenTokens(func(e *Entry) bool { return e.Host == route.Host })
-		if waiting+in.pending+tokens > int64(float64(route.MaxQueuedTokens)*queueLimitFraction) {
+		waiting := in.cache.OpenTokens(func(e *Entry) bool {
+			return e.Host == route.Host && (!sub.Access.Limited || e.Org == sub.Access.Org)
+		})
+		if waiting+in.pending[sub.Access.Org]+tokens > int64(float64(route.MaxQueuedTokens)*queueLimitFraction) {
 			return false
 		}
 	}
-	in.pending += tokens
+	if in.pending == nil {
+		in.pending = make(map[core.Org]int64)
+	}
+	in.pending[sub.Access.Org] += tokens
 	return true
 }
 
-func (in *Intake) release(tokens int64) {
+func (in *Intake) release(org core.Org, tokens int64) {
 	in.mu.Lock()
-	in.pending -= tokens
-	in.mu.Unlock()
+	defer in.mu.Unlock()
+	if in.pending[org] -= tokens; in.pending[org] == 0 {
+		delete(in.pending, org)
+	}
 }
 
 // rejectFull rejects a job that exceeds the limit, unless the job is already
@@ -99,9 +111,9 @@
 	switch {
 	case err == nil:
 		in.cache.Update(&entry.Record, entry.Version)
-		return SubmitAccepted
+		return in.known(sub, &entry.Record)
 	case errors.Is(err, infra.ErrNotFound):
-		in.log.Info("job refused", "job", sub.ID, "reason", "limit on queued tokens exceeded", "tokens", sub.Tokens(), "bound", route.MaxQueuedTokens)
+		in.log.Info("job refused", "job", sub.ID, "organisation", sub.Access.Org, "reason", "limit on queued tokens exceeded", "tokens", sub.Tokens(), "bound", route.MaxQueuedTokens)
 		return SubmitQueueFull
 	default:
 		in.log.Info("job refused", "job", sub.ID, "reason", "limit on queued tokens may be exceeded and the store is unavailable", "error", err)
@@ -124,7 +136,7 @@
 		return nil, err
 	}
 	record := &Record{
-		ID: sub.ID, Host: sub.Host, Path: sub.Path, State: StateOpen, Owner: in.owner,
+		ID: sub.ID, Host: sub.Host, Org: sub.Access.Org, Path: sub.Path, State: StateOpen, Owner: in.owner,
 		Object: in.objectName(sub.ID), Config: in.configVersion(), Total: len(sub.Items), Tokens: sub.Tokens(),
 		Accepted: now, Due: now + route.DueAfter, AbandonAt: now + route.AbandonAfter,
 	}
@@ -138,17 +150,17 @@
 
 // insert writes the job row and retries with the same row until the outcome is
 // known, because a rejected submission guarantees that the job never runs.
-func (in *Intake) insert(ctx context.Context, record *Record, items []Item, deadline time.Time) SubmitOutcome {
+func (in *Intake) insert(ctx context.Context, sub *Submission, record *Record, deadline time.Time) SubmitOutcome {
 	unknown := false
 	for {
 		version, err := in.store.put(ctx, record, 0)
 		var conflict *infra.RowConflict
 		switch {
 		case err == nil:
-			in.jobAccepted(record, version, items)
+			in.jobAccepted(record, version, sub.Items)
 			return SubmitAccepted
 		case errors.As(err, &conflict):
-			return in.resolveConflict(conflict, record, items)
+			return in.resolveConflict(conflict, sub, record)
 		}
 		unknown = unknown || !errors.Is(err, infra.ErrUnavailable)
 		expired := !unknown && time.Now().After(deadline)
@@ -164,7 +176,7 @@
 
 // resolveConflict accepts a job whose row already exists, whether this node or
 // another one wrote it.
-func (in *Intake) resolveConflict(conflict *infra.RowConflict, record *Record, items []Item) SubmitOutcome {
+func (in *Intake) resolveConflict(conflict *infra.RowConflict, sub *Submission, record *Record) SubmitOutcome {
 	row, ok := conflict.Find(jobKey(record.ID))
 	if !ok {
 		return SubmitUnknown
@@ -175,11 +187,20 @@
 		return SubmitUnknown
 	}
 	if entry.Object == record.Object { // an earlier write by this node whose answer was lost
-		in.jobAccepted(&entry.Record, entry.Version, items)
+		in.jobAccepted(&entry.Record, entry.Version, sub.Items)
 		return SubmitAccepted
 	}
 	in.cache.Update(&entry.Record, entry.Version)
-	return SubmitAccepted
+	return in.known(sub, &entry.Record)
+}
+
+// known returns the outcome of a submission whose ID is that of a stored job.
+func (in *Intake) known(sub *Submission, record *Record) SubmitOutcome {
+	if sub.Access.allows(record) {
+		return SubmitAccepted
+	}
+	in.log.Info("job refused", "job", sub.ID, "organisation", sub.Access.Org, "reason", "another organisation has a job with this ID")
+	return SubmitForeign
 }
 
 // jobAccepted caches the job row and calls onAccepted if this node is the owner
--- a/internal/jobs/item.go
+++ b/internal/jobs/item.go
@@ -27,6 +27,17 @@
 	Host  string
 	Path  string
 	Items []Item
+	// Access is what the caller may see. The job belongs to its organisation.
+	Access Access
+}
+
+// DropHeaders removes headers from all items.
+func (s *Submission) DropHeaders(names ...string) {
+	for i := range s.Items {
+		for _, name := range names {
+			delete(s.Items[i].Header, name)
+		}
+	}
 }
 
 // Tokens returns the total tokens of all items.
--- a/internal/jobs/itemoutput_test.go
+++ b/internal/jobs/itemoutput_test.go
@@ -68,7 +68,7 @@
 		t.Run(name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
 			target, sent := endlessEngine(t, event)
-			exec := &Executor{Codec: signedCodec{}, Log: slog.New(slog.DiscardHandler)}
+			exec := &Executor{Codec: signedCodec{}, Routes: noRoutes(), Log: slog.New(slog.DiscardHandler)}
 			w := taskDue("x", time.Hour, 10, 0)
 			w.item.Path, w.lastEvent = "/b/x", forward.NoResume
 			before := liveHeap()
@@ -98,7 +98,7 @@
 	// As in the daemon, which gives the collector half of the memory.
 	defer debug.SetMemoryLimit(debug.SetMemoryLimit(smallestVM / 2))
 	target, _ := endlessEngine(t, endlessEvents["without data"])
-	exec := &Executor{Codec: signedCodec{}, Log: slog.New(slog.DiscardHandler)}
+	exec := &Executor{Codec: signedCodec{}, Routes: noRoutes(), Log: slog.New(slog.DiscardHandler)}
 	before := liveHeap()
 	var running atomic.Int64
 	for range 16 {
@@ -129,7 +129,7 @@
 	engine := newVersionEngine(t, "v1")
 	registry := replica.NewRegistry()
 	registry.Put(engine.info())
-	exec := &Executor{Codec: resumeCodec{}, Log: slog.New(slog.DiscardHandler)}
+	exec := &Executor{Codec: resumeCodec{}, Routes: noRoutes(), Log: slog.New(slog.DiscardHandler)}
 	w := taskDue("x", time.Hour, 10, 0)
 	w.item.Path, w.lastEvent = "/b/x", forward.NoResume
 	g.Expect(exec.run(context.Background(), w, faulty)).To(gomega.Equal(outcomeBroken))
--- a/internal/jobs/reader.go
+++ b/internal/jobs/reader.go
@@ -23,6 +23,8 @@
 	store    *store
 	cache    *JobCache
 	jobItems *itemCache
+	// access is what the caller may see. The zero value is that of operators, who see all.
+	access Access
 }
 
 // Results returns the results from a position on. Errors: infra.ErrNotFound,
@@ -91,18 +93,6 @@
 	return nil, infra.ErrNotFound
 }
 
-// entry returns the job row from the cache or, failing that, from the table.
-func (r *Reader) entry(ctx context.Context, job string) (Entry, error) {
-	if entry, ok := r.cache.Get(job); ok {
-		return entry, nil
-	}
-	entry, err := r.store.job(ctx, job)
-	if err == nil {
-		r.cache.Update(&entry.Record, entry.Version)
-	}
-	return entry, err
-}
-
 // Cancel cancels a job. Results that are already listed stay listed. A job that
 // is not open is left as it is. Errors: infra.ErrNotFound,
 // infra.ErrUnavailable, infra.ErrOutcomeUnknown.
@@ -121,13 +111,13 @@
 			}
 		}
 		if errors.Is(err, infra.ErrConflict) {
-			entry, err = r.store.job(ctx, job)
+			entry, err = r.stored(ctx, job)
 			continue
 		}
 		if !retryable(err) || !sleep(ctx, retryDelay) {
 			return err
 		}
-		entry, err = r.store.job(ctx, job)
+		entry, err = r.stored(ctx, job)
 	}
 }
 
--- a/internal/jobs/record.go
+++ b/internal/jobs/record.go
@@ -1,13 +1,20 @@
 package jobs
 
-import "time"
+import (
+	"time"
+
+	"gentiantide.example/gentiantide/internal/core"
+)
 
 // Record is the content of a job row.
 type Record struct {
-	ID    string `msgpack:"id"`
-	Host  string `msgpack:"host"`
-	Path  string `msgpack:"path"`
-	State State  `msgpack:"state"`
+	ID   string `msgpack:"id"`
+	Host string `msgpack:"host"`
+	// Org is the organisation that submitted the job. It is empty if the configuration
+	// named none, or if the route is public and the caller had no key.
+	Org   core.Org `msgpack:"org,omitempty"`
+	Path  string   `msgpack:"path"`
+	State State    `msgpack:"state"`
 	// Owner identifies the node process that executes the items; see
 	// nodes.Record.Owner.
 	Owner string `msgpack:"owner"`
--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -207,6 +207,7 @@
 		r.searches[key]++
 		q := key.query()
 		q.Arrived, q.MaxWait, q.DueIn, q.Late = now, searchTimeout, task.job.entry.Due-clock, !r.meanTokenTime.canMeetDue(task, clock)
+		q.Org, q.Weight, q.Priority, q.Repeatable = task.job.entry.Org, organisationWeight, r.exec.priority(task, route), true
 		go r.placeNext(key, q)
 	}
 }
--- a/internal/jobs/software_test.go
+++ b/internal/jobs/software_test.go
@@ -185,7 +185,7 @@
 				info.Version = "v2"
 				registry.Put(info)
 			}
-			exec := &Executor{Codec: resumeCodec{}, Log: slog.New(slog.DiscardHandler)}
+			exec := &Executor{Codec: resumeCodec{}, Routes: noRoutes(), Log: slog.New(slog.DiscardHandler)}
 			task := taskDue("x", time.Hour, 10, 0)
 			task.item.Path, task.lastEvent = "/b/x", 1
 			task.output, task.begunAt = newItemOutput([][]byte{[]byte("v1 1")}), softwareOf("v1")
--- a/internal/jobs/suspect_test.go
+++ b/internal/jobs/suspect_test.go
@@ -87,7 +87,7 @@
 			}
 			registry := replica.NewRegistry()
 			registry.Put(replica.Info{ID: "i-1", Service: "m", Address: server.Listener.Addr().String(), Slots: 8})
-			exec := &Executor{Codec: resumeCodec{}, Log: slog.New(slog.DiscardHandler)}
+			exec := &Executor{Codec: resumeCodec{}, Routes: noRoutes(), Log: slog.New(slog.DiscardHandler)}
 			w := taskDue("x", time.Hour, 10, 0)
 			w.item.Path, w.lastEvent = "/b/x", forward.NoResume
 			if c.begun {
--- a/internal/platformnode/node.go
+++ b/internal/platformnode/node.go
@@ -69,6 +69,7 @@
 	quarantine   *quarantine.Service
 	versions     *streamversion.Service
 	forward      *forward.Handler
+	keys         *forward.KeyGate
 	counters     *forward.Counters
 	configGauges *configGauges
 	// limitedReplicas is the number of replicas that name a limit.
@@ -135,11 +136,12 @@
 		Placer: n.placer, Registry: n.registry, Messenger: n.peers,
 		Executor: &jobs.Executor{Codec: platform.HeaderCodec{}, Routes: &n.configs.Table, Quarantine: n.quarantine, Log: log},
 	})
-	n.jobsAPI = &platform.JobsAPI{Jobs: n.jobs}
 	n.counters = forward.NewCounters(scope)
 	n.configGauges = newConfigGauges(scope)
 	n.limitedReplicas = scope.Gauge("replicas_limited")
 	n.configWatcher = n.configs.Watcher(n.store)
+	n.keys = &forward.KeyGate{Age: n.configAge, TrustFor: settings.KeyTrust, Log: log}
+	n.jobsAPI = &platform.JobsAPI{Jobs: n.jobs, Routes: &n.configs.Table, Keys: n.keys}
 	registrations := n.replicas.Watcher(n.store, platform.ReplicaTable)
 	self := n.nodes.Self()
 	n.versions = streamversion.New(streamversion.Options{
@@ -147,7 +149,7 @@
 		Self: self.Owner(), LongestLife: n.longestStream, Log: log, Scope: scope,
 	})
 	n.forward = &forward.Handler{
-		Codec: platform.HeaderCodec{}, Placer: n.placer, Routes: &n.configs.Table, RoutesAge: n.configWatcher.ContactAge,
+		Codec: platform.HeaderCodec{}, Placer: n.placer, Routes: &n.configs.Table, RoutesAge: n.configAge, Keys: n.keys,
 		Registered: func(id core.ReplicaID) bool { return n.registry.Get(id) != nil },
 		Submit:     n.jobsAPI.Submit, Quarantine: n.quarantine, Versions: n.versions, Stop: forward.NewStop(), Log: log, Counters: n.counters,
 	}
--- a/internal/routetable/route.go
+++ b/internal/routetable/route.go
@@ -52,6 +52,15 @@
 	return r.Kind == KindSafe || r.CanResume && (r.Kind == KindStream || r.Kind == KindBatch)
 }
 
+// PriorityFor returns the rank of the requests of an organisation, or of callers without
+// one if it is nil.
+func (r *Route) PriorityFor(org *Organisation) int {
+	if org != nil && org.Priority != nil {
+		return *org.Priority
+	}
+	return r.Priority
+}
+
 // Backend is a service that serves a route. Its share of the requests is
 // proportional to Weight.
 type Backend struct {
