Learn of taken keys from peers while the store does not answer

Cause: a node that is cut off from the store keeps its configuration, and with it keys that were taken away, for as long as the cut lasts. Only a starting node asked its peers. With fail-closed, requests that need a key get 503 once nobody has confirmed the configuration for revoke-ms.

--- a/internal/platformnode/node.go
+++ b/internal/platformnode/node.go
@@ -81,6 +81,7 @@
 	// configuration, the replicas and the versions of the services.
 	routingWatchers []*watch.Watcher
 	configWatcher   *watch.Watcher
+	confirmation    confirmation
 	jobWatcher      *watch.Watcher
 	stopping        atomic.Bool
 }
@@ -119,6 +120,7 @@
 	n.peers = peer.New(settings.Node, log)
 	n.peers.ContainPanics()
 	n.peers.Handle(kindTableCopy, n.serveTableCopy)
+	n.peers.Handle(kindConfig, n.serveConfig)
 	scope, handler, closer := metrics.New()
 	n.scope, n.metrics, n.metricsCloser = scope, handler, closer
 	n.quarantine = quarantine.New(quarantine.Options{
@@ -182,6 +184,7 @@
 		go w.Run(ctx)
 	}
 	go n.bootstrapFromPeers(ctx)
+	go n.followPeersConfig(ctx)
 	go n.nodes.Run(ctx)
 	go n.jobs.Run(ctx)
 	go n.placer.Run(ctx)
@@ -282,13 +285,20 @@
 // lease serves without them.
 func (n *Node) readiness(w http.ResponseWriter, _ *http.Request) {
 	knowsNodes := n.placer.KnowsNodes() || n.nodes.Failing()
-	if n.stopping.Load() || n.configs.Table.Load() == nil || len(n.registry.All()) == 0 || !knowsNodes {
+	if n.stopping.Load() || !n.decidesOnKeys() || len(n.registry.All()) == 0 || !knowsNodes {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	w.WriteHeader(http.StatusOK)
 }
 
+// decidesOnKeys reports whether the node knows a configuration, and one that it may still
+// trust if callers need keys.
+func (n *Node) decidesOnKeys() bool {
+	table := n.configs.Table.Load()
+	return table != nil && (table.Organisations == nil || n.keys.Trusted(time.Now()))
+}
+
 // monitor periodically updates the gauges, closes idle connections to replicas,
 // checks the health of the replicas and reports those that have become unreachable
 // to the other nodes.
--- a/internal/watch/watcher.go
+++ b/internal/watch/watcher.go
@@ -250,6 +250,24 @@
 	return true
 }
 
+// Adopt merges the rows of a peer's copy that are newer than the known ones, and passes
+// them to the handler. It reports whether there were any. The change feed brings them
+// later, or a read of the table.
+func (w *Watcher) Adopt(rows []infra.VersionedRow) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	rows = slices.DeleteFunc(rows, func(row infra.VersionedRow) bool {
+		return row.Table != w.Table || !slices.Contains(w.Partitions, row.Partition) || row.Version <= w.rows[row.RowKey].Version
+	})
+	if len(rows) == 0 {
+		return false
+	}
+	w.mergeRows(rows)
+	w.changed(rows)
+	w.dropValues(rows)
+	return true
+}
+
 // load reads all partitions. Changes are then followed from the lowest version of
 // these reads. A read that is older than the known state is ignored, so that the
 // copy never goes back in time.
