Count waiting tokens of items, not of whole jobs, and list organisations for operators

Cause: a job counted for its organisation's limit with all its tokens until its last item was done, at all nodes; operators saw nothing of organisations.

--- a/internal/forward/keygate.go
+++ b/internal/forward/keygate.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"gentiantide.example/gentiantide/internal/core"
 	"gentiantide.example/gentiantide/internal/routetable"
 )
@@ -31,6 +33,8 @@
 	// without an end.
 	TrustFor time.Duration
 	Log      *slog.Logger
+	// Scope has the counter of refusals, by reason.
+	Scope tally.Scope
 }
 
 // keyVerdict is the decision on a caller.
@@ -95,6 +99,7 @@
 	}
 	g.Log.Info("request refused", "request", request, "reason", reason, "key", KeyDigest(key), "route", route,
 		"config", table.Version, "config_confirmed", known, "config_age_ms", age.Milliseconds())
+	g.Scope.Tagged(map[string]string{"reason": reason}).Counter("key_refusals").Inc(1)
 	refuse(w, status, reason, retryAfter)
 	return false
 }
--- a/internal/forward/keygate_test.go
+++ b/internal/forward/keygate_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/onsi/gomega"
+	"github.com/uber-go/tally/v4"
 
 	"gentiantide.example/gentiantide/internal/routetable"
 )
@@ -52,7 +53,7 @@
 	var log bytes.Buffer
 	gate := &KeyGate{
 		Age: func(time.Time) (time.Duration, bool) { return time.Second, true },
-		Log: slog.New(slog.NewTextHandler(&log, nil)),
+		Log: slog.New(slog.NewTextHandler(&log, nil)), Scope: tally.NoopScope,
 	}
 	w := httptest.NewRecorder()
 	_, ok := gate.Admit(w, table, &routetable.Route{Name: "seats"}, &RequestInfo{ID: "id-1", Key: key}, time.Now())
--- a/internal/httpapi/operators/server.go
+++ b/internal/httpapi/operators/server.go
@@ -29,6 +29,9 @@
 	Dump func() any
 	// Quarantine is nil on a node without one.
 	Quarantine Quarantine
+	// Organisations returns the organisations of the configuration. It is nil on a node
+	// whose configuration names none.
+	Organisations func(context.Context) OrganisationList
 	// Metrics serves the metrics as text; nil: there is no metrics endpoint.
 	Metrics http.Handler
 	// Version is the program's version.
@@ -56,6 +59,7 @@
 	mux.HandleFunc("GET /admin/v1/dump", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, s.Dump()) })
 	mux.HandleFunc("GET /admin/v1/version", s.version)
 	s.registerQuarantine(mux)
+	s.registerOrganisations(mux, s.Organisations)
 	if s.Metrics != nil {
 		mux.Handle("GET /admin/v1/metrics", s.Metrics)
 	}
--- a/internal/jobs/intake.go
+++ b/internal/jobs/intake.go
@@ -46,6 +46,9 @@
 	// configVersion returns the version of the configuration that this node has.
 	configVersion func() int64
 	log           *slog.Logger
+	// waitingOf returns the waiting tokens of those open jobs for which they are known now,
+	// in place of all their tokens. If nil, they are known for none.
+	waitingOf func(ctx context.Context, open []Entry) map[string]int64
 	// onAccepted is called with each accepted job that this node is to execute.
 	onAccepted func(Entry, []Item)
 
@@ -64,7 +67,7 @@
 		return in.known(sub, &entry.Record)
 	}
 	tokens := sub.Tokens()
-	if !in.reserve(sub, route, tokens) {
+	if !in.reserve(sub, route, tokens, nil) && !in.reserveExactly(ctx, sub, route, tokens) {
 		return in.rejectFull(ctx, sub, route)
 	}
 	defer in.release(sub.Access.Org, tokens)
@@ -77,14 +80,20 @@
 }
 
 // reserve counts the tokens as pending if they fit the route's limit, which applies to
-// each organisation, or to all callers together if the configuration names none.
-func (in *Intake) reserve(sub *Submission, route *routetable.Route, tokens int64) bool {
+// each organisation, or to all callers together if the configuration names none. A job
+// counts with its tokens that still wait, or with all if that is not known.
+func (in *Intake) reserve(sub *Submission, route *routetable.Route, tokens int64, waitingOf map[string]int64) bool {
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	if route.MaxQueuedTokens > 0 {
-		waiting := in.cache.OpenTokens(func(e *Entry) bool {
-			return e.Host == route.Host && (!sub.Access.Limited || e.Org == sub.Access.Org)
-		})
+		waiting := int64(0)
+		for _, e := range in.openJobs(sub, route) {
+			if rest, known := waitingOf[e.ID]; known {
+				waiting += rest
+			} else {
+				waiting += e.Tokens
+			}
+		}
 		if waiting+in.pending[sub.Access.Org]+tokens > int64(float64(route.MaxQueuedTokens)*queueLimitFraction) {
 			return false
 		}
@@ -96,6 +105,22 @@
 	return true
 }
 
+// openJobs returns the open jobs that count for the limit of a submission.
+func (in *Intake) openJobs(sub *Submission, route *routetable.Route) []Entry {
+	return in.cache.Select(func(e *Entry) bool {
+		return e.State == StateOpen && e.Host == route.Host && (!sub.Access.Limited || e.Org == sub.Access.Org)
+	})
+}
+
+// reserveExactly is reserve by what the owners of the open jobs say of them. It is used if
+// the configuration names organisations.
+func (in *Intake) reserveExactly(ctx context.Context, sub *Submission, route *routetable.Route, tokens int64) bool {
+	if !sub.Access.Limited || in.waitingOf == nil {
+		return false
+	}
+	return in.reserve(sub, route, tokens, in.waitingOf(ctx, in.openJobs(sub, route)))
+}
+
 func (in *Intake) release(org core.Org, tokens int64) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
--- a/internal/jobs/jobcache.go
+++ b/internal/jobs/jobcache.go
@@ -133,17 +133,3 @@
 	}
 	return out
 }
-
-// OpenTokens returns the total tokens of the open jobs for which accept returns
-// true. Accept must take no lock, as for Select.
-func (c *JobCache) OpenTokens(accept func(*Entry) bool) int64 {
-	c.mu.RLock()
-	defer c.mu.RUnlock()
-	var sum int64
-	for _, e := range c.entries {
-		if e.State == StateOpen && accept(&e) {
-			sum += e.Tokens
-		}
-	}
-	return sum
-}
--- a/internal/jobs/service.go
+++ b/internal/jobs/service.go
@@ -53,6 +53,7 @@
 	claimer  *orphanClaimer
 	sweep    *sweeper
 	nodes    *nodes.Directory
+	waiting  *waitingTokens
 	// handovers is nil without a messenger.
 	handovers *handovers
 }
@@ -76,7 +77,10 @@
 	}
 	service.sweep = &sweeper{store: s, cache: cache, claimer: service.claimer, clock: o.Clock, retention: o.JobRetention}
 	cache.Notify = runner.RowsChanged
+	service.waiting = &waitingTokens{runner: runner, messenger: o.Messenger, view: o.Nodes.View}
+	service.Intake.waitingOf = service.waiting.of
 	if o.Messenger != nil {
+		o.Messenger.Handle(kindWaiting, service.waiting.handle)
 		service.handovers = &handovers{runner: runner, messenger: o.Messenger, view: o.Nodes.View}
 		o.Messenger.Handle(kindOffer, service.handovers.handleOffer)
 		o.Messenger.Handle(kindHandover, service.handovers.handleHandover)
@@ -113,6 +117,29 @@
 	return s.Intake.Submit(ctx, sub, route, retryFor)
 }
 
+// Waiting are the open jobs of an organisation, and the tokens of their items without a
+// result.
+type Waiting struct {
+	Jobs   int
+	Tokens int64
+}
+
+// WaitingByOrganisation returns the open jobs by organisation. Owners of jobs that do not
+// answer count with all tokens.
+func (s *Service) WaitingByOrganisation(ctx context.Context) map[core.Org]Waiting {
+	open := s.JobCache.Select(func(e *Entry) bool { return e.State == StateOpen })
+	known := s.waiting.of(ctx, open)
+	out := make(map[core.Org]Waiting)
+	for i := range open {
+		w, tokens := out[open[i].Org], open[i].Tokens
+		if rest, ok := known[open[i].ID]; ok {
+			tokens = rest
+		}
+		out[open[i].Org] = Waiting{Jobs: w.Jobs + 1, Tokens: w.Tokens + tokens}
+	}
+	return out
+}
+
 // Preempt preempts an item to free a slot for online work; see Runner.Preempt.
 func (s *Service) Preempt(r *replica.Replica) bool { return s.runner.Preempt(r) }
 
--- a/internal/platformnode/node.go
+++ b/internal/platformnode/node.go
@@ -142,7 +142,7 @@
 	n.configGauges = newConfigGauges(scope)
 	n.limitedReplicas = scope.Gauge("replicas_limited")
 	n.configWatcher = n.configs.Watcher(n.store)
-	n.keys = &forward.KeyGate{Age: n.configAge, TrustFor: settings.KeyTrust, Log: log}
+	n.keys = &forward.KeyGate{Age: n.configAge, TrustFor: settings.KeyTrust, Log: log, Scope: scope}
 	n.jobsAPI = &platform.JobsAPI{Jobs: n.jobs, Routes: &n.configs.Table, Keys: n.keys}
 	registrations := n.replicas.Watcher(n.store, platform.ReplicaTable)
 	self := n.nodes.Self()
--- a/internal/platformnode/statedump.go
+++ b/internal/platformnode/statedump.go
@@ -17,8 +17,10 @@
 	// ConfigAgeMS is the time since the store last confirmed the configuration, or -1
 	// if it has not.
 	ConfigAgeMS int64 `json:"config_age_ms"`
-	Stopping    bool  `json:"stopping"`
-	InFlight    int64 `json:"in_flight"`
+	// ConfigConfirmedAgeMS is the same if peers that had it from the store count, too.
+	ConfigConfirmedAgeMS int64 `json:"config_confirmed_age_ms"`
+	Stopping             bool  `json:"stopping"`
+	InFlight             int64 `json:"in_flight"`
 	// Panics is the number of panics that were contained since the start.
 	Panics       int64         `json:"panics"`
 	StoreClockMS int64         `json:"store_clock_ms"`
@@ -61,6 +63,10 @@
 	if age, ok := n.configWatcher.ContactAge(now); ok {
 		state.ConfigAgeMS = age.Milliseconds()
 	}
+	state.ConfigConfirmedAgeMS = -1
+	if age, ok := n.configAge(now); ok {
+		state.ConfigConfirmedAgeMS = age.Milliseconds()
+	}
 	state.Jobs, state.ItemsPending, state.ItemsRunning = n.jobs.Counts()
 	for _, r := range n.registry.All() {
 		shown := dumpReplica{Info: *r.Info(), Busy: r.EstimatedLoad(now), Avoided: r.Ejected(now), SaidLeaving: r.SaidLeaving()}
--- a/internal/routetable/organisation.go
+++ b/internal/routetable/organisation.go
@@ -6,6 +6,8 @@
 // turns. It is immutable.
 type Organisation struct {
 	Name core.Org
+	// Keys is the number of keys that its callers may use.
+	Keys int
 	// Priority, if set, takes the place of that of the routes. 0 is the highest.
 	Priority *int
 	// RequestsPerSecond and Burst limit the requests of all its callers at all nodes. A
--- a/internal/routetable/organisations.go
+++ b/internal/routetable/organisations.go
@@ -23,6 +23,7 @@
 	for _, key := range keys {
 		if key != "" && o.byKey[key] == nil {
 			o.byKey[key] = org
+			org.Keys++
 		}
 	}
 }
