--- a/internal/platformnode/node.go
+++ b/internal/platformnode/node.go
@@ -69,6 +69,7 @@
 	quarantine   *quarantine.Service
 	versions     *streamversion.Service
 	forward      *forward.Handler
+	keys         *forward.KeyGate
 	counters     *forward.Counters
 	configGauges *configGauges
 	// limitedReplicas is the number of replicas that name a limit.
@@ -80,6 +81,7 @@
 	// configuration, the replicas and the versions of the services.
 	routingWatchers []*watch.Watcher
 	configWatcher   *watch.Watcher
+	confirmation    confirmation
 	jobWatcher      *watch.Watcher
 	stopping        atomic.Bool
 }
@@ -118,6 +120,7 @@
 	n.peers = peer.New(settings.Node, log)
 	n.peers.ContainPanics()
 	n.peers.Handle(kindTableCopy, n.serveTableCopy)
+	n.peers.Handle(kindConfig, n.serveConfig)
 	scope, handler, closer := metrics.New()
 	n.scope, n.metrics, n.metricsCloser = scope, handler, closer
 	n.quarantine = quarantine.New(quarantine.Options{
@@ -136,11 +139,12 @@
 		Placer: n.placer, Registry: n.registry, Messenger: n.peers,
 		Executor: &jobs.Executor{Codec: platform.HeaderCodec{}, Routes: &n.configs.Table, Quarantine: n.quarantine, Log: log},
 	})
-	n.jobsAPI = &platform.JobsAPI{Jobs: n.jobs}
 	n.counters = forward.NewCounters(scope)
 	n.configGauges = newConfigGauges(scope)
 	n.limitedReplicas = scope.Gauge("replicas_limited")
 	n.configWatcher = n.configs.Watcher(n.store)
+	n.keys = &forward.KeyGate{Age: n.configAge, TrustFor: settings.KeyTrust, Log: log, Scope: scope}
+	n.jobsAPI = &platform.JobsAPI{Jobs: n.jobs, Routes: &n.configs.Table, Keys: n.keys}
 	registrations := n.replicas.Watcher(n.store, platform.ReplicaTable)
 	self := n.nodes.Self()
 	n.versions = streamversion.New(streamversion.Options{
@@ -148,7 +152,7 @@
 		Self: self.Owner(), LongestLife: n.longestStream, Log: log, Scope: scope,
 	})
 	n.forward = &forward.Handler{
-		Codec: platform.HeaderCodec{}, Placer: n.placer, Routes: &n.configs.Table, RoutesAge: n.configWatcher.ContactAge,
+		Codec: platform.HeaderCodec{}, Placer: n.placer, Routes: &n.configs.Table, RoutesAge: n.configAge, Keys: n.keys,
 		Registered: func(id core.ReplicaID) bool { return n.registry.Get(id) != nil },
 		Submit:     n.jobsAPI.Submit, Quarantine: n.quarantine, Versions: n.versions, Stop: forward.NewStop(), Log: log, Counters: n.counters,
 	}
@@ -181,6 +185,7 @@
 		go w.Run(ctx)
 	}
 	go n.bootstrapFromPeers(ctx)
+	go n.followPeersConfig(ctx)
 	go n.nodes.Run(ctx)
 	go n.jobs.Run(ctx)
 	go n.placer.Run(ctx)
@@ -290,13 +295,20 @@
 // lease serves without them.
 func (n *Node) readiness(w http.ResponseWriter, _ *http.Request) {
 	knowsNodes := n.placer.KnowsNodes() || n.nodes.Failing()
-	if n.stopping.Load() || n.configs.Table.Load() == nil || len(n.registry.All()) == 0 || !knowsNodes {
+	if n.stopping.Load() || !n.decidesOnKeys() || len(n.registry.All()) == 0 || !knowsNodes {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	w.WriteHeader(http.StatusOK)
 }
 
+// decidesOnKeys reports whether the node knows a configuration, and one that it may still
+// trust if callers need keys.
+func (n *Node) decidesOnKeys() bool {
+	table := n.configs.Table.Load()
+	return table != nil && (table.Organisations == nil || n.keys.Trusted(time.Now()))
+}
+
 // monitor periodically updates the gauges, closes idle connections to replicas,
 // checks the health of the replicas and reports those that have become unreachable
 // to the other nodes.
