--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 
 PACKAGES := ./... ./bench/...
 
-.PHONY: build test lint demo bench capacity soak
+.PHONY: build test crowd lint demo bench capacity soak
 
 build:
 	mkdir -p bin
@@ -15,12 +15,20 @@
 NO_RACE := gentiantide.example/gentiantide/internal/streamversion
 endif
 
+# Tests that measure the memory of processes under a crowd of clients. They run one at a
+# time, apart from the other tests and without the race detector, which takes memory of
+# its own.
+CROWD := gentiantide.example/gentiantide/platform/crowdtest
+
 # The environment variable SKIP is a pattern of tests that are known to fail;
 # see KNOWN-RED.txt.
 test:
-	go test -race -count=1 $${SKIP:+-skip "$$SKIP"} $$(go list $(PACKAGES) $(if $(NO_RACE),| grep -vxF $(NO_RACE)))
+	go test -race -count=1 $${SKIP:+-skip "$$SKIP"} $$(go list $(PACKAGES) | grep -vxF $(addprefix -e ,$(CROWD) $(NO_RACE)))
 	$(if $(NO_RACE),go test -count=1 $${SKIP:+-skip "$$SKIP"} $(NO_RACE))
 
+crowd:
+	go test -count=1 -p 1 -parallel 1 $${SKIP:+-skip "$$SKIP"} $(CROWD)
+
 lint:
 	test -z "$$(gofmt -l cmd internal platform bench)" || (gofmt -l cmd internal platform bench; exit 1)
 	go vet $(PACKAGES)
