Bound what a node holds for callers by the memory of its VM

Change: internal/memaccount accounts for the bodies of all requests, sized from the settings' memory; internal/reqbody charges each buffer before it is allocated, ends bodies that stand still (408) for those that progress, and refuses (503, not run) what finds no room. internal/callerconn bounds the connections by descriptors and memory and ends those that wait for a request. The readiness listener is served in the same way. The soft limit of the Go runtime is 0.65 of the memory instead of 0.5, since the account and the connections alone may take 0.4.

--- a/cmd/gentiantided/platform.go
+++ b/cmd/gentiantided/platform.go
@@ -21,7 +21,7 @@
 	// memoryLimitFraction is the part of the process's memory limit that is set as
 	// the Go runtime's soft limit. The rest is left for socket buffers and the C
 	// library.
-	memoryLimitFraction = 0.5
+	memoryLimitFraction = 0.65
 	// gcPercent is the heap growth between garbage collections. The live heap is
 	// only a few MB, so frequent collections cost less than a larger heap.
 	gcPercent = 100
--- a/internal/callerconn/cause.go
+++ b/internal/callerconn/cause.go
@@ -17,11 +17,13 @@
 	causeGraceOver
 	// causeAborted: the handler aborted a response that it cannot complete.
 	causeAborted
+	// causeTooMany: too many connections are open, and this one waited for a request.
+	causeTooMany
 	// causePanic: the handler panicked.
 	causePanic
 )
 
 // String returns the name of the cause in logs and metrics.
 func (c cause) String() string {
-	return [...]string{"unknown", "caller", "idle_timeout", "header_timeout", "stop", "grace_over", "aborted", "panic"}[c]
+	return [...]string{"unknown", "caller", "idle_timeout", "header_timeout", "stop", "grace_over", "aborted", "too_many", "panic"}[c]
 }
--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -39,6 +39,8 @@
 	phase  atomic.Int32
 	cause  atomic.Int32
 	closed atomic.Bool
+	// evicted is set while the connection ends because there are too many.
+	evicted atomic.Bool
 
 	// The goroutine that serves the connection owns the fields below. A stop reads
 	// since and idleTimeout under mu.
@@ -54,6 +56,8 @@
 	// rejected is set once the connection has sent a response in place of the HTTP
 	// server, whose own is then discarded.
 	rejected bool
+	// lingers is set if the caller may still be sending when its response ends.
+	lingers bool
 }
 
 func newConn(raw net.Conn, server *Server) *conn {
@@ -73,6 +77,9 @@
 // longer of both: the caller may know either.
 func (c *conn) deadline() time.Time {
 	now := c.server.currentLimits()
+	if c.evicted.Load() {
+		return c.since
+	}
 	switch c.currentPhase() {
 	case phaseIdle:
 		if c.server.ending() {
@@ -161,6 +168,8 @@
 		return c.reject(http.StatusRequestTimeout)
 	case c.server.ending():
 		c.blame(causeStop)
+	case c.evicted.Load():
+		c.blame(causeTooMany)
 	case at == phaseIdle:
 		c.blame(causeIdleTimeout)
 	default:
@@ -176,11 +185,18 @@
 	c.setPhase(phaseAnswered)
 	c.server.rejected(c, status)
 	_, err := fmt.Fprintf(c.Conn, "HTTP/1.1 %d %s\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", status, http.StatusText(status))
-	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok && err == nil && half.CloseWrite() == nil {
+	if err == nil && !c.evicted.Load() {
+		c.linger()
+	}
+	return io.EOF
+}
+
+// linger reads for a short time what the caller still sends after its response.
+func (c *conn) linger() {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok && half.CloseWrite() == nil {
 		_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout))
 		_, _ = io.Copy(io.Discard, io.LimitReader(c.Conn, maxLinger)) // ends when the caller closes, or at the deadline
 	}
-	return io.EOF
 }
 
 // setPhase changes the phase and, with it, to whom the read deadline belongs.
@@ -189,6 +205,9 @@
 	defer c.mu.Unlock()
 	before := c.currentPhase()
 	c.phase.Store(int32(p))
+	if p == phaseRead {
+		c.stay() // a request has arrived after all
+	}
 	switch {
 	case p == phaseServing:
 		c.idleTimeout = c.server.currentLimits().idleTimeout
@@ -244,6 +263,9 @@
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	if c.closed.CompareAndSwap(false, true) {
+		if !c.server.ending() && c.lingers {
+			c.linger()
+		}
 		c.server.closing(c)
 	}
 	return c.Conn.Close()
--- a/internal/callerconn/handler.go
+++ b/internal/callerconn/handler.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"time"
 
 	"gentiantide.example/gentiantide/internal/contain"
 )
@@ -41,6 +42,9 @@
 	c.requests.Add(1)
 	c.setPhase(phaseServing)
 	response := &response{ResponseWriter: w}
+	if in.ContentLength != 0 {
+		_ = c.SetReadDeadline(time.Now().Add(unreadBodyTimeout)) // a handler that reads sets its own
+	}
 	aborted, err := s.call(response, in)
 	switch {
 	case aborted:
@@ -57,6 +61,7 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		_, _ = io.WriteString(w, `{"error":{"code":"internal"}}`+"\n") // fails only if the caller has disconnected
 	}
+	c.lingers = in.ContentLength != 0 && response.status >= http.StatusBadRequest && w.Header().Get("Connection") == "close"
 	c.phase.Store(int32(phaseAnswered))
 }
 
--- a/internal/callerconn/listener.go
+++ b/internal/callerconn/listener.go
@@ -23,7 +23,9 @@
 		raw, err := l.Drainable.Accept()
 		switch {
 		case err == nil:
-			return l.server.open(raw), nil
+			if c := l.server.open(raw); c != nil {
+				return c, nil
+			}
 		case errors.Is(err, net.ErrClosed):
 			return nil, err
 		default:
--- a/internal/callerconn/response.go
+++ b/internal/callerconn/response.go
@@ -5,12 +5,13 @@
 // response knows whether a handler has begun its response.
 type response struct {
 	http.ResponseWriter
-	begun bool
+	begun  bool
+	status int
 }
 
 // WriteHeader implements http.ResponseWriter.
 func (r *response) WriteHeader(status int) {
-	r.begun = true
+	r.begun, r.status = true, status
 	r.ResponseWriter.WriteHeader(status)
 }
 
--- a/internal/callerconn/server.go
+++ b/internal/callerconn/server.go
@@ -24,6 +24,14 @@
 // Server serves the callers' connections of a node. The limits of the operator's
 // configuration apply to all connections as soon as the node knows them.
 type Server struct {
+	// MaxConns is the number of open connections above which connections that wait for a
+	// request end. 0 means no limit. It must not be changed after Run is called.
+	MaxConns int
+	// EndIncomplete, if set, ends a request that is not yet received completely, and
+	// reports whether there is one. It is called when there are too many connections and
+	// none has waited for long. It must not be changed after Run is called.
+	EndIncomplete func() bool
+
 	http     http.Server
 	handler  http.Handler
 	limits   func() routetable.Limits
@@ -38,6 +46,9 @@
 	// of them.
 	end atomic.Int32
 
+	// evicted is the number of connections that end because there are too many.
+	evicted atomic.Int32
+
 	mu    sync.Mutex
 	conns map[*conn]struct{}
 }
@@ -77,8 +88,16 @@
 // ending reports whether connections without a request in progress are to end.
 func (s *Server) ending() bool { return s.end.Load() != int32(causeUnknown) }
 
-// open makes an accepted connection one of the server.
+// open makes an accepted connection one of the server. It returns nil if there are too
+// many, and has then closed it.
 func (s *Server) open(raw net.Conn) *conn {
+	s.mu.Lock()
+	open := len(s.conns) + 1
+	s.mu.Unlock()
+	if !s.makeRoom(open) {
+		s.refuse(raw)
+		return nil
+	}
 	c := newConn(raw, s)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -94,6 +113,7 @@
 	if cause(s.end.Load()) == causeGraceOver {
 		c.blame(causeGraceOver)
 	}
+	c.stay()
 	s.closures.record(c, c.currentPhase(), cause(c.cause.Load()))
 }
 
--- a/internal/forward/counters.go
+++ b/internal/forward/counters.go
@@ -35,3 +35,8 @@
 	tagged.Counter("requests").Inc(1)
 	tagged.Histogram("request_latency", latencyBuckets).RecordDuration(took)
 }
+
+// RefuseBody counts a request that was refused because of its body.
+func (c *Counters) RefuseBody(reason string) {
+	c.scope.Tagged(map[string]string{"reason": reason}).Counter("caller_bodies_refused").Inc(1)
+}
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -14,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"gentiantide.example/gentiantide/internal/core"
+	"gentiantide.example/gentiantide/internal/memaccount"
 	"gentiantide.example/gentiantide/internal/placement"
 	"gentiantide.example/gentiantide/internal/quarantine"
 	"gentiantide.example/gentiantide/internal/replica"
@@ -61,6 +61,9 @@
 	Versions Versions
 	// Registered reports whether a replica is registered.
 	Registered func(id core.ReplicaID) bool
+	// Memory accounts for the bodies of requests. If it is nil, they have no limit
+	// together.
+	Memory *memaccount.Account
 	// Quarantine refuses requests that crash replicas.
 	Quarantine *quarantine.Service
 	// Stop bounds the requests of a node that stops.
@@ -78,6 +81,8 @@
 	route         *routetable.Route
 	configVersion int64
 	body          []byte
+	// held is charged for the body, or nil.
+	held *memaccount.Holder
 	// parts are the parts of the prompt, and one that identifies the request.
 	parts []quarantine.Part
 	// identity is the same for each attempt of the caller.
@@ -162,7 +167,9 @@
 	if r.refuseStopping(arrived) || r.refuseQuarantined() {
 		return
 	}
-	if r.body, err = readBody(w, in, table.Limits, r.deadline); err != nil {
+	err = r.readBody(table.Limits)
+	defer func() { r.held.Close() }()
+	if err != nil {
 		r.refuseBody(err)
 		return
 	}
@@ -209,46 +216,6 @@
 	return timeout
 }
 
-// readBody reads the whole request body. A request is sent to a replica only after
-// it was received completely, so that a caller that disconnects leaves no partial
-// request at a replica.
-func readBody(w http.ResponseWriter, in *http.Request, limits routetable.Limits, deadline time.Time) ([]byte, error) {
-	if in.ContentLength == 0 {
-		return nil, nil
-	}
-	limit := limits.BodyBytes
-	if limit <= 0 {
-		limit = defaultMaxBody
-	}
-	if in.ContentLength > limit {
-		return nil, &http.MaxBytesError{Limit: limit}
-	}
-	control := http.NewResponseController(w)
-	if err := control.SetReadDeadline(deadline); err != nil {
-		return nil, err
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, in.Body, limit))
-	if resetErr := control.SetReadDeadline(time.Time{}); err == nil {
-		err = resetErr
-	}
-	return body, err
-}
-
-func (r *request) refuseBody(err error) {
-	var tooLarge *http.MaxBytesError
-	var timeout net.Error
-	status, reason := http.StatusBadRequest, "bad_body"
-	switch {
-	case errors.As(err, &tooLarge):
-		status, reason = http.StatusRequestEntityTooLarge, "body_too_large"
-	case errors.As(err, &timeout) && timeout.Timeout():
-		status, reason = http.StatusRequestTimeout, "body_timeout"
-	}
-	r.h.Log.Info("request refused", "request", r.reqInfo.ID, "reason", reason, "error", err)
-	r.w.Header().Set("Connection", "close")
-	refuse(r.w, status, reason, 0)
-}
-
 // refuseStopping refuses the request if the node stops and has too little time left for
 // it at a time.
 func (r *request) refuseStopping(now time.Time) bool {
--- a/internal/platformnode/node.go
+++ b/internal/platformnode/node.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -17,11 +16,11 @@
 
 	"github.com/uber-go/tally/v4"
 
-	"gentiantide.example/gentiantide/internal/callerconn"
 	"gentiantide.example/gentiantide/internal/core"
 	"gentiantide.example/gentiantide/internal/discovery"
 	"gentiantide.example/gentiantide/internal/forward"
 	"gentiantide.example/gentiantide/internal/jobs"
+	"gentiantide.example/gentiantide/internal/memaccount"
 	"gentiantide.example/gentiantide/internal/metrics"
 	"gentiantide.example/gentiantide/internal/netopt"
 	"gentiantide.example/gentiantide/internal/nodes"
@@ -29,7 +28,6 @@
 	"gentiantide.example/gentiantide/internal/placement"
 	"gentiantide.example/gentiantide/internal/quarantine"
 	"gentiantide.example/gentiantide/internal/replica"
-	"gentiantide.example/gentiantide/internal/routetable"
 	"gentiantide.example/gentiantide/internal/streamversion"
 	"gentiantide.example/gentiantide/internal/watch"
 	"gentiantide.example/gentiantide/platform"
@@ -57,19 +55,22 @@
 	ready        net.Listener
 	peerListener net.Listener
 
-	store        *platform.Store
-	configs      *platform.ConfigHandler
-	registry     *replica.Registry
-	replicas     *discovery.RegistryUpdater
-	nodes        *nodes.Directory
-	jobs         *jobs.Service
-	jobsAPI      *platform.JobsAPI
-	peers        *peer.Transport
-	placer       *placement.Service
-	quarantine   *quarantine.Service
-	versions     *streamversion.Service
-	forward      *forward.Handler
-	counters     *forward.Counters
+	store      *platform.Store
+	configs    *platform.ConfigHandler
+	registry   *replica.Registry
+	replicas   *discovery.RegistryUpdater
+	nodes      *nodes.Directory
+	jobs       *jobs.Service
+	jobsAPI    *platform.JobsAPI
+	peers      *peer.Transport
+	placer     *placement.Service
+	quarantine *quarantine.Service
+	versions   *streamversion.Service
+	forward    *forward.Handler
+	counters   *forward.Counters
+	// memory accounts for what is held for callers.
+	memory       *memaccount.Account
+	memoryGauges *memoryGauges
 	configGauges *configGauges
 	// limitedReplicas is the number of replicas that name a limit.
 	limitedReplicas tally.Gauge
@@ -137,6 +138,8 @@
 	})
 	n.jobsAPI = &platform.JobsAPI{Jobs: n.jobs}
 	n.counters = forward.NewCounters(scope)
+	n.memory = memaccount.New(memaccount.ForMemory(settings.MemoryBytes))
+	n.memoryGauges = newMemoryGauges(n.memory, scope, log)
 	n.configGauges = newConfigGauges(scope)
 	n.limitedReplicas = scope.Gauge("replicas_limited")
 	n.configWatcher = n.configs.Watcher(n.store)
@@ -149,7 +152,7 @@
 	n.forward = &forward.Handler{
 		Codec: platform.HeaderCodec{}, Placer: n.placer, Routes: &n.configs.Table, RoutesAge: n.configWatcher.ContactAge,
 		Registered: func(id core.ReplicaID) bool { return n.registry.Get(id) != nil },
-		Submit:     n.jobsAPI.Submit, Quarantine: n.quarantine, Versions: n.versions, Stop: forward.NewStop(), Log: log, Counters: n.counters,
+		Memory:     n.memory, Submit: n.jobsAPI.Submit, Quarantine: n.quarantine, Versions: n.versions, Stop: forward.NewStop(), Log: log, Counters: n.counters,
 	}
 	n.routingWatchers = []*watch.Watcher{n.configWatcher, registrations, n.versions.Watcher()}
 	n.jobWatcher = watch.New(n.store, jobs.JobsTable, jobs.Partitions(), n.jobs.JobCache, log)
@@ -171,7 +174,7 @@
 	n.log.Info("start", "node", n.settings.Node, "lifetime", n.nodes.Self().Lifetime, "data_centre", n.settings.DataCentre, "store", n.settings.Store)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	callers := callerconn.New(netopt.NewDrainable(n.callers.(*net.TCPListener)), http.HandlerFunc(n.serveCaller), n.callerLimits, n.scope, n.log)
+	callers := n.newCallers()
 	go callers.Run()
 	ready := n.serveReadiness()
 	n.peers.Start(n.peerListener)
@@ -188,7 +191,8 @@
 	n.waitForStop(signals)
 	n.stop(callers)
 	cancel()
-	return errors.Join(n.metricsCloser.Close(), ready.Close())
+	ready.Close()
+	return n.metricsCloser.Close()
 }
 
 // waitForStop returns when a stop signal arrives. SIGHUP reloads the settings file.
@@ -220,20 +224,6 @@
 	return signals
 }
 
-// serveReadiness starts the HTTP server of the readiness checks and of operators.
-func (n *Node) serveReadiness() *http.Server {
-	server := &http.Server{
-		Handler: n.readinessMux(), ReadHeaderTimeout: callerconn.DefaultHeaderTimeout, IdleTimeout: callerconn.DefaultIdleTimeout, MaxHeaderBytes: callerconn.DefaultHeaderBytes,
-		ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelWarn),
-	}
-	go func() {
-		if err := server.Serve(n.ready); !errors.Is(err, http.ErrServerClosed) {
-			n.log.Error("HTTP server failed", "address", n.ready.Addr().String(), "error", err)
-		}
-	}()
-	return server
-}
-
 // longestStream returns the longest time that a route gives a stream that callers may
 // take up.
 func (n *Node) longestStream() time.Duration {
@@ -243,14 +233,6 @@
 	return 0
 }
 
-// callerLimits returns the limits in the operator's configuration.
-func (n *Node) callerLimits() routetable.Limits {
-	if table := n.configs.Table.Load(); table != nil {
-		return table.Limits
-	}
-	return routetable.Limits{}
-}
-
 // serveCaller serves one request of a caller. While the node stops, each response
 // closes its connection.
 func (n *Node) serveCaller(w http.ResponseWriter, in *http.Request) {
@@ -298,6 +280,7 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
+			n.memoryGauges.update(now)
 			n.configGauges.update(n.configs.Table.Load(), n.configWatcher, now)
 			n.limitedReplicas.Update(float64(n.registry.CountLimited()))
 			n.registry.ExpireIdle(now)
