--- a/internal/platformnode/listeners.go
+++ b/internal/platformnode/listeners.go
@@ -62,7 +62,7 @@
 // serveReadiness starts the server of the readiness checks and of operators. The limits
 // of the operator's configuration are for callers only.
 func (n *Node) serveReadiness() *callerconn.Server {
-	scope := n.scope.Tagged(map[string]string{"listener": "operators"})
+	scope := n.scope.SubScope("operators") // a metric has the same labels everywhere
 	defaults := func() routetable.Limits { return routetable.Limits{} }
 	s := callerconn.New(netopt.NewDrainable(n.ready.(*net.TCPListener)), n.readinessMux(), defaults, scope, n.log.With("listener", "operators"))
 	s.MaxConns = maxOperatorConnsOf(n.settings.Sockets)
