Give organisations turns at the slots of a service

Cause: the queue of a hub is one line for all. Change: the hub learns what each organisation usually asks for, and orders what waits by start-time fair queueing with a tolerance, charged by tokens where they are known. What is inside the share of its organisation goes before the rest, by priority and arrival; the forecast and the rejections follow that order. Items of several organisations take turns. In scheduler_test.go a call of newQueuedRequest has the two new arguments; no check changed.

--- a/internal/placement/admission.go
+++ b/internal/placement/admission.go
@@ -49,7 +49,7 @@
 
 // recordRejection remembers a rejected request and returns the wait to tell its caller.
 func (s *scheduler) recordRejection(q *queuedRequest, expected, least time.Duration, now time.Time) time.Duration {
-	s.demand.observe()
+	s.observeDemand(q)
 	s.rejected.add(q.identity, now)
 	return min(expected, max(least, maxRejectedWait))
 }
--- a/internal/placement/hub.go
+++ b/internal/placement/hub.go
@@ -358,7 +358,7 @@
 	}
 	if state.queuedSinceLog+state.rejectedSinceLog > 0 {
 		f := state.forecast()
-		h.log.Info("requests were queued for a slot", "count", state.queuedSinceLog, "rejected", state.rejectedSinceLog, "waiting", len(state.queue),
+		h.log.Info("requests were queued for a slot", "count", state.queuedSinceLog, "rejected", state.rejectedSinceLog, "waiting", len(state.queue), "beyond_share", state.numBeyondShare(),
 			"replicas", len(state.replicas), "service_ms", int64(state.serviceTime.mean*1e3), "per_second", f.throughput, "spare_per_second", f.spare)
 		state.queuedSinceLog, state.rejectedSinceLog = 0, 0
 	}
--- a/internal/placement/itemsload_test.go
+++ b/internal/placement/itemsload_test.go
@@ -44,11 +44,16 @@
 	// searchTimeout is how long a node waits for a slot before it asks again with
 	// what it knows of its items by then, in seconds.
 	searchTimeout float64
+	// orgs are the parts of the jobs that organisations send. With named, the items say
+	// to which one they belong.
+	orgs  []float64
+	named bool
 }
 
 // simulatedItem is an item with its progress.
 type simulatedItem struct {
 	due, work, done float64 // seconds
+	org             int
 	replica         core.ReplicaID
 	startedAt       float64
 	run             int // counts the runs, so that the end of a preempted one has no effect
@@ -80,6 +85,8 @@
 	items       int
 	inTime      int
 	preempted   int
+	ofOrg       map[int]int // items
+	inTimeOfOrg map[int]int
 }
 
 func (sim *itemsSimulation) clock() time.Time {
@@ -193,6 +200,7 @@
 		}
 		if sim.now <= item.due {
 			sim.inTime++
+			sim.inTimeOfOrg[item.org]++
 		}
 		sim.remove(n, item)
 	})
@@ -230,8 +238,12 @@
 	for n.searches < min(itemsMaxSearches, len(n.pending)) {
 		item := n.pending[n.searches]
 		n.searches++
+		var org core.Org
+		if sim.policy.named {
+			org = orgName(item.org)
+		}
 		id := sim.request(n, &placementRequest{
-			Batch: true, MaxWait: time.Hour, Late: sim.late(item), DueIn: time.Duration((item.due - sim.now) * float64(time.Second)),
+			Org: org, Batch: true, MaxWait: time.Hour, Late: sim.late(item), DueIn: time.Duration((item.due - sim.now) * float64(time.Second)),
 		})
 		sim.schedule(sim.policy.searchTimeout, func() {
 			if !sim.granted[id] && sim.now < itemsDuration+itemsDue {
@@ -261,6 +273,7 @@
 	sim := &itemsSimulation{
 		simulation: newSimulation(seed), policy: policy, s: newTestScheduler(itemsReplicas, itemsSlots), epoch: time.Now(),
 		byName: make(map[core.NodeID]*itemsNode), requests: make(map[uint64]*itemsNode), itemRequest: make(map[uint64]bool), granted: make(map[uint64]bool),
+		ofOrg: make(map[int]int), inTimeOfOrg: make(map[int]int),
 	}
 	for i := range itemsNodes {
 		n := &itemsNode{name: nodeName(i), online: make(map[core.ReplicaID]int)}
@@ -271,10 +284,11 @@
 		sim.request(sim.randomNode(), testRequest(0))
 	})
 	sim.poisson(func() float64 { return itemsJobRate }, func() {
-		n := sim.randomNode()
+		n, org := sim.randomNode(), sim.randomOrg()
 		for range itemsPerJob {
 			sim.items++
-			n.pending = append(n.pending, &simulatedItem{due: sim.now + itemsDue, work: itemsRunTime * (0.6 + 0.8*sim.rng.Float64())})
+			sim.ofOrg[org]++
+			n.pending = append(n.pending, &simulatedItem{org: org, due: sim.now + itemsDue, work: itemsRunTime * (0.6 + 0.8*sim.rng.Float64())})
 		}
 		sim.search(n)
 	})
@@ -282,6 +296,32 @@
 	return sim
 }
 
+// randomOrg returns the organisation that sends a job.
+func (sim *itemsSimulation) randomOrg() int {
+	at, sum := 0.0, 0.0
+	if len(sim.policy.orgs) > 0 {
+		at = sim.rng.Float64()
+	}
+	for org, part := range sim.policy.orgs {
+		if sum += part; at < sum {
+			return org
+		}
+	}
+	return 0
+}
+
+// smallOrgs returns the part of the items of all organisations but the first that were
+// in time.
+func (sim *itemsSimulation) smallOrgs() float64 {
+	inTime, items := 0, 0
+	for org, n := range sim.ofOrg {
+		if org > 0 {
+			inTime, items = inTime+sim.inTimeOfOrg[org], items+n
+		}
+	}
+	return float64(inTime) / float64(items)
+}
+
 func (sim *itemsSimulation) randomNode() *itemsNode { return sim.nodes[sim.rng.IntN(len(sim.nodes))] }
 
 // repeat calls do at an interval until the items of the traffic are due.
@@ -324,3 +364,22 @@
 		g.Expect(after.inTime * before.items).To(gomega.BeNumerically(">", before.inTime*after.items))
 	}
 }
+
+// Guards against the items of one organisation that displace those of four others, and
+// against turns that cost items their due time: one sends six jobs in ten.
+func TestItemsOfOneOrganisationDisplaceNoOthers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	policy := itemsPolicy{estimate: 1, victims: true, searchTimeout: 2, orgs: []float64{0.6, 0.1, 0.1, 0.1, 0.1}}
+	named := policy
+	named.named = true
+	all, allNamed, small, smallNamed := 0, 0, 0.0, 0.0
+	for seed := range uint64(2) {
+		before, after := simulateItems(seed, policy), simulateItems(seed, named)
+		t.Logf("seed %d: in time %d of %d and %d of %d, of the four small ones %.3f and %.3f, preempted %d and %d", seed,
+			before.inTime, before.items, after.inTime, after.items, before.smallOrgs(), after.smallOrgs(), before.preempted, after.preempted)
+		all, allNamed = all+before.inTime, allNamed+after.inTime
+		small, smallNamed = small+before.smallOrgs(), smallNamed+after.smallOrgs()
+	}
+	g.Expect(smallNamed).To(gomega.BeNumerically(">", small))
+	g.Expect(allNamed).To(gomega.BeNumerically(">=", all*95/100))
+}
--- a/internal/placement/queue.go
+++ b/internal/placement/queue.go
@@ -39,9 +39,18 @@
 	// occupies at a replica.
 	prompt []promptcache.Part
 	tokens int
+	// account is that of its organisation, priority its rank and cost what it costs a
+	// server, in turns. excess is by how much it is beyond the share of the organisation,
+	// see turns; it changes while the request waits.
+	account  *account
+	priority int
+	cost     float64
+	excess   float64
+	// lateAtSort is set if the request was late when the queue was last sorted.
+	lateAtSort bool
 }
 
-func newQueuedRequest(node core.NodeID, req *placementRequest, now time.Time) *queuedRequest {
+func newQueuedRequest(node core.NodeID, req *placementRequest, a *account, cost float64, now time.Time) *queuedRequest {
 	arrivedAt := now.Add(-req.Waited)
 	excluded := make(map[core.ReplicaID]bool, len(req.Excluded))
 	for _, id := range req.Excluded {
@@ -53,37 +62,61 @@
 		abandonedAt: arrivedAt.Add(req.MaxWait),
 		batch:       req.Batch, dueAt: now.Add(req.DueIn), willMissDue: req.Late,
 		prompt: req.Prompt, tokens: req.Tokens,
+		account: a, priority: req.Priority, cost: cost,
 	}
 }
 
 // before reports whether q gets a slot before o. Resumed streams come first, then
-// requests that were rejected before, whose callers may not come a third time, then
-// requests that can still start on time, then late requests, each in order of arrival:
-// a request that is late anyway takes no slot from one that is not.
-// Items of jobs come last, ordered by their due time, and those that will miss
-// it come behind the other items.
+// requests that were rejected before, whose callers may not come a third time, then those
+// inside the share of their organisation, then the others. Of both, requests that can
+// still start on time come before late ones, as a request that is late anyway takes no
+// slot from one that is not; then the excess decides, then priority, then the arrival.
+// Items of jobs come last, and those that will miss their due time behind the other
+// items: those inside the share of their organisation by their due time, then the others
+// by their excess.
 func (q *queuedRequest) before(o *queuedRequest, now time.Time) bool {
-	if q.batch != o.batch {
-		return o.batch
-	}
-	if q.batch && q.willMissDue != o.willMissDue {
-		return o.willMissDue
-	}
-	if q.batch {
-		return q.dueAt.Before(o.dueAt)
-	}
-	if q.urgent != o.urgent {
-		return q.urgent
-	}
-	if q.returning != o.returning {
-		return q.returning
+	return q.compare(o, q.late(now), o.late(now)) < 0
+}
+
+// compare is before as a comparison, if it is known which of the two are late.
+func (q *queuedRequest) compare(o *queuedRequest, late, otherLate bool) int {
+	switch {
+	case q.batch != o.batch:
+		return first(o.batch)
+	case q.batch && q.willMissDue != o.willMissDue:
+		return first(o.willMissDue)
+	case q.batch && q.excess != o.excess:
+		return first(q.excess < o.excess)
+	case q.batch:
+		return q.dueAt.Compare(o.dueAt)
+	case q.urgent != o.urgent:
+		return first(q.urgent)
+	case q.goesFirst() != o.goesFirst():
+		return first(q.goesFirst())
+	case (q.excess == 0) != (o.excess == 0):
+		return first(q.excess == 0)
+	case late != otherLate:
+		return first(otherLate)
+	case q.excess != o.excess:
+		return first(q.excess < o.excess)
+	case q.priority != o.priority && q.excess == 0:
+		return first(q.priority < o.priority)
 	}
-	if a, b := q.late(now), o.late(now); a != b {
-		return b
+	return q.arrivedAt.Compare(o.arrivedAt)
+}
+
+// first returns the result of a comparison of two requests of which one comes first.
+func first(isFirst bool) int {
+	if isFirst {
+		return -1
 	}
-	return q.arrivedAt.Before(o.arrivedAt)
+	return 1
 }
 
+// goesFirst reports whether the request is one that was rejected before and goes before
+// fresh ones. What exceeds the share of its organisation does not by coming again.
+func (q *queuedRequest) goesFirst() bool { return q.returning && q.excess == 0 }
+
 func (q *queuedRequest) late(now time.Time) bool { return now.After(q.startBy) }
 
 // excludes reports whether the request must not go to a replica.
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -88,8 +88,11 @@
 	lastGrantID      uint64
 	serviceTime      serviceTimeEstimator
 	demand           demand
+	demandInside     demand // the part inside the shares of the organisations
 	rejected         rejectedRequests
 	prompts          *prompts
+	// onlineTurns and itemTurns are the turns of the organisations.
+	onlineTurns, itemTurns *turns
 }
 
 func newScheduler() *scheduler {
@@ -97,6 +100,7 @@
 		ledger: newLedger(), grants: make(map[uint64]pendingGrant),
 		pendingByReplica: make(map[core.ReplicaID]int), slowdowns: make(map[core.ReplicaID]slowdownReport),
 		untracked: make(map[core.ReplicaID]untrackedLoad), ejectionVotes: newEjectionVotes(), limits: newRateLimits(), rejected: make(rejectedRequests), prompts: newPrompts(),
+		onlineTurns: newOnlineTurns(), itemTurns: newItemTurns(),
 	}
 }
 
@@ -107,12 +111,13 @@
 	if existing := s.lookup(node, req.ID); existing != nil {
 		return *existing, nil
 	}
-	q := newQueuedRequest(node, req, now)
+	q := s.newRequest(node, req, now)
 	if !q.batch && !q.urgent {
 		q.returning = s.rejected.take(q.identity, now)
 	}
 	if r, preempts := s.openingFor(q, now); r != nil {
 		assigned := s.assign(q, r, preempts, now)
+		s.charge(q, now)
 		return placementResponse{Outcome: outcomeGranted, Replica: assigned.replica, GrantID: assigned.grantID}, assigned
 	}
 	if !s.placeable(q) {
@@ -121,7 +126,7 @@
 	if expected, least := s.expectedWait(q, now); q.hopeless(expected, now) {
 		return placementResponse{Outcome: outcomeRejected, ExpectedWait: s.recordRejection(q, expected, least, now)}, nil
 	}
-	s.queue = append(s.queue, q)
+	s.enqueue(q, now)
 	return placementResponse{Outcome: outcomeQueued}, nil
 }
 
@@ -210,7 +215,7 @@
 	s.limits.take(r.id, now)
 	if !q.batch {
 		s.serviceTime.grantedSinceSample++
-		s.demand.observe()
+		s.observeDemand(q)
 	}
 	return &assignment{queuedRequest: q, replica: r.id, grantID: s.lastGrantID, preempts: preempts}
 }
@@ -285,24 +290,13 @@
 		}
 		s.prompts.sent(r, q, most)
 		out = append(out, s.assign(q, r, preempts, now))
+		s.charge(q, now)
 		open.take(r)
 	}
 	s.queue = remaining
 	return out
 }
 
-func (s *scheduler) sortQueue(now time.Time) {
-	slices.SortStableFunc(s.queue, func(a, b *queuedRequest) int {
-		switch {
-		case a.before(b, now):
-			return -1
-		case b.before(a, now):
-			return 1
-		}
-		return 0
-	})
-}
-
 // expire drops the counts of silent nodes and unconfirmed grants after their
 // TTL, and updates the estimate of the service time.
 func (s *scheduler) expire(now time.Time) {
@@ -310,6 +304,9 @@
 	s.ejectionVotes.expire(now)
 	s.rejected.expire(now)
 	s.demand.update(now)
+	s.demandInside.update(now)
+	s.onlineTurns.update(now)
+	s.itemTurns.update(now)
 	busy := 0
 	for grantID, g := range s.grants {
 		switch {
--- a/internal/placement/scheduler_test.go
+++ b/internal/placement/scheduler_test.go
@@ -194,7 +194,7 @@
 		s.receiveCounts("a", &nodeCounts{Replicas: []replicaCounts{{ID: id, Online: 1, Reported: reported}}}, now)
 	}
 	report("r0", 2)
-	r, _ := s.openings(now).choose(newQueuedRequest("b", testRequest(1), now), s.headroom())
+	r, _ := s.openings(now).choose(newQueuedRequest("b", testRequest(1), &account{}, 1, now), s.headroom())
 	g.Expect(r.id).To(gomega.Equal(core.ReplicaID("r1")))
 	g.Expect(s.untracked["r0"].confirmed(now)).To(gomega.Equal(0), "after a single report")
 	report("r0", 2)
