Give the items of each organisation searches of their own

Cause: a node searches slots for its first eight items, and a slot that the hub granted to one organisation went to the first item of all. With many items due first of one organisation those of another reached no hub, and lost their turn there. Change: a search is for the items of one organisation, and the slot goes to one of these if any is left. Without organisations nothing changes. Measured: TestSlotGoesToTheOrganisationWhoseTurnItIs fails without either part.

--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -200,6 +200,7 @@
 		} else {
 			key.software.Service = route.Pick(rand.Uint64())
 		}
+		key.org = task.job.entry.Org
 		wanted[key]++
 		if wanted[key] <= r.searches[key] || r.searches[key] >= maxSearches {
 			continue
@@ -207,14 +208,14 @@
 		r.searches[key]++
 		q := key.query()
 		q.Arrived, q.MaxWait, q.DueIn, q.Late = now, searchTimeout, task.job.entry.Due-clock, !r.meanTokenTime.canMeetDue(task, clock)
-		q.Org, q.Weight, q.Priority, q.Repeatable = task.job.entry.Org, organisationWeight, r.exec.priority(task, route), true
+		q.Org, q.Weight, q.Priority, q.Repeatable = key.org, organisationWeight, r.exec.priority(task, route), true
 		go r.placeNext(key, q)
 	}
 }
 
 // placeNext waits for a replica and starts an item there: the first in placement
 // order at that time that may go there, which may not be the item that the search
-// began for.
+// began for. The turn is that of an organisation, so one of its items is preferred.
 func (r *Runner) placeNext(key searchKey, q *placement.Query) {
 	target := r.search(q)
 	r.mu.Lock()
@@ -227,7 +228,7 @@
 	}
 	clock, _ := r.clock()
 	now, software := time.Now(), target.Info().Software()
-	for _, task := range r.readyItems(now, clock) {
+	for _, task := range preferOrg(r.readyItems(now, clock), key.org) {
 		route, status := r.exec.route(task)
 		if status == routeFound && route.HasBackend(q.Service) && r.mayRunAt(task, route, software, now) && !r.exec.quarantined(task) && !r.stopped {
 			r.startItem(task, route, target)
--- a/internal/jobs/software.go
+++ b/internal/jobs/software.go
@@ -5,9 +5,7 @@
 	"slices"
 	"time"
 
-	"gentiantide.example/gentiantide/internal/core"
 	"gentiantide.example/gentiantide/internal/forward"
-	"gentiantide.example/gentiantide/internal/placement"
 	"gentiantide.example/gentiantide/internal/replica"
 	"gentiantide.example/gentiantide/internal/routetable"
 )
@@ -25,22 +23,6 @@
 
 var errOtherSoftware = errors.New("replica has started again with other software")
 
-// searchKey identifies what a search looks for: a replica of a service with any version
-// or, if bound is set, with one.
-type searchKey struct {
-	software replica.Software
-	bound    bool
-}
-
-// query returns the placement query of a search.
-func (k searchKey) query() *placement.Query {
-	q := &placement.Query{Service: k.software.Service, Class: core.ClassBatch}
-	if k.bound {
-		q.Version = &k.software.Version
-	}
-	return q
-}
-
 // waitsForSoftware reports whether an item goes only to replicas that run the software
 // that made its output so far. The caller holds the lock.
 func (r *Runner) waitsForSoftware(task *itemTask, route *routetable.Route, now time.Time) bool {
