Tell the next hubs what organisations usually ask for

Cause: a hub that took over measured for 4 s without holding anybody to a share, and in a rush took the demand of the hot organisation for its usual one. Change: each hub tells the others of its group the usual demands every 5 s; one that takes over begins with them. In hubchange_test.go a hub that the test builds by hand gets the new function; no check changed.

--- a/internal/placement/hub.go
+++ b/internal/placement/hub.go
@@ -61,6 +61,10 @@
 	// formerServiceTime returns what the former hub of a group has measured, or 0.
 	formerServiceTime func(group) time.Duration
 	log               *slog.Logger
+	// formerDemands returns what the former hub of a group has told of the usual demands,
+	// or nil, and tellDemands tells the other hubs.
+	formerDemands func(group, time.Time) *usualDemands
+	tellDemands   func(*usualDemands, time.Time)
 	// memory returns how many tokens a replica of a service holds, or 0.
 	memory         func(core.DeploymentID) int
 	promptCounters promptCounters
@@ -80,6 +84,7 @@
 	totalsSentAt  time.Time
 	sentNotices   sentNotices // with the totals
 	dispatchedAt  time.Time
+	demandsSentAt time.Time // to the other hubs
 	// dispatchDue is set while a dispatch is scheduled, see dispatchSoon.
 	dispatchDue bool
 	// queuedSinceLog and rejectedSinceLog are the requests queued and rejected since the
@@ -103,6 +108,7 @@
 	if !ok {
 		state = &groupState{scheduler: newScheduler(), lastMessageAt: now}
 		state.serviceTime.adopt(h.formerServiceTime(g))
+		state.onlineTurns.adopt(h.formerDemands(g, now), now)
 		h.groups[g] = state
 		h.log.Info("became hub of a group", "group", g.key())
 		select {
@@ -189,19 +195,6 @@
 	return msgpack.Marshal(&answer)
 }
 
-// preparePreemption picks the batch item that is preempted for an assignment.
-// The function returned sends the message and is called without the lock.
-func (h *hub) preparePreemption(state *groupState, assigned *assignment) func() {
-	if assigned == nil || !assigned.preempts {
-		return func() {}
-	}
-	holder, ok := state.claimBatchItem(assigned.replica)
-	if !ok {
-		return func() {}
-	}
-	return func() { h.sendPreemption(holder, assigned.replica) }
-}
-
 // handleCounts applies the counts of a node and dispatches queued requests to
 // slots that became free.
 func (h *hub) handleCounts(_ context.Context, from core.NodeID, body []byte) ([]byte, error) {
@@ -321,7 +314,7 @@
 		return func() {}
 	}
 	sendGrants, sendTotals := h.dispatch(state, now), func() {}
-	sendRejections := h.prepareRejections(state, now)
+	sendRejections, sendDemands := h.prepareRejections(state, now), h.prepareDemands(g, state, now)
 	if now.Sub(state.totalsSentAt) >= max(minTotalsInterval, time.Duration(len(state.nodes))*totalsIntervalPerNode) {
 		state.totalsSentAt = now
 		sendTotals = h.prepareTotals(g, state, now)
@@ -330,6 +323,7 @@
 		sendGrants()
 		sendRejections()
 		sendTotals()
+		sendDemands()
 	}
 }
 
--- a/internal/placement/hubchange_test.go
+++ b/internal/placement/hubchange_test.go
@@ -98,6 +98,7 @@
 		h.firstHub = func(group) *nodes.Record { return nil }
 		h.announced = func(group, time.Time) bool { return announced }
 		h.formerServiceTime = func(group) time.Duration { return 0 }
+		h.formerDemands = func(group, time.Time) *usualDemands { return nil }
 		state := h.ensureGroup(testGroup, now)
 		g.Expect(state.replicas[0].usableSince.Add(replicaSettleTime)).To(gomega.Equal(settled))
 	}
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -25,3 +25,16 @@
 	}
 	return nil, nil
 }
+
+// preparePreemption picks the batch item that is preempted for an assignment.
+// The function returned sends the message and is called without the lock.
+func (h *hub) preparePreemption(state *groupState, assigned *assignment) func() {
+	if assigned == nil || !assigned.preempts {
+		return func() {}
+	}
+	holder, ok := state.claimBatchItem(assigned.replica)
+	if !ok {
+		return func() {}
+	}
+	return func() { h.sendPreemption(holder, assigned.replica) }
+}
--- a/internal/placement/service.go
+++ b/internal/placement/service.go
@@ -76,6 +76,8 @@
 	announcedAt map[group]time.Time
 	// serviceTimes are the estimates that the hubs of the groups last sent.
 	serviceTimes map[group]time.Duration
+	// demands are what hubs of the groups have told of the usual demands.
+	demands map[group]*toldDemands
 	// sentCounts is the state of the reports to hubs, by group.
 	sentCounts   map[group]*sentCounts
 	lastSequence uint64
@@ -96,7 +98,7 @@
 func New(o Options) *Service {
 	s := &Service{
 		Options: o, runID: rand.Uint64(), peerAddresses: make(map[core.NodeID]string), downHubs: make(map[core.NodeID]*downHub),
-		grantChans: make(map[uint64]*waitingRequest), announcedAt: make(map[group]time.Time), serviceTimes: make(map[group]time.Duration), sentCounts: make(map[group]*sentCounts), localShares: make(localShares), startAnnounced: make(chan struct{}),
+		grantChans: make(map[uint64]*waitingRequest), announcedAt: make(map[group]time.Time), serviceTimes: make(map[group]time.Duration), demands: make(map[group]*toldDemands), sentCounts: make(map[group]*sentCounts), localShares: make(localShares), startAnnounced: make(chan struct{}),
 	}
 	// Starts at a random number, because a hub may still have requests from an
 	// earlier run of this node.
@@ -105,7 +107,9 @@
 	s.hub = newHub(&s.Options, s.sendPreemption)
 	s.hub.firstHub, s.hub.announce, s.hub.announced = s.firstHub, s.announce, s.recentlyAnnounced
 	s.hub.formerServiceTime = s.formerServiceTime
+	s.hub.formerDemands, s.hub.tellDemands = s.formerDemands, s.tellDemands
 	o.Transport.Handle(kindHub, s.handleHub)
+	o.Transport.Handle(kindDemands, s.handleDemands)
 	o.Transport.Handle(kindHubChange, s.handleHubChange)
 	o.Transport.Handle(kindGrant, s.handleGrant)
 	o.Transport.Handle(kindTotals, s.handleTotals)
--- a/internal/placement/shares.go
+++ b/internal/placement/shares.go
@@ -50,19 +50,26 @@
 		return
 	}
 	age := now.Sub(s.beganAt)
-	s.measured = min(age, usualWindow)
 	s.updatedAt = now
-	total := 0.0
 	for _, a := range accounts {
 		a.demand.update(elapsed, age, age > learningTime, leastShare*s.mean)
-		total += a.demand.perSecond
 	}
 	maps.DeleteFunc(accounts, func(_ core.Org, a *account) bool {
 		return a.demand.perSecond < forgottenDemand
 	})
+	s.derive(accounts, age)
+}
+
+// derive computes the shares from demands that were measured for some time.
+func (s *shares) derive(accounts map[core.Org]*account, age time.Duration) {
 	if len(accounts) == 0 {
 		return
 	}
+	s.measured = min(age, usualWindow)
+	total := 0.0
+	for _, a := range accounts {
+		total += a.demand.perSecond
+	}
 	s.mean, s.sum = total/float64(len(accounts)), 0
 	for _, a := range accounts {
 		s.sum += s.weighted(a)
