Measure the service time of a service whose nodes are often idle

Cause: a hub skips a sample of the service time in which nodes came or went. A node without work sends no counts, so that its entry expires and comes back with its next request; with 80 nodes and 91 requests a second no sample was ever taken, and the hub assumed 0.8 s for requests of 60 ms. Change: only nodes that come with online work that this hub has not granted, or leave with some, count as changes. Tests: TestServiceTimeIsMeasuredWithNodesThatAreIdle, 0.8 s before; the test of nodes that change hubs stays as it is.

--- a/internal/placement/ledger.go
+++ b/internal/placement/ledger.go
@@ -17,7 +17,8 @@
 // not safe for concurrent use.
 type ledger struct {
 	nodes map[core.NodeID]*ledgerEntry
-	// nodeChanges counts the nodes that were added and removed.
+	// nodeChanges counts the nodes that were added and removed with online work that this
+	// hub has not granted, or does not see the end of. Nodes without work send no counts.
 	nodeChanges int
 	sums        map[core.ReplicaID]inFlight
 	// holders are the nodes that have batch items at a replica, each with the item
@@ -38,6 +39,15 @@
 	return e.runID == c.RunID && c.Sequence <= e.sequence && c.Sequence > 0
 }
 
+// online returns the online work of the node at all replicas.
+func (e *ledgerEntry) online() int {
+	n := 0
+	for _, rc := range e.counts {
+		n += rc.Online
+	}
+	return n
+}
+
 func newLedger() *ledger {
 	return &ledger{
 		nodes: make(map[core.NodeID]*ledgerEntry), sums: make(map[core.ReplicaID]inFlight),
@@ -54,7 +64,7 @@
 		entry.counts[rc.ID] = rc
 	}
 	changed := make(map[core.ReplicaID]inFlight)
-	if l.nodes[from] == nil {
+	if l.nodes[from] == nil && entry.online() > len(c.ConfirmedGrants) {
 		l.nodeChanges++
 	}
 	l.removeNode(from, changed)
@@ -119,7 +129,9 @@
 	changed := make(map[core.ReplicaID]inFlight)
 	for node, entry := range l.nodes {
 		if now.Sub(entry.receivedAt) > countsTTL {
-			l.nodeChanges++
+			if entry.online() > 0 {
+				l.nodeChanges++
+			}
 			l.removeNode(node, changed)
 		}
 	}
