Read what other nodes have accepted before an organisation's limit is filled

Cause: a node counted waiting tokens by rows up to half a second old, and for longer if its change feed of jobs lagged: two nodes accepted two jobs that do not fit together. Change: a job that brings its organisation over half of the limit is counted after one read of the changes that the store has now. Without organisations nothing changes.

--- a/internal/jobs/intake.go
+++ b/internal/jobs/intake.go
@@ -37,6 +37,15 @@
 // in the last few milliseconds and that this node does not know yet.
 const queueLimitFraction = 0.97
 
+const (
+	// catchUpFraction is the fraction of the limit on queued tokens above which the jobs
+	// that other nodes have accepted are read before a job is. Below it, what they may
+	// have accepted within half a second does not fill the limit.
+	catchUpFraction = 0.5
+	// catchUpTimeout bounds that read, which takes a few ms.
+	catchUpTimeout = 500 * time.Millisecond
+)
+
 // Intake accepts submitted jobs and stores them.
 type Intake struct {
 	store *store
@@ -49,6 +58,8 @@
 	// waitingOf returns the waiting tokens of those open jobs for which they are known now,
 	// in place of all their tokens. If nil, they are known for none.
 	waitingOf func(ctx context.Context, open []Entry) map[string]int64
+	// catchUp makes the cache hold all jobs that the store knows of now. It may be nil.
+	catchUp func(ctx context.Context) error
 	// onAccepted is called with each accepted job that this node is to execute.
 	onAccepted func(Entry, []Item)
 
@@ -67,6 +78,10 @@
 		return in.known(sub, &entry.Record)
 	}
 	tokens := sub.Tokens()
+	if err := in.prepareCount(ctx, sub, route, tokens); err != nil {
+		in.log.Info("job refused", "job", sub.ID, "organisation", sub.Access.Org, "reason", "the jobs that other nodes have accepted cannot be read", "error", err)
+		return SubmitUnavailable
+	}
 	if !in.reserve(sub, route, tokens, nil) && !in.reserveExactly(ctx, sub, route, tokens) {
 		return in.rejectFull(ctx, sub, route)
 	}
@@ -79,6 +94,23 @@
 	return in.insert(ctx, sub, record, deadline)
 }
 
+// prepareCount reads the jobs that other nodes have just accepted, if those known so far
+// and the submitted one take a good part of the limit of the organisation.
+func (in *Intake) prepareCount(ctx context.Context, sub *Submission, route *routetable.Route, tokens int64) error {
+	if !sub.Access.Limited || route.MaxQueuedTokens <= 0 || in.catchUp == nil {
+		return nil
+	}
+	for _, e := range in.openJobs(sub, route) {
+		tokens += e.Tokens
+	}
+	if float64(tokens) <= float64(route.MaxQueuedTokens)*catchUpFraction {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
+	defer cancel()
+	return in.catchUp(ctx)
+}
+
 // reserve counts the tokens as pending if they fit the route's limit, which applies to
 // each organisation, or to all callers together if the configuration names none. A job
 // counts with its tokens that still wait, or with all if that is not known.
--- a/internal/jobs/service.go
+++ b/internal/jobs/service.go
@@ -88,6 +88,10 @@
 	return service
 }
 
+// CatchUpWith sets the function with which the cache is brought up to date before a job is
+// accepted that takes its organisation near its limit. It must be called before Run.
+func (s *Service) CatchUpWith(catchUp func(context.Context) error) { s.Intake.catchUp = catchUp }
+
 // Run executes jobs, claims orphaned ones and deletes expired ones until ctx
 // ends.
 func (s *Service) Run(ctx context.Context) {
--- a/internal/platformnode/node.go
+++ b/internal/platformnode/node.go
@@ -162,6 +162,7 @@
 	n.routingWatchers = []*watch.Watcher{n.configWatcher, registrations, n.versions.Watcher()}
 	n.jobWatcher = watch.New(n.store, jobs.JobsTable, jobs.Partitions(), n.jobs.JobCache, log)
 	n.jobWatcher.Interval = jobRowsInterval
+	n.jobs.CatchUpWith(n.jobWatcher.CatchUp)
 }
 
 // CallersAddress returns the address on which the node serves callers.
--- a/internal/watch/watcher.go
+++ b/internal/watch/watcher.go
@@ -61,7 +61,8 @@
 	mu   sync.Mutex
 	rows map[infra.RowKey]infra.VersionedRow
 
-	version  uint64
+	// version is the version up to which the change feed was read.
+	version  atomic.Uint64
 	restored monotime.AtomicTime // when the first call succeeded after a failure
 	contact  monotime.AtomicTime // when the latest call succeeded
 	failing  atomic.Bool
@@ -108,7 +109,7 @@
 			pause = minBackoff
 			w.markReachable()
 		case errors.Is(err, infra.ErrCompacted):
-			w.Log.Info("change feed no longer reaches back to the known version; reading the table again", "version", w.version)
+			w.Log.Info("change feed no longer reaches back to the known version; reading the table again", "version", w.version.Load())
 			synced = false
 		case ctx.Err() == nil:
 			w.markFailing(err)
@@ -128,18 +129,18 @@
 	if w.Failing() {
 		wait = 0
 	}
-	set, err := w.Store.Follow(ctx, w.Table, w.version, wait)
+	set, err := w.Store.Follow(ctx, w.Table, w.version.Load(), wait)
 	if err != nil {
 		return err
 	}
 	if len(set.Rows) > 0 {
 		defer func() { sleep(ctx, w.Interval-time.Since(started)) }()
 	}
-	if set.Version < w.version {
-		w.Log.Warn("ignoring an answer that is older than the known version", "version", set.Version, "known", w.version)
+	if set.Version < w.version.Load() {
+		w.Log.Warn("ignoring an answer that is older than the known version", "version", set.Version, "known", w.version.Load())
 		return nil
 	}
-	w.version = set.Version
+	w.version.Store(set.Version)
 	if len(set.Rows) > 0 {
 		w.apply(set.Rows)
 	}
@@ -250,6 +251,21 @@
 	return true
 }
 
+// CatchUp passes the changes to the handler that the store knows of now, without waiting
+// for the change feed. The feed brings them once more, which the handler must ignore.
+func (w *Watcher) CatchUp(ctx context.Context) error {
+	select {
+	case <-w.loaded:
+	default:
+		return infra.ErrUnavailable // where the changes begin is not known yet
+	}
+	set, err := w.Store.Follow(ctx, w.Table, w.version.Load(), 0)
+	if err == nil && len(set.Rows) > 0 {
+		w.apply(set.Rows)
+	}
+	return err
+}
+
 // Adopt merges the rows of a peer's copy that are newer than the known ones, and passes
 // them to the handler. It reports whether there were any. The change feed, or a read of
 // the table, brings them and older ones later, which the handler must tell from newer ones.
@@ -284,11 +300,11 @@
 			oldest = set.Version
 		}
 	}
-	if oldest < w.version {
-		w.Log.Warn("ignoring a read of the table that is older than the known version", "version", oldest, "known", w.version)
+	if oldest < w.version.Load() {
+		w.Log.Warn("ignoring a read of the table that is older than the known version", "version", oldest, "known", w.version.Load())
 		return infra.ErrUnavailable
 	}
-	w.version = oldest
+	w.version.Store(oldest)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	clear(w.rows)
@@ -312,7 +328,7 @@
 	if w.failing.CompareAndSwap(true, false) {
 		w.restored.Set(now)
 		age, _ := w.ContactAge(now)
-		w.Log.Info("store is reachable again", "version", w.version, "without_contact_ms", age.Milliseconds())
+		w.Log.Info("store is reachable again", "version", w.version.Load(), "without_contact_ms", age.Milliseconds())
 	}
 	w.contact.Set(now)
 }
@@ -320,7 +336,7 @@
 func (w *Watcher) markFailing(err error) {
 	if w.failing.CompareAndSwap(false, true) {
 		age, _ := w.ContactAge(time.Now())
-		w.Log.Warn("store cannot be reached", "error", err, "version", w.version, "without_contact_ms", age.Milliseconds())
+		w.Log.Warn("store cannot be reached", "error", err, "version", w.version.Load(), "without_contact_ms", age.Milliseconds())
 	}
 }
 
