--- a/internal/jobs/itemcache.go
+++ b/internal/jobs/itemcache.go
@@ -2,9 +2,14 @@
 
 import "sync"
 
-// maxCachedJobs is the number of jobs whose items are cached for readers. A job
-// of ten items takes about 20 KB.
-const maxCachedJobs = 32
+const (
+	// maxCachedJobs is the number of jobs whose items are cached for readers. A job
+	// of ten items takes about 20 KB.
+	maxCachedJobs = 32
+	// maxCachedBytes bounds the bodies of the cached items. A job that exceeds it alone
+	// is not cached.
+	maxCachedBytes = 8 << 20
+)
 
 // itemCache holds the items of recently read jobs, keyed by object name, and
 // evicts the oldest entry first. Objects are immutable, so that entries never
@@ -13,6 +18,7 @@
 	mu    sync.Mutex
 	items map[string][]Item
 	order []string
+	bytes int
 }
 
 func newItemCache() *itemCache { return &itemCache{items: make(map[string][]Item)} }
@@ -25,15 +31,25 @@
 }
 
 func (c *itemCache) put(object string, items []Item) {
+	size := bodyBytes(items)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if _, ok := c.items[object]; ok {
+	if _, ok := c.items[object]; ok || size > maxCachedBytes {
 		return
 	}
 	c.items[object] = items
 	c.order = append(c.order, object)
-	if len(c.order) > maxCachedJobs {
+	c.bytes += size
+	for len(c.order) > maxCachedJobs || c.bytes > maxCachedBytes {
+		c.bytes -= bodyBytes(c.items[c.order[0]])
 		delete(c.items, c.order[0])
 		c.order = c.order[1:]
 	}
 }
+
+func bodyBytes(items []Item) (total int) {
+	for i := range items {
+		total += len(items[i].Body)
+	}
+	return total
+}
