--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 # Tests that measure the memory of processes under a crowd of clients. They run one at a
 # time, apart from the other tests and without the race detector, which takes memory of
 # its own.
-CROWD := gentiantide.example/gentiantide/platform/crowdtest
+CROWD := gentiantide.example/gentiantide/platform/crowdtest gentiantide.example/gentiantide/bench/crowdtest
 
 # The environment variable SKIP is a pattern of tests that are known to fail;
 # see KNOWN-RED.txt.
