Account for the bodies of callers and operators on the run path

Change: httpserver.ReadBody reads within the account of the process, sized by memory_mb of the node's settings file (256 MiB if absent), and refuses at the head what is announced over the limit. With memory_mb the Go runtime gets the same soft limit as on the platform.

--- a/cmd/gentiantided/platform.go
+++ b/cmd/gentiantided/platform.go
@@ -13,15 +13,12 @@
 
 	"gentiantide.example/gentiantide/internal/asynclog"
 	"gentiantide.example/gentiantide/internal/logline"
+	"gentiantide.example/gentiantide/internal/memaccount"
 	"gentiantide.example/gentiantide/internal/platformnode"
 	"gentiantide.example/gentiantide/platform"
 )
 
 const (
-	// memoryLimitFraction is the part of the process's memory limit that is set as
-	// the Go runtime's soft limit. The rest is left for socket buffers and the C
-	// library.
-	memoryLimitFraction = 0.65
 	// gcPercent is the heap growth between garbage collections. The live heap is
 	// only a few MB, so frequent collections cost less than a larger heap.
 	gcPercent = 100
@@ -57,7 +54,7 @@
 	runtime.GOMAXPROCS(1)
 	debug.SetGCPercent(gcPercent)
 	if settings.MemoryBytes > 0 {
-		debug.SetMemoryLimit(int64(float64(settings.MemoryBytes) * memoryLimitFraction))
+		debug.SetMemoryLimit(int64(float64(settings.MemoryBytes) * memaccount.RuntimeShare))
 	}
 	output := asynclog.New(os.Stdout)
 	defer output.Close()
--- a/cmd/gentiantided/run.go
+++ b/cmd/gentiantided/run.go
@@ -7,12 +7,14 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/google/subcommands"
 
 	"gentiantide.example/gentiantide/internal/config"
 	"gentiantide.example/gentiantide/internal/logline"
+	"gentiantide.example/gentiantide/internal/memaccount"
 	"gentiantide.example/gentiantide/internal/node"
 )
 
@@ -46,6 +48,9 @@
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitFailure
 	}
+	if cfg.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(float64(cfg.MemoryBytes) * memaccount.RuntimeShare))
+	}
 	log := slog.New(logline.NewHandler(os.Stderr, cfg.LogLevel))
 	if err := node.New(cfg, log).Run(notifyStop(log)); err != nil {
 		log.Error("node failed", "error", err)
--- a/internal/config/fields.go
+++ b/internal/config/fields.go
@@ -1,10 +1,12 @@
 package config
 
 import (
+	"fmt"
 	"log/slog"
 	"net/netip"
 	"net/url"
 	"regexp"
+	"strconv"
 	"strings"
 	"time"
 
@@ -27,6 +29,12 @@
 	maxTimeout = time.Minute
 )
 
+// minMemoryMB and maxMemoryMB bound the memory of a VM.
+const (
+	minMemoryMB = 64
+	maxMemoryMB = 1 << 20
+)
+
 // fields returns the schema of the settings file. Decoding stores into n.
 func (n *Node) fields() []field {
 	return []field{
@@ -50,6 +58,7 @@
 		})},
 		{"peer_secret_file", false, secretFile(&n.PeerSecrets)},
 		{"seeds", false, addresses(&n.Seeds)},
+		{"memory_mb", false, memory(&n.MemoryBytes)},
 		{"log_level", false, logLevel(&n.LogLevel)},
 		{"timeouts", false, object([]field{
 			{"connect", false, duration(&n.Timeouts.Connect)},
@@ -120,6 +129,23 @@
 	}
 }
 
+// memory returns the decoder of a size in MiB, which is stored in bytes.
+func memory(to *int64) func(*decoder, string, *strictjson.Node) {
+	return func(d *decoder, path string, n *strictjson.Node) {
+		expected := fmt.Sprintf("a whole number of MiB from %d to %d", minMemoryMB, maxMemoryMB)
+		if n.Kind != strictjson.Number {
+			d.reject(n, path, "wrong type: "+string(n.Kind), expected)
+			return
+		}
+		v, err := strconv.ParseInt(n.Text, 10, 64)
+		if err != nil || v < minMemoryMB || v > maxMemoryMB {
+			d.reject(n, path, "value "+n.Text+" is out of range", expected)
+			return
+		}
+		*to = v << 20
+	}
+}
+
 // baseURL returns the decoder of a URL, which is stored without a trailing slash.
 func baseURL(to *string) func(*decoder, string, *strictjson.Node) {
 	return func(d *decoder, path string, n *strictjson.Node) {
--- a/internal/config/load_test.go
+++ b/internal/config/load_test.go
@@ -18,7 +18,7 @@
   "listen": {"callers": "10.0.0.1:8080", "operators": "10.0.0.1:8081", "peers": "[::1]:8082"},
   "platform": {"table": "http://10.0.1.1:1/", "objects": "http://10.0.1.1:2", "weights": "http://10.0.1.1:3", "fleet": "https://10.0.1.1:4"},
   "seeds": ["10.0.0.2:8082"],
-  "log_level": "warn",
+  "log_level": "warn", "memory_mb": 144,
   "timeouts": {"table": "1500ms"},
   "operators": {"token_sha256": ["2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b"]},
 }`
@@ -37,7 +37,7 @@
 		Listen:    Listen{"10.0.0.1:8080", "10.0.0.1:8081", "[::1]:8082"},
 		Operators: Operators{TokenDigests: [][sha256.Size]byte{sha256.Sum256([]byte("secret"))}},
 		Platform:  Platform{"http://10.0.1.1:1", "http://10.0.1.1:2", "http://10.0.1.1:3", "https://10.0.1.1:4"},
-		Seeds:     []string{"10.0.0.2:8082"}, LogLevel: slog.LevelWarn, Timeouts: want,
+		Seeds:     []string{"10.0.0.2:8082"}, LogLevel: slog.LevelWarn, MemoryBytes: 144 << 20, Timeouts: want,
 	}))
 }
 
@@ -53,6 +53,8 @@
 		{`"http://10.0.1.1:2"`, `"10.0.1.1:2"`, `node.json:5:58: platform.objects: value is not a base URL`},
 		{`["10.0.0.2:8082"]`, `["10.0.0.2"]`, `node.json:6:13: seeds: value is not an address`},
 		{`"warn"`, `"loud"`, `node.json:7:16: log_level: value is not a log level; expected one of debug, info, warn, error`},
+		{`144`, `"144"`, `node.json:7:37: memory_mb: wrong type: string`},
+		{`144`, `1`, `node.json:7:37: memory_mb: value 1 is out of range; expected a whole number of MiB from 64 to 1048576`},
 		{`"1500ms"`, `1500`, `node.json:8:25: timeouts.table: wrong unit: 1500 has none`},
 		{`"1500ms"`, `"2h"`, `node.json:8:25: timeouts.table: value 2h is out of range`},
 		{`"id":`, `"id": "x", "id":`, `node.json:3:14: id: duplicate key "id"`},
--- a/internal/config/node.go
+++ b/internal/config/node.go
@@ -24,7 +24,10 @@
 	// unavailable.
 	Seeds    []string
 	LogLevel slog.Level
-	Timeouts Timeouts
+	// MemoryBytes is the memory of the VM; 0 if the file does not say. The file has it
+	// in MiB.
+	MemoryBytes int64
+	Timeouts    Timeouts
 	// Warnings describe settings that are accepted but likely wrong.
 	Warnings strictjson.Problems
 }
--- a/internal/httpapi/callers/generate.go
+++ b/internal/httpapi/callers/generate.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"gentiantide.example/gentiantide/internal/core"
+	"gentiantide.example/gentiantide/internal/httpapi/httpserver"
 	"gentiantide.example/gentiantide/internal/intent"
 	"gentiantide.example/gentiantide/internal/relay"
 )
@@ -16,7 +17,7 @@
 	if x == nil {
 		return
 	}
-	body, refusal := readBody(w, r)
+	body, refusal := httpserver.ReadBody(w, r, maxBodyBytes)
 	if refusal != nil {
 		x.refuse(refusal)
 		return
--- a/internal/httpapi/callers/plain.go
+++ b/internal/httpapi/callers/plain.go
@@ -7,6 +7,7 @@
 	"gentiantide.example/gentiantide/internal/backend"
 	"gentiantide.example/gentiantide/internal/core"
 	"gentiantide.example/gentiantide/internal/httpapi"
+	"gentiantide.example/gentiantide/internal/httpapi/httpserver"
 	"gentiantide.example/gentiantide/internal/intent"
 	"gentiantide.example/gentiantide/internal/relay"
 )
@@ -21,7 +22,7 @@
 		x.refuse(core.Refuse(core.CodeNotFound, "there is no service at "+r.URL.Path))
 		return
 	}
-	body, refusal := readBody(w, r)
+	body, refusal := httpserver.ReadBody(w, r, maxBodyBytes)
 	if refusal != nil {
 		x.refuse(refusal)
 		return
--- a/internal/httpapi/httpserver/body.go
+++ b/internal/httpapi/httpserver/body.go
@@ -4,6 +4,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"gentiantide.example/gentiantide/internal/memaccount"
 )
 
 const (
@@ -30,15 +32,19 @@
 // not count.
 type limitedBody struct {
 	io.ReadCloser
+	writer     http.ResponseWriter
 	controller *http.ResponseController
 	remaining  time.Duration // time that reads may still wait
 	upload     bool
 	done       bool // a read has reached the end or failed
+	// account is charged for a body that is kept, and holder is its charge, or nil.
+	account *memaccount.Account
+	holder  *memaccount.Holder
 }
 
 // limitBody replaces the request's body by a limitedBody. It returns nil if the
 // request has no body.
-func limitBody(w http.ResponseWriter, r *http.Request, upload bool) *limitedBody {
+func limitBody(w http.ResponseWriter, r *http.Request, upload bool, account *memaccount.Account) *limitedBody {
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil
 	}
@@ -47,8 +53,8 @@
 		limit = maxUploadBytes
 	}
 	b := &limitedBody{
-		ReadCloser: http.MaxBytesReader(w, r.Body, limit), controller: http.NewResponseController(w),
-		remaining: bodyTimeout, upload: upload,
+		ReadCloser: http.MaxBytesReader(w, r.Body, limit), writer: w, controller: http.NewResponseController(w),
+		remaining: bodyTimeout, upload: upload, account: account,
 	}
 	// If the handler responds without reading the body, net/http reads part of it
 	// before it sends the response.
@@ -76,6 +82,13 @@
 	return n, err
 }
 
+// release gives the memory of the body back after the handler has returned.
+func (b *limitedBody) release() {
+	if b != nil {
+		b.holder.Close()
+	}
+}
+
 // limitDiscard bounds the time for reading the rest of the body after the handler
 // has returned.
 func (b *limitedBody) limitDiscard() {
--- a/internal/httpapi/httpserver/middleware.go
+++ b/internal/httpapi/httpserver/middleware.go
@@ -18,9 +18,10 @@
 	w.Header().Set(httpapi.RequestIDHeader, id)
 	r = r.WithContext(httpapi.WithRequestID(r.Context(), id))
 	streams := m.Streams(r.URL.Path)
-	body := limitBody(w, r, streams)
+	body := limitBody(w, r, streams, m.Memory)
 	response := &response{ResponseWriter: w, streamed: streams}
 	defer body.limitDiscard()
+	defer body.release()
 	defer m.recoverPanic(response, r, id)
 	m.Handler.ServeHTTP(response, r)
 }
--- a/internal/httpapi/httpserver/server.go
+++ b/internal/httpapi/httpserver/server.go
@@ -6,6 +6,8 @@
 	"log/slog"
 	"net/http"
 	"time"
+
+	"gentiantide.example/gentiantide/internal/memaccount"
 )
 
 const (
@@ -28,6 +30,9 @@
 	// NewID returns a new request ID.
 	NewID  func() string
 	Logger *slog.Logger
+	// Memory accounts for the bodies that handlers read with ReadBody. If it is nil, they
+	// have no limit together.
+	Memory *memaccount.Account
 	// Streams reports whether requests to the path have long bodies or long
 	// responses, which may take any time while they progress. If Streams is nil, no
 	// path has.
--- a/internal/httpapi/operators/settings.go
+++ b/internal/httpapi/operators/settings.go
@@ -1,7 +1,6 @@
 package operators
 
 import (
-	"io"
 	"net"
 	"net/http"
 	"net/url"
@@ -10,7 +9,7 @@
 
 	"github.com/pkg/errors"
 
-	"gentiantide.example/gentiantide/internal/core"
+	"gentiantide.example/gentiantide/internal/httpapi/httpserver"
 	"gentiantide.example/gentiantide/internal/settings"
 )
 
@@ -102,9 +101,9 @@
 // readBody reads the body, up to maxBodyBytes. If it returns false, it has written
 // the error response.
 func readBody(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
-	if err != nil {
-		writeRefusal(w, core.Refuse(core.CodeInvalidRequest, "request body cannot be read: "+err.Error()))
+	data, refusal := httpserver.ReadBody(w, r, maxBodyBytes)
+	if refusal != nil {
+		writeRefusal(w, refusal)
 		return nil, false
 	}
 	return data, true
--- a/internal/memaccount/limits.go
+++ b/internal/memaccount/limits.go
@@ -2,6 +2,10 @@
 
 import "time"
 
+// RuntimeShare is the part of the memory that is set as the soft limit of the Go runtime
+// (debug.SetMemoryLimit). The rest is left for socket buffers and the C library.
+const RuntimeShare = 0.65
+
 const (
 	// vmShare is the part of a VM's memory for what is held for callers. The rest is for
 	// connections, tables, garbage and socket buffers.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"io"
 	"log/slog"
 	"net"
@@ -30,6 +31,7 @@
 	"gentiantide.example/gentiantide/internal/infra/httpobjects"
 	"gentiantide.example/gentiantide/internal/infra/httptable"
 	"gentiantide.example/gentiantide/internal/intent"
+	"gentiantide.example/gentiantide/internal/memaccount"
 	"gentiantide.example/gentiantide/internal/membership"
 	"gentiantide.example/gentiantide/internal/metrics"
 	"gentiantide.example/gentiantide/internal/netopt"
@@ -199,6 +201,7 @@
 
 // wireHTTP creates the HTTP servers for callers and operators.
 func (n *Node) wireHTTP() {
+	memory := memaccount.New(memaccount.ForMemory(cmp.Or(n.cfg.MemoryBytes, defaultMemoryBytes)))
 	callersMux := http.NewServeMux()
 	n.batch.Register(callersMux)
 	callers.Register(callersMux, callers.Config{
@@ -206,7 +209,7 @@
 		NewID: n.ids.new, Scope: n.scope, Logger: n.log.With("role", "callers"),
 	})
 	n.callersServer = httpserver.New(httpserver.Options{
-		Handler: callersMux, NewID: n.ids.new, Logger: n.log.With("role", "callers"),
+		Handler: callersMux, NewID: n.ids.new, Logger: n.log.With("role", "callers"), Memory: memory,
 		Streams: func(path string) bool { return path == filesPath || strings.HasPrefix(path, filesPath+"/") },
 	})
 	operatorsMux := http.NewServeMux()
@@ -216,7 +219,7 @@
 	}
 	server.Register(operatorsMux)
 	n.operatorsServer = httpserver.New(httpserver.Options{
-		Handler: operatorsMux, NewID: n.ids.new, Logger: n.log.With("role", "operators"),
+		Handler: operatorsMux, NewID: n.ids.new, Logger: n.log.With("role", "operators"), Memory: memory,
 	})
 	n.operatorsServer.WriteTimeout = operatorsWriteTimeout
 }
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -39,6 +39,8 @@
 	// maxCallerConns is three times the concurrent requests of a node that gets 22
 	// requests/s of 30 s each. That many connections use at most about 32 MiB.
 	maxCallerConns = 2048
+	// defaultMemoryBytes is the memory of a VM whose settings file does not name it.
+	defaultMemoryBytes int64 = 256 << 20
 	// maxOperatorConns is enough for a few commands, scripts and metrics collectors.
 	maxOperatorConns = 128
 	// maxPeerConns is twice the maximum number of nodes in the design. Each node has
