Make room also when a connection is refused, and end those whose body nobody reads

Cause: at the outer bound a new connection was closed before it made room, so that a crowd of small incomplete bodies kept all places until its bodies were given up, and so did one whose bodies no handler reads: an ordinary request waited 10 to 13 s (crowd tests, one run).

Change: each connection beyond the bound makes room first. One on which net/http awaits the rest of a body after the handler counts as waiting. The bound is 0.6 of the sockets instead of 0.65, since 255 of 256 were reached.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -56,6 +56,9 @@
 	// rejected is set once the connection has sent a response in place of the HTTP
 	// server, whose own is then discarded.
 	rejected bool
+	// discards is set while the rest of a body may be awaited after the handler. mu guards
+	// it.
+	discards bool
 	// lingers is set if the caller may still be sending when its response ends.
 	lingers bool
 }
@@ -205,6 +208,7 @@
 	defer c.mu.Unlock()
 	before := c.currentPhase()
 	c.phase.Store(int32(p))
+	c.discards = false
 	if p == phaseRead {
 		c.stay() // a request has arrived after all
 	}
--- a/internal/callerconn/crowd.go
+++ b/internal/callerconn/crowd.go
@@ -21,7 +21,8 @@
 type rank int
 
 const (
-	// rankStuck is a connection on which no whole head has arrived for a time.
+	// rankStuck is a connection on which no whole head has arrived for a time, or on which
+	// the rest of a body is awaited that nobody needs.
 	rankStuck rank = iota
 	// rankKept is one that is kept after a response.
 	rankKept
@@ -31,8 +32,10 @@
 	rankBusy
 )
 
-func rankOf(p phase, waited time.Duration, evicted bool) rank {
+func rankOf(p phase, waited time.Duration, evicted, discards bool) rank {
 	switch {
+	case discards && !evicted && waited >= firstBytesWait:
+		return rankStuck
 	case evicted || !p.awaiting():
 		return rankBusy
 	case p == phaseIdle:
@@ -44,24 +47,23 @@
 }
 
 // makeRoom ends a connection if too many are open: one that waits for a request, or one
-// with an incomplete body. It reports false if the new one has to be closed at once.
+// with an incomplete body. It reports false if the new one has to be closed at once, since
+// those that end have not been closed yet.
 func (s *Server) makeRoom(open int) bool {
-	if s.MaxConns > 0 && open > int(float64(s.MaxConns)*hardShare) {
-		return false
-	}
 	if s.MaxConns <= 0 || open-int(s.evicted.Load()) <= s.MaxConns {
-		return true
+		return s.MaxConns <= 0 || open <= s.hardLimit()
 	}
 	victim, r := s.longestWaiting(time.Now())
-	if r >= rankFresh && s.EndIncomplete != nil && s.EndIncomplete() {
-		return true
-	}
-	if victim != nil {
+	ended := r >= rankFresh && s.EndIncomplete != nil && s.EndIncomplete()
+	if !ended && victim != nil {
 		victim.evict()
 	}
-	return true
+	return open <= s.hardLimit()
 }
 
+// hardLimit is the number of connections that are open at once in any case.
+func (s *Server) hardLimit() int { return int(float64(s.MaxConns) * hardShare) }
+
 // longestWaiting returns the connection that has waited longest among those of the lowest
 // rank of a sample, or nil if none waits.
 func (s *Server) longestWaiting(now time.Time) (*conn, rank) {
@@ -99,7 +101,19 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	waited := now.Sub(c.since)
-	return rankOf(c.currentPhase(), waited, c.evicted.Load()), waited
+	return rankOf(c.currentPhase(), waited, c.evicted.Load(), c.discards), waited
+}
+
+// answer ends the handler's part of a request. The HTTP server then reads what is left of
+// a body, before it sends a short response.
+func (c *conn) answer(hasBody, refused bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lingers = hasBody && refused
+	if hasBody {
+		c.discards, c.since = true, time.Now()
+	}
+	c.phase.Store(int32(phaseAnswered))
 }
 
 // stay counts the connection no longer as one of those that end.
@@ -113,7 +127,7 @@
 func (c *conn) evict() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.currentPhase().awaiting() {
+	if c.currentPhase().awaiting() || c.discards {
 		if c.evicted.CompareAndSwap(false, true) {
 			c.server.evicted.Add(1)
 		}
--- a/internal/callerconn/handler.go
+++ b/internal/callerconn/handler.go
@@ -61,8 +61,7 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		_, _ = io.WriteString(w, `{"error":{"code":"internal"}}`+"\n") // fails only if the caller has disconnected
 	}
-	c.lingers = in.ContentLength != 0 && response.status >= http.StatusBadRequest && w.Header().Get("Connection") == "close"
-	c.phase.Store(int32(phaseAnswered))
+	c.answer(in.ContentLength != 0, response.status >= http.StatusBadRequest && w.Header().Get("Connection") == "close")
 }
 
 // call runs the handler of one request. aborted is set if the handler gave the
--- a/internal/platformnode/listeners.go
+++ b/internal/platformnode/listeners.go
@@ -15,7 +15,7 @@
 	// callerSockets is the part of the sockets above which callers' connections that wait
 	// end. Connections to replicas, nodes and the store need the rest, and so do those
 	// that are ending.
-	callerSockets = 0.65
+	callerSockets = 0.6
 	// connMemoryShare is the part of the memory for the connections of callers.
 	connMemoryShare = 1. / 5
 	// connBytes is what a connection takes: the stack of its goroutine, the buffers of the
