--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 
 PACKAGES := ./... ./bench/...
 
-.PHONY: build test crowd lint demo bench capacity soak
+.PHONY: build test crowd crowd-bench lint demo bench capacity soak
 
 build:
 	mkdir -p bin
@@ -29,6 +29,10 @@
 crowd:
 	go test -count=1 -p 1 -parallel 1 $${SKIP:+-skip "$$SKIP"} $(CROWD)
 
+# Prints the peak memory of nodes on VMs of several sizes.
+crowd-bench:
+	go test -count=1 -p 1 -run '^$$' -bench . -benchtime 1x gentiantide.example/gentiantide/platform/crowdtest
+
 lint:
 	test -z "$$(gofmt -l cmd internal platform bench)" || (gofmt -l cmd internal platform bench; exit 1)
 	go vet $(PACKAGES)
