End waiting connections for new ones on the run path, and report its memory

Cause: a crowd that opens connections and sends nothing kept the places of a listener until its time-outs of 10 s and 2 min; ordinary callers were closed at once meanwhile.

Change: connlimit follows the states of an HTTP server's connections. At the limit the one that has waited longest for a request ends, or the slowest incomplete body. The report of the memory account moves to internal/memreport and runs on both paths.

--- a/internal/connlimit/listener.go
+++ b/internal/connlimit/listener.go
@@ -12,21 +12,30 @@
 // logInterval is the minimum time between two log lines about refused connections.
 const logInterval = time.Second
 
-// Listener closes connections beyond its limit as soon as it has accepted them. It
-// does not leave them in the accept queue, so that a load balancer tries another
-// node at once.
+// Listener closes connections beyond its limit as soon as it has accepted them, unless
+// it knows of one that waits for a request (see Track). It does not leave them in the
+// accept queue, so that a load balancer tries another node at once.
 type Listener struct {
 	net.Listener
+	// EndIncomplete, if set, ends a request that is not yet received completely, and
+	// reports whether there is one. It must not be changed after the first Accept.
+	EndIncomplete func() bool
+
 	log     *slog.Logger
 	limit   int64
 	open    atomic.Int64
 	refused atomic.Int64 // since the last log line
+	ended   atomic.Int64 // in favour of new ones, since the last log line
 	lastLog atomic.Int64 // time of the last log line in Unix nanoseconds
+
+	mu sync.Mutex
+	// waiting are the connections that wait for a request.
+	waiting map[*conn]wait
 }
 
 // New returns a listener with at most limit open connections.
 func New(l net.Listener, limit int, log *slog.Logger) *Listener {
-	return &Listener{Listener: l, limit: int64(limit), log: log}
+	return &Listener{Listener: l, limit: int64(limit), log: log, waiting: make(map[*conn]wait)}
 }
 
 // Accept implements net.Listener.
@@ -36,7 +45,8 @@
 		if err != nil {
 			return nil, err
 		}
-		if l.open.Add(1) <= l.limit {
+		open := l.open.Add(1)
+		if open <= l.limit || l.makeRoom(time.Now()) && open <= int64(float64(l.limit)*hardShare) {
 			return &conn{Conn: c, listener: l}, nil
 		}
 		l.open.Add(-1)
@@ -45,16 +55,19 @@
 	}
 }
 
-// logRefused counts a refused connection and logs the count at most once per
-// logInterval.
+// logRefused counts a refused connection and logs it with others.
 func (l *Listener) logRefused(remote net.Addr) {
-	refused := l.refused.Add(1)
+	l.refused.Add(1)
+	l.logCrowd(remote)
+}
+
+// logCrowd logs at most once per logInterval how many connections were refused or ended.
+func (l *Listener) logCrowd(remote net.Addr) {
 	now := time.Now().UnixNano()
 	if last := l.lastLog.Load(); now-last < int64(logInterval) || !l.lastLog.CompareAndSwap(last, now) {
 		return
 	}
-	l.refused.Add(-refused)
-	l.log.Warn("too many connections; new connections refused", "address", l.Addr().String(), "limit", l.limit, "refused", refused, "remote", remote.String())
+	l.log.Warn("too many connections", "address", l.Addr().String(), "limit", l.limit, "refused", l.refused.Swap(0), "ended", l.ended.Swap(0), "remote", remote.String())
 }
 
 // conn is a connection that counts towards the limit until its first Close.
@@ -66,6 +79,9 @@
 
 // Close implements net.Conn.
 func (c *conn) Close() error {
-	c.once.Do(func() { c.listener.open.Add(-1) })
+	c.once.Do(func() {
+		c.listener.open.Add(-1)
+		c.listener.forget(c)
+	})
 	return c.Conn.Close()
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -33,6 +33,7 @@
 	"gentiantide.example/gentiantide/internal/intent"
 	"gentiantide.example/gentiantide/internal/memaccount"
 	"gentiantide.example/gentiantide/internal/membership"
+	"gentiantide.example/gentiantide/internal/memreport"
 	"gentiantide.example/gentiantide/internal/metrics"
 	"gentiantide.example/gentiantide/internal/netopt"
 	"gentiantide.example/gentiantide/internal/orders"
@@ -73,6 +74,9 @@
 	metricsCloser  io.Closer
 
 	callersServer *http.Server
+	// memory accounts for the bodies of callers and operators.
+	memory       *memaccount.Account
+	memoryReport *memreport.Report
 	// callersListener is nil until the node accepts callers.
 	callersListener *netopt.Drainable
 	operatorsServer *http.Server
@@ -201,7 +205,8 @@
 
 // wireHTTP creates the HTTP servers for callers and operators.
 func (n *Node) wireHTTP() {
-	memory := memaccount.New(memaccount.ForMemory(cmp.Or(n.cfg.MemoryBytes, defaultMemoryBytes)))
+	n.memory = memaccount.New(memaccount.ForMemory(cmp.Or(n.cfg.MemoryBytes, defaultMemoryBytes)))
+	n.memoryReport = memreport.New(n.memory, n.scope, n.log)
 	callersMux := http.NewServeMux()
 	n.batch.Register(callersMux)
 	callers.Register(callersMux, callers.Config{
@@ -209,7 +214,7 @@
 		NewID: n.ids.new, Scope: n.scope, Logger: n.log.With("role", "callers"),
 	})
 	n.callersServer = httpserver.New(httpserver.Options{
-		Handler: callersMux, NewID: n.ids.new, Logger: n.log.With("role", "callers"), Memory: memory,
+		Handler: callersMux, NewID: n.ids.new, Logger: n.log.With("role", "callers"), Memory: n.memory,
 		Streams: func(path string) bool { return path == filesPath || strings.HasPrefix(path, filesPath+"/") },
 	})
 	operatorsMux := http.NewServeMux()
@@ -219,7 +224,7 @@
 	}
 	server.Register(operatorsMux)
 	n.operatorsServer = httpserver.New(httpserver.Options{
-		Handler: operatorsMux, NewID: n.ids.new, Logger: n.log.With("role", "operators"), Memory: memory,
+		Handler: operatorsMux, NewID: n.ids.new, Logger: n.log.With("role", "operators"), Memory: n.memory,
 	})
 	n.operatorsServer.WriteTimeout = operatorsWriteTimeout
 }
@@ -276,17 +281,21 @@
 // listen opens the listeners for operators and peers. That for callers is opened
 // when the node is ready.
 func (n *Node) listen() (operatorsL, peersL net.Listener, err error) {
-	if operatorsL, err = n.open("operators", n.cfg.Listen.Operators, maxOperatorConns); err != nil {
+	operatorsLimit, err := n.open("operators", n.cfg.Listen.Operators, maxOperatorConns)
+	if err != nil {
 		return nil, nil, err
 	}
-	if peersL, err = n.open("peers", n.cfg.Listen.Peers, maxPeerConns); err != nil {
-		_ = operatorsL.Close()
+	n.makesRoom(operatorsLimit, n.operatorsServer)
+	peersLimit, err := n.open("peers", n.cfg.Listen.Peers, maxPeerConns)
+	if err != nil {
+		_ = operatorsLimit.Close()
+		return nil, nil, err
 	}
-	return operatorsL, peersL, err
+	return operatorsLimit, peersLimit, nil
 }
 
 // open opens a listener with a limit on its open connections.
-func (n *Node) open(name, address string, limit int) (net.Listener, error) {
+func (n *Node) open(name, address string, limit int) (*connlimit.Listener, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "open the listener for %s", name)
@@ -294,6 +303,13 @@
 	return connlimit.New(l, limit, n.log.With("role", name)), nil
 }
 
+// makesRoom lets connections of a server that wait for a request, and incomplete ones,
+// end in favour of new ones. It is called before the server serves.
+func (n *Node) makesRoom(l *connlimit.Listener, server *http.Server) {
+	server.ConnState = l.Track
+	l.EndIncomplete = func() bool { return n.memory.EndSlowest(time.Now()) }
+}
+
 // openCallers opens the listener for callers.
 func (n *Node) openCallers() (net.Listener, error) {
 	l, err := net.Listen("tcp", n.cfg.Listen.Callers)
@@ -301,5 +317,7 @@
 		return nil, errors.Wrap(err, "open the listener for callers")
 	}
 	n.callersListener = netopt.NewDrainable(l.(*net.TCPListener))
-	return connlimit.New(n.callersListener, maxCallerConns, n.log.With("role", "callers")), nil
+	limit := connlimit.New(n.callersListener, maxCallerConns, n.log.With("role", "callers"))
+	n.makesRoom(limit, n.callersServer)
+	return limit, nil
 }
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -60,6 +60,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	n.transport.Start(peersL)
+	n.runInBackground(func() { n.memoryReport.Run(ctx) })
 	n.runInBackground(func() { n.members.Run(ctx) })
 	n.runInBackground(func() { n.settings.Run(ctx) })
 	n.runInBackground(func() { n.fleet.Run(ctx) })
--- a/internal/platformnode/node.go
+++ b/internal/platformnode/node.go
@@ -21,6 +21,7 @@
 	"gentiantide.example/gentiantide/internal/forward"
 	"gentiantide.example/gentiantide/internal/jobs"
 	"gentiantide.example/gentiantide/internal/memaccount"
+	"gentiantide.example/gentiantide/internal/memreport"
 	"gentiantide.example/gentiantide/internal/metrics"
 	"gentiantide.example/gentiantide/internal/netopt"
 	"gentiantide.example/gentiantide/internal/nodes"
@@ -71,7 +72,7 @@
 	counters   *forward.Counters
 	// memory accounts for what is held for callers.
 	memory       *memaccount.Account
-	memoryGauges *memoryGauges
+	memoryReport *memreport.Report
 	configGauges *configGauges
 	// limitedReplicas is the number of replicas that name a limit.
 	limitedReplicas tally.Gauge
@@ -142,7 +143,7 @@
 	})
 	n.counters = forward.NewCounters(scope)
 	n.memory = memaccount.New(memaccount.ForMemory(settings.MemoryBytes))
-	n.memoryGauges = newMemoryGauges(n.memory, scope, log)
+	n.memoryReport = memreport.New(n.memory, scope, log)
 	n.configGauges = newConfigGauges(scope)
 	n.limitedReplicas = scope.Gauge("replicas_limited")
 	n.configWatcher = n.configs.Watcher(n.store)
@@ -302,7 +303,7 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			n.memoryGauges.update(now)
+			n.memoryReport.Update(now)
 			n.configGauges.update(n.configs.Table.Load(), n.configWatcher, now)
 			n.limitedReplicas.Update(float64(n.registry.CountLimited()))
 			n.registry.ExpireIdle(now)
