Judge replicas by the runs of all nodes

Each node learned by itself that a replica fails all its runs, and one that ends them at once always has the least work, so that it drew the requests of one node after the other. An error status did not count as a failure at all. A new hub began with no load and no failures, and a node that a cut had separated from two data centres lost requests there until it had failed at most of their replicas.

Nodes now report the results of their runs with their counts. The hub puts a replica whose last run failed on probation, for all nodes: one request at a time, by preference an item or a request that may run again, with pauses. One that fails a part of its runs gets less, and requests that may run once only if no other has room. Replicas that fail in company (their data centre, all of them, a node that fails everywhere) are not blamed alone. The hub tells all nodes with its totals; a node passes them on to the next hub, which also begins with the online work that they show. A node that loses a hub in another data centre, or sees a replica stall there, asks the network whether the data centre can be reached at all, and probes its replicas at once when a message comes from there again.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -107,6 +107,9 @@
 	a.release()
 	// A caller that disconnected, a deadline, the end of the node, a quarantine or a
 	// silent replica that went on is no fault of the replica.
+	if errors.Is(a.err, errRouteTimeout) && time.Since(a.sent) >= standbyAfter {
+		a.replica.ObserveFailure() // no head for so long: it is silent, or very slow
+	}
 	for _, harmless := range []error{context.Canceled, errRouteTimeout, errStopOver, errStandbyEnded, quarantine.ErrQuarantined} {
 		if errors.Is(a.err, harmless) {
 			return
--- a/internal/forward/buffered.go
+++ b/internal/forward/buffered.go
@@ -20,6 +20,9 @@
 	// may take the request over. It is over five times the usual response time of a
 	// service that does not stream.
 	standbyAfter = 900 * time.Millisecond
+	// deadlineSlack is how long before the deadline of a request a replica may give it up
+	// because of the deadline: its answer needs that time.
+	deadlineSlack = 50 * time.Millisecond
 )
 
 var (
@@ -115,6 +118,9 @@
 	}
 	if a.response.Status < http.StatusInternalServerError {
 		a.replica.RecordSuccess()
+		a.replica.ObserveSuccess(a.sent)
+	} else if !r.outOfTime(a.response.Status) {
+		a.replica.ObserveFailure()
 	}
 	return response
 }
@@ -166,6 +172,12 @@
 	return nil
 }
 
+// outOfTime reports whether a replica gave the request up at the deadline that it was
+// told. That shows no fault of the replica.
+func (r *request) outOfTime(status int) bool {
+	return status == http.StatusGatewayTimeout && time.Until(r.deadline) < deadlineSlack
+}
+
 // claimsNotRun reports whether the status would tell the caller of a non-repeatable
 // request that it has not run, although it has.
 func (r *request) claimsNotRun(status int) bool {
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -57,7 +57,7 @@
 		Tried: r.tried, Arrived: r.arrived,
 		Objective: r.objective(), MaxWait: r.maxWait(r.lastProgress), Urgent: r.headerSent || r.takesUp(), Identity: r.identity,
 		Prompt: r.prompt, Tokens: r.tokens,
-		Org: r.reqInfo.Org, Weight: organisationWeight, Priority: r.route.PriorityFor(r.org), Repeatable: r.route.Retryable(),
+		Org: r.reqInfo.Org, Weight: organisationWeight, Priority: r.route.PriorityFor(r.org), Repeatable: r.runs == 0 && r.route.Retryable() && r.route.MaxAttempts > 1,
 	}
 	if r.begunAt != nil {
 		query.Service, query.Version = r.begunAt.Service, &r.begunAt.Version
--- a/internal/forward/standby.go
+++ b/internal/forward/standby.go
@@ -77,7 +77,8 @@
 		return nil
 	}
 	s.query.Tried = append(slices.Clone(r.tried), present.replica.Info().ID)
-	s.query.Identity = 0 // the caller is not rejected if no replica is found
+	s.query.Repeatable = false // it has lost time already
+	s.query.Identity = 0       // the caller is not rejected if no replica is found
 	s.timer = time.AfterFunc(silence, s.search)
 	return s
 }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -173,7 +173,10 @@
 		n, err := a.response.Read(buf)
 		if n > 0 {
 			progress, addErr := s.relayEvents(a, standby, &splitter, buf[:n])
-			begun = begun || progress || !a.response.EventStream()
+			if !begun && (progress || !a.response.EventStream()) {
+				begun = true
+				a.replica.ObserveSuccess(a.sent)
+			}
 			if progress {
 				s.r.stopWatch() // the run has begun without a crash
 				a.run.RecordEvent(time.Now())
--- a/internal/jobs/executor.go
+++ b/internal/jobs/executor.go
@@ -151,7 +151,7 @@
 // reads the response.
 func (e *Executor) sendItem(ctx context.Context, run *itemRun, target *replica.Replica) (runOutcome, error) {
 	task, info, sent := run.task, target.Info(), time.Now()
-	run.target, run.software, task.newEvents = target, info.Software(), 0
+	run.target, run.software, run.sent, task.newEvents = target, info.Software(), sent, 0
 	if task.lastEvent == forward.NoResume {
 		task.dropOutput() // of events without IDs: the replica begins with the first one
 	}
@@ -173,7 +173,7 @@
 	responseInfo := e.Codec.ParseResponse(task.item.ID, response.Status, response.Header)
 	responseInfo.Record(target, info.Started, sent, task.item.ID, e.Log)
 	if responseInfo.NotRun || response.Status != http.StatusOK || !responseInfo.Signed {
-		return e.classifyResponse(response, responseInfo)
+		return e.classifyResponse(target, response, responseInfo)
 	}
 	err = run.readEvents(response)
 	if errors.Is(err, errOtherSoftware) {
@@ -197,7 +197,7 @@
 }
 
 // classifyResponse returns the outcome for a response that carries no events.
-func (e *Executor) classifyResponse(response *replica.Response, info forward.ResponseInfo) (runOutcome, error) {
+func (e *Executor) classifyResponse(target *replica.Replica, response *replica.Response, info forward.ResponseInfo) (runOutcome, error) {
 	_, _ = io.Copy(io.Discard, io.LimitReader(response, readBufferSize)) // a body read whole lets the connection be reused
 	switch {
 	case info.Misdirected:
@@ -209,6 +209,7 @@
 	case response.Status == http.StatusUnprocessableEntity:
 		return outcomeImpossible, nil
 	case response.Status == http.StatusInternalServerError:
+		target.ObserveFailure()
 		return outcomeFailed, nil
 	case response.Status < http.StatusInternalServerError:
 		// The status concerns the item, not the replica, but does not justify
--- a/internal/jobs/itemrun.go
+++ b/internal/jobs/itemrun.go
@@ -23,6 +23,9 @@
 	// target is the replica, and software what it ran when the item was sent to it.
 	target   *replica.Replica
 	software replica.Software
+	// sent is when the item was sent, and begun is set once the run has brought an event.
+	sent  time.Time
+	begun bool
 }
 
 // end releases what the run holds.
@@ -97,6 +100,10 @@
 // recordProgress records that a complete event has arrived.
 func (run *itemRun) recordProgress(response *replica.Response) {
 	run.stopWatch() // the run has begun without a crash
+	if !run.begun {
+		run.begun = true
+		run.target.ObserveSuccess(run.sent)
+	}
 	run.task.begun.Store(true)
 	run.observed.RecordEvent(time.Now())
 	response.RecordProgress()
--- a/internal/placement/downhub.go
+++ b/internal/placement/downhub.go
@@ -46,11 +46,28 @@
 		s.downHubs[hub] = &downHub{probeAt: time.Now().Add(hubProbeInterval)}
 	}
 	s.mu.Unlock()
-	if !alreadyDown { // otherwise another request has logged it
+	if !alreadyDown { // otherwise another request has noticed it
+		s.checkReach(s.dataCentreOf(hub))
 		s.Log.Warn("hub does not answer; excluding it until it answers a probe", "node", hub, "error", err)
 	}
 }
 
+// checkFormerHubs finds out whether this node reaches the hubs that come before it, as it
+// was asked in their place.
+func (s *Service) checkFormerHubs(g group) {
+	for _, id := range s.usableHubs(g) {
+		if id == s.Transport.Self() {
+			return
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), hubCallTimeout)
+		err := s.Transport.Call(ctx, id, kindProbe, nil, nil)
+		cancel()
+		if err != nil {
+			s.markDown(id, err)
+		}
+	}
+}
+
 // probeDownHubs starts the probes that are due and removes hubs that have left
 // the directory.
 func (s *Service) probeDownHubs(ctx context.Context, now time.Time) {
@@ -78,6 +95,7 @@
 	if err == nil {
 		delete(s.downHubs, hub)
 		s.Log.Info("hub answers again", "node", hub)
+		s.recordContact(s.dataCentreOf(hub), time.Now())
 		return
 	}
 	d.probeAt = time.Now().Add(hubProbeInterval)
--- a/internal/placement/hub.go
+++ b/internal/placement/hub.go
@@ -60,11 +60,17 @@
 	announced func(group, time.Time) bool
 	// formerServiceTime returns what the former hub of a group has measured, or 0.
 	formerServiceTime func(group) time.Duration
-	log               *slog.Logger
 	// formerDemands returns what the former hub of a group has told of the usual demands,
 	// or nil, and tellDemands tells the other hubs.
 	formerDemands func(group, time.Time) *usualDemands
 	tellDemands   func(*usualDemands, time.Time)
+	// formerTotals returns the totals that this node got last from the former hub, or nil.
+	formerTotals func(group) *formerTotals
+	// checkFormerHubs finds out whether this node reaches the hubs that come before it.
+	checkFormerHubs func(group)
+	// recordContact tells the node of a message from a data centre.
+	recordContact func(core.DataCentre, time.Time)
+	log           *slog.Logger
 	// memory returns how many tokens a replica of a service holds, or 0.
 	memory         func(core.DeploymentID) int
 	promptCounters promptCounters
@@ -93,7 +99,7 @@
 }
 
 func newHub(o *Options, sendPreemption func(core.NodeID, core.ReplicaID)) *hub {
-	h := &hub{transport: o.Transport, registry: o.Registry, sendPreemption: sendPreemption, log: o.Log, memory: o.Memory, promptCounters: newPromptCounters(o.Scope), groupAdded: make(chan struct{}, 1), groups: make(map[group]*groupState)}
+	h := &hub{transport: o.Transport, registry: o.Registry, sendPreemption: sendPreemption, formerTotals: func(group) *formerTotals { return nil }, checkFormerHubs: func(group) {}, recordContact: func(core.DataCentre, time.Time) {}, log: o.Log, memory: o.Memory, promptCounters: newPromptCounters(o.Scope), groupAdded: make(chan struct{}, 1), groups: make(map[group]*groupState)}
 	o.Transport.Handle(kindRequest, h.handleRequest)
 	o.Transport.Handle(kindProbe, h.handleProbe)
 	o.Transport.Handle(kindCounts, h.handleCounts)
@@ -134,6 +140,10 @@
 			state.prompts.memory = h.memory(g.Service)
 		}
 		state.setReplicas(groupReplicas(state.replicas, g, ready, now, newSince), now)
+		if !ok {
+			state.takeOver(h.formerTotals(g), now)
+			go h.checkFormerHubs(g)
+		}
 	}
 	return state
 }
@@ -175,6 +185,7 @@
 		return nil, err
 	}
 	now := time.Now()
+	h.recordContact(req.DataCentre, now)
 	var answer placementResponse
 	send, err := h.update(req.Group, now, func(state *groupState) func() {
 		state.lastMessageAt = now
@@ -207,6 +218,7 @@
 	send, err := h.update(c.Group, now, func(state *groupState) func() {
 		state.lastMessageAt = now
 		state.receiveCounts(from, &c, now)
+		state.logStandings(h.log)
 		return h.dispatchSoon(c.Group, state, now)
 	})
 	if err != nil {
@@ -344,7 +356,7 @@
 // prepareTotals encodes the totals of a group. The function returned sends them
 // to the nodes that report to this hub and is called without the lock.
 func (h *hub) prepareTotals(g group, state *groupState, now time.Time) func() {
-	message := &groupTotals{Group: g, First: h.firstHub(g), ServiceTime: state.serviceTime.measured()}
+	message := &groupTotals{Group: g, First: h.firstHub(g), ServiceTime: state.serviceTime.measured(), Standings: state.outcomes.standings(now)}
 	state.sentNotices.attach(&message.Notices, knownNotices(h.registry, g, now), now)
 	for _, r := range state.replicas {
 		sum := state.sum(r.id)
@@ -374,25 +386,3 @@
 		}
 	}
 }
-
-// run calls tick periodically while the hub has groups, until ctx ends.
-func (h *hub) run(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-h.groupAdded:
-		}
-		ticker := time.NewTicker(tickInterval)
-		for active := true; active; {
-			select {
-			case <-ctx.Done():
-				ticker.Stop()
-				return
-			case now := <-ticker.C:
-				active = h.tick(now)
-			}
-		}
-		ticker.Stop()
-	}
-}
--- a/internal/placement/messages.go
+++ b/internal/placement/messages.go
@@ -49,6 +49,35 @@
 	ConfirmedGrants []uint64 `msgpack:"g,omitempty"`
 	// Notices are what the node knows that replicas have said, in some of the messages.
 	Notices []replicaNotice `msgpack:"l,omitempty"`
+	// Outcomes are the results of the node's runs that no hub was told yet.
+	Outcomes []replicaOutcomes `msgpack:"o,omitempty"`
+	// Standings are those that the node knows from another hub, in the first message to
+	// a hub.
+	Standings []replicaStanding `msgpack:"t,omitempty"`
+}
+
+// replicaOutcomes are the results of a node's runs at one replica since its last message.
+type replicaOutcomes struct {
+	//lint:ignore U1000 read by the codec
+	_msgpack          struct{} `msgpack:",as_array"`
+	ID                core.ReplicaID
+	Succeeded, Failed int
+	// SuccessAge is how long ago the last sent one of the node's successful runs was sent.
+	SuccessAge time.Duration
+}
+
+// replicaStanding is what a hub knows of a replica that has failed, see outcomeRecord.
+type replicaStanding struct {
+	//lint:ignore U1000 read by the codec
+	_msgpack struct{} `msgpack:",as_array"`
+	ID       core.ReplicaID
+	// Started tells the processes of a replica apart, as in its registration.
+	Started           int64
+	FailuresInRow     int
+	Succeeded, Failed float64
+	FailureAge        time.Duration
+	OnProbation       bool
+	FailedShare       float64
 }
 
 // replicaCounts is the in-flight work at one replica.
@@ -187,6 +216,8 @@
 	// ServiceTime is how long an online request occupies its slot by what the hub has
 	// measured, or 0. A node that becomes the hub begins with it.
 	ServiceTime time.Duration `msgpack:"m,omitempty"`
+	// Standings are those of the replicas that have failed.
+	Standings []replicaStanding `msgpack:"t,omitempty"`
 }
 
 // preemption asks a node to preempt one batch item at a replica.
--- a/internal/placement/openings.go
+++ b/internal/placement/openings.go
@@ -18,6 +18,7 @@
 	settled  bool   // replicaSettleTime has passed, so that it may get items
 	tokens   int    // requests that its limit allows now
 	kept     int    // tokens of the prompt in question that the replica keeps
+	standing standing
 }
 
 func (o *opening) free() int { return o.slots - o.busy }
@@ -30,8 +31,10 @@
 }
 
 // takesItems reports whether items may go to the replica. One with a limit gets only
-// those that cost no online request its token.
-func (o *opening) takesItems() bool { return o.settled && bucketFull(o.tokens) }
+// those that cost no online request its token, and one on probation only to try it.
+func (o *opening) takesItems() bool {
+	return o.settled && bucketFull(o.tokens) && !o.standing.onProbation
+}
 
 // usable reports whether the replica can take a request.
 func (o *opening) usable() bool { return o.tokens > 0 && (o.free() > 0 || o.preemptible()) }
@@ -47,7 +50,7 @@
 	if o.dc != q.dc {
 		load += replica.RemoteCost
 	}
-	return load*o.slowdown/float64(o.slots) - o.promptSaving()
+	return load*o.slowdown/float64(o.slots)*replica.FailureCost(o.standing.failedShare) - o.promptSaving()
 }
 
 // openings are the replicas that can take requests at one time. They are gathered
@@ -56,13 +59,14 @@
 type openings struct {
 	list []*opening
 	free int // free slots of the replicas that may get items
+	now  time.Time
 }
 
 // openings gathers the replicas that can take requests, without those that enough
 // nodes have ejected. If they have ejected all, the votes are ignored.
 func (s *scheduler) openings(now time.Time) *openings {
 	ignoreVotes := !slices.ContainsFunc(s.replicas, func(r replicaSlots) bool { return !s.ejectionVotes.ejected(r.id) })
-	out := &openings{}
+	out := &openings{now: now}
 	for _, r := range s.replicas {
 		if !ignoreVotes && s.ejectionVotes.ejected(r.id) {
 			continue
@@ -70,8 +74,9 @@
 		o := &opening{
 			settled:      now.Sub(r.usableSince) >= replicaSettleTime,
 			replicaSlots: r, batch: s.sum(r.id).batch, slowdown: s.slowdown(r.id, now),
-			busy:   s.trackedLoad(r.id) + s.untracked[r.id].confirmed(now),
-			tokens: s.limits.tokens(r.id, now),
+			busy:     max(s.trackedLoad(r.id)+s.untracked[r.id].confirmed(now), s.inherited.present(r.id, now)),
+			tokens:   s.limits.tokens(r.id, now),
+			standing: s.outcomes.standing(r.id, now),
 		}
 		if o.batch > 0 {
 			_, o.victim, _ = s.victim(r.id)
@@ -86,7 +91,8 @@
 
 // choose returns the best replica with a free slot, or for an online request that
 // with the item to preempt first, or nil. Items of jobs get no slot out of the
-// headroom. The tokens of limited replicas are saved for when the others are full.
+// headroom. The tokens of limited replicas are saved for when the others are full. A
+// replica on probation gets the first request that may try it, and no other.
 func (o *openings) choose(q *queuedRequest, headroom int) (chosen *opening, preempts bool) {
 	if q.batch && o.free <= headroom {
 		return nil, false
@@ -94,7 +100,12 @@
 	var free, occupied *opening
 	for _, r := range o.list {
 		switch {
-		case q.excludes(&r.replicaSlots), q.batch && !r.takesItems():
+		case q.excludes(&r.replicaSlots):
+		case r.standing.onProbation:
+			if r.free() > 0 && (!q.batch || r.settled) && r.standing.mayProbe(q, o.now) {
+				return r, false
+			}
+		case q.batch && !r.takesItems():
 		case r.free() > 0:
 			if free == nil || r.before(free, q) {
 				free = r
@@ -103,7 +114,7 @@
 			occupied = r
 		}
 	}
-	if free == nil || occupied != nil && free.tooSlow() && !occupied.tooSlow() {
+	if free == nil || occupied != nil && (free.tooSlow() && !occupied.tooSlow() || free.risky(q) && !occupied.risky(q)) {
 		return occupied, occupied != nil
 	}
 	return free, false
@@ -115,15 +126,24 @@
 	if bucketFull(r.tokens) != bucketFull(o.tokens) {
 		return bucketFull(r.tokens)
 	}
+	if r.risky(q) != o.risky(q) {
+		return o.risky(q)
+	}
 	return r.score(q) < o.score(q)
 }
 
+// risky reports whether the request is lost, as it may run once, if one more run fails at
+// a replica at which some have failed.
+func (o *opening) risky(q *queuedRequest) bool { return o.standing.doubtful && !q.repeatable }
+
 // preemptedBefore reports whether to preempt the item at r rather than that at o:
-// not at a replica that is too slow, then by the item, then by the score.
+// not at a replica that is too slow or has failed, then by the item, then by the score.
 func (r *opening) preemptedBefore(o *opening, q *queuedRequest) bool {
 	switch {
 	case r.tooSlow() != o.tooSlow():
 		return o.tooSlow()
+	case r.risky(q) != o.risky(q):
+		return o.risky(q)
 	case r.victim != o.victim:
 		return r.victim.Before(o.victim)
 	default:
@@ -139,7 +159,7 @@
 		r.tokens--
 	}
 	o.free += r.freeForItems()
-	if !r.usable() {
+	if !r.usable() || r.standing.onProbation {
 		o.list = slices.DeleteFunc(o.list, func(other *opening) bool { return other == r })
 	}
 }
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -63,7 +63,7 @@
 	// Tokens is what the request costs a replica: tokens of the prompt plus the output
 	// that is expected, or 0 if it is unknown.
 	Tokens int
-	// Repeatable is set if the request may be sent to another replica after a failure.
+	// Repeatable is set if the request has not run yet and may be run again if its run fails.
 	Repeatable bool
 	// Prompt are the parts of the prompt, if replicas keep some.
 	Prompt []promptcache.Part
--- a/internal/placement/queue.go
+++ b/internal/placement/queue.go
@@ -27,7 +27,9 @@
 	startBy     time.Time
 	abandonedAt time.Time
 	urgent      bool
-	identity    uint64
+	// repeatable is set if the request may be run again when its run fails.
+	repeatable bool
+	identity   uint64
 	// returning is set if the request was rejected and its caller has sent it again.
 	returning bool
 	// batch is set for an item of a job, which is due at dueAt. willMissDue is
@@ -57,7 +59,7 @@
 		excluded[id] = true
 	}
 	return &queuedRequest{
-		node: node, id: req.ID, dc: req.DataCentre, excluded: excluded, version: req.Version, arrivedAt: arrivedAt, urgent: req.Urgent, identity: req.Identity,
+		node: node, id: req.ID, dc: req.DataCentre, excluded: excluded, version: req.Version, arrivedAt: arrivedAt, urgent: req.Urgent, repeatable: req.Repeatable || req.Batch, identity: req.Identity,
 		startBy:     arrivedAt.Add(time.Duration(float64(req.Objective) * onTimeShare)),
 		abandonedAt: arrivedAt.Add(req.MaxWait),
 		batch:       req.Batch, dueAt: now.Add(req.DueIn), willMissDue: req.Late,
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -84,6 +84,8 @@
 	untracked        map[core.ReplicaID]untrackedLoad
 	ejectionVotes    ejectionVotes
 	limits           rateLimits
+	outcomes         outcomes
+	inherited        inheritedLoad
 	queue            []*queuedRequest
 	lastGrantID      uint64
 	serviceTime      serviceTimeEstimator
@@ -99,7 +101,7 @@
 	return &scheduler{
 		ledger: newLedger(), grants: make(map[uint64]pendingGrant),
 		pendingByReplica: make(map[core.ReplicaID]int), slowdowns: make(map[core.ReplicaID]slowdownReport),
-		untracked: make(map[core.ReplicaID]untrackedLoad), ejectionVotes: newEjectionVotes(), limits: newRateLimits(), rejected: make(rejectedRequests), prompts: newPrompts(),
+		untracked: make(map[core.ReplicaID]untrackedLoad), ejectionVotes: newEjectionVotes(), limits: newRateLimits(), outcomes: newOutcomes(), rejected: make(rejectedRequests), prompts: newPrompts(),
 		onlineTurns: newOnlineTurns(), itemTurns: newItemTurns(),
 	}
 }
@@ -183,6 +185,7 @@
 	s.replicas = replicas
 	s.limits.update(replicas, now)
 	s.prompts.setReplicas(replicas)
+	s.outcomes.update(replicas)
 }
 
 func (s *scheduler) totalSlots() int {
@@ -213,6 +216,7 @@
 	s.grants[s.lastGrantID] = pendingGrant{node: q.node, requestID: q.id, replica: r.id, batch: q.batch, grantedAt: now}
 	s.pendingByReplica[r.id]++
 	s.limits.take(r.id, now)
+	s.outcomes.granted(r.id, now)
 	if !q.batch {
 		s.serviceTime.grantedSinceSample++
 		s.observeDemand(q)
@@ -226,6 +230,8 @@
 	for _, grantID := range c.ConfirmedGrants {
 		s.removeGrant(grantID, node)
 	}
+	s.outcomes.receive(node, c.Outcomes, now) // whatever overtook the message, they are in no other
+	s.outcomes.adopt(c.Standings, now)
 	if last, ok := s.nodes[node]; ok && last.stale(c) {
 		return
 	}
@@ -302,6 +308,7 @@
 func (s *scheduler) expire(now time.Time) {
 	s.ledger.expire(now)
 	s.ejectionVotes.expire(now)
+	s.outcomes.expire(now)
 	s.rejected.expire(now)
 	s.demand.update(now)
 	s.demandInside.update(now)
@@ -339,6 +346,9 @@
 func (s *scheduler) throughput() float64 {
 	serviceTime, sum := s.serviceTime.seconds(), 0.0
 	for _, r := range s.replicas {
+		if s.outcomes.onProbation(r.id) {
+			continue
+		}
 		perSecond := float64(r.slots) / serviceTime
 		if r.limit.Named {
 			perSecond = min(perSecond, s.limits.share*usableRate(r.limit))
--- a/internal/placement/service.go
+++ b/internal/placement/service.go
@@ -63,6 +63,7 @@
 	localShares   localShares
 	// startAnnounced is closed when this node has made itself known as a hub.
 	startAnnounced chan struct{}
+	contacts       contacts
 
 	mu sync.Mutex
 	// peerAddresses are the addresses that the transport has been given.
@@ -78,6 +79,10 @@
 	serviceTimes map[group]time.Duration
 	// demands are what hubs of the groups have told of the usual demands.
 	demands map[group]*toldDemands
+	// reachCheckedAt is when it was last checked whether a data centre can be reached.
+	reachCheckedAt map[core.DataCentre]time.Time
+	// totals are those that the hubs of the groups last sent.
+	totals map[group]*formerTotals
 	// sentCounts is the state of the reports to hubs, by group.
 	sentCounts   map[group]*sentCounts
 	lastSequence uint64
@@ -90,6 +95,7 @@
 	lastCounts  []replicaCounts
 	lastVictims []replicaVictim
 	notices     sentNotices
+	outcomes    reportedOutcomes
 	sentAt      time.Time
 }
 
@@ -98,7 +104,7 @@
 func New(o Options) *Service {
 	s := &Service{
 		Options: o, runID: rand.Uint64(), peerAddresses: make(map[core.NodeID]string), downHubs: make(map[core.NodeID]*downHub),
-		grantChans: make(map[uint64]*waitingRequest), announcedAt: make(map[group]time.Time), serviceTimes: make(map[group]time.Duration), demands: make(map[group]*toldDemands), sentCounts: make(map[group]*sentCounts), localShares: make(localShares), startAnnounced: make(chan struct{}),
+		grantChans: make(map[uint64]*waitingRequest), announcedAt: make(map[group]time.Time), serviceTimes: make(map[group]time.Duration), demands: make(map[group]*toldDemands), totals: make(map[group]*formerTotals), reachCheckedAt: make(map[core.DataCentre]time.Time), sentCounts: make(map[group]*sentCounts), localShares: make(localShares), startAnnounced: make(chan struct{}),
 	}
 	// Starts at a random number, because a hub may still have requests from an
 	// earlier run of this node.
@@ -106,7 +112,7 @@
 	s.candidates.Store(newHubCandidates(o.Nodes.View(), o.Nodes.Self()))
 	s.hub = newHub(&s.Options, s.sendPreemption)
 	s.hub.firstHub, s.hub.announce, s.hub.announced = s.firstHub, s.announce, s.recentlyAnnounced
-	s.hub.formerServiceTime = s.formerServiceTime
+	s.hub.formerServiceTime, s.hub.formerTotals, s.hub.checkFormerHubs, s.hub.recordContact = s.formerServiceTime, s.formerTotals, s.checkFormerHubs, s.recordContact
 	s.hub.formerDemands, s.hub.tellDemands = s.formerDemands, s.tellDemands
 	o.Transport.Handle(kindHub, s.handleHub)
 	o.Transport.Handle(kindDemands, s.handleDemands)
@@ -243,13 +249,23 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	sent, ok := s.sentCounts[g]
-	if !ok || sent.hub != to {
-		sent = &sentCounts{hub: to}
+	newHub := !ok || sent.hub != to
+	if newHub {
+		outcomes := make(reportedOutcomes)
+		if ok {
+			outcomes = sent.outcomes
+		}
+		sent = &sentCounts{hub: to, outcomes: outcomes}
 		s.sentCounts[g] = sent
 	}
 	c := s.ownCounts(g, victims, now)
 	unchanged := slices.Equal(c.Replicas, sent.lastCounts) && slices.Equal(c.Victims, sent.lastVictims)
 	notices := knownNotices(s.Registry, g, now)
+	c.Outcomes = sent.outcomes.due(s.Registry, g, now)
+	if newHub {
+		c.Standings = s.totals[g].standingsAt(now)
+	}
+	unchanged = unchanged && len(c.Outcomes)+len(c.Standings) == 0
 	upToDate := !sent.sentAt.IsZero() && len(sent.unconfirmed) == 0 && unchanged && sent.notices.upToDate(notices)
 	if upToDate && (len(c.Replicas) == 0 || now.Sub(sent.sentAt) < maxCountsInterval/2) {
 		return nil
@@ -285,6 +301,13 @@
 	return c
 }
 
+// formerTotals returns the totals that the hub of a group sent last, or nil.
+func (s *Service) formerTotals(g group) *formerTotals {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.totals[g]
+}
+
 // formerServiceTime returns the estimate that the hub of a group last sent, or 0.
 func (s *Service) formerServiceTime(g group) time.Duration {
 	s.mu.Lock()
@@ -307,11 +330,13 @@
 	if t.First != nil {
 		s.learnHub(*t.First, from)
 	}
+	s.mu.Lock()
 	if t.ServiceTime > 0 {
-		s.mu.Lock()
 		s.serviceTimes[t.Group] = t.ServiceTime
-		s.mu.Unlock()
 	}
+	s.totals[t.Group] = &formerTotals{replicas: t.Replicas, standings: t.Standings, at: now}
+	s.mu.Unlock()
+	learnStandings(s.Registry, &t, now)
 	for _, rc := range t.Replicas {
 		if r := s.Registry.Get(rc.ID); r != nil {
 			online, batch := r.LocalLoad()
--- a/internal/placement/suspect.go
+++ b/internal/placement/suspect.go
@@ -15,6 +15,7 @@
 // as the hubs place their requests. A hub that still receives data from the replica
 // ignores the message.
 func (s *Service) ReportStall(r *replica.Replica) {
+	s.checkReach(r.Info().DataCentre)
 	for _, hub := range s.hubsOf(r) {
 		if hub == s.Transport.Self() {
 			continue
@@ -38,6 +39,7 @@
 	}
 	if r := s.Registry.Get(m.Replica); r != nil && r.Suspect(time.Now()) {
 		s.Log.Info("another node reports a stalled replica", "replica", m.Replica, "node", from)
+		s.checkReach(r.Info().DataCentre)
 	}
 	return nil, nil
 }
--- a/internal/replica/choose.go
+++ b/internal/replica/choose.go
@@ -38,8 +38,8 @@
 	MayUse func(*Replica) bool
 }
 
-// Choose returns a replica with low load, or nil if there is none. Ejected
-// replicas are chosen only if there are no others and MinFreeSlots is not set.
+// Choose returns a replica with low load, or nil if there is none. Replicas that are
+// ejected, or whose last runs failed by what all nodes know, are chosen only if there are no others and MinFreeSlots is not set.
 func (g *Registry) Choose(q *Query) *Replica {
 	ready := g.Ready(q.Service)
 	if len(ready) == 0 {
@@ -55,9 +55,9 @@
 }
 
 // leastLoaded returns the replica with the lowest score in a random sample of
-// the replicas that match the query, or nil. It considers only the ejected
-// replicas if ejected is set, else only the others.
-func (q *Query) leastLoaded(ready []*Replica, ejected bool) *Replica {
+// the replicas that match the query, or nil. It considers only the avoided
+// replicas if avoided is set, else only the others.
+func (q *Query) leastLoaded(ready []*Replica, avoided bool) *Replica {
 	var best *Replica
 	var bestScore float64
 	offset := rand.IntN(len(ready))
@@ -68,7 +68,7 @@
 	}
 	for i, compared := 0, 0; i < len(ready) && compared < limit; i++ {
 		r := ready[(offset+i*step)%len(ready)]
-		if q.tried(r) || !r.Info().HasVersion(q.Version) || r.Ejected(q.Now) != ejected || q.MayUse != nil && !q.MayUse(r) {
+		if q.tried(r) || !r.Info().HasVersion(q.Version) || r.avoided(q.Now) != avoided || q.MayUse != nil && !q.MayUse(r) {
 			continue
 		}
 		busy := r.EstimatedLoad(q.Now)
@@ -90,9 +90,17 @@
 	if info.DataCentre != q.DataCentre {
 		busy += RemoteCost
 	}
-	return (busy + 1) / float64(max(1, info.Slots)) * r.Slowdown(q.Now)
+	return (busy + 1) / float64(max(1, info.Slots)) * r.Slowdown(q.Now) * FailureCost(r.presentStanding(q.Now).FailedShare)
 }
 
+// failedRunCost is what a failed run costs, as a multiple of the time of a sound one: the
+// request is run again elsewhere, or lost.
+const failedRunCost = 4
+
+// FailureCost returns the factor by which the expected time of a request grows at a
+// replica at which a share of the runs fails.
+func FailureCost(failedShare float64) float64 { return 1 + failedRunCost*failedShare }
+
 func (q *Query) tried(r *Replica) bool {
 	id := r.Info().ID
 	for _, t := range q.Tried {
--- a/internal/replica/exchange.go
+++ b/internal/replica/exchange.go
@@ -171,6 +171,7 @@
 func (r *Replica) RecordError(err error, now time.Time) time.Duration {
 	var failure *Failure
 	if errors.As(err, &failure) && failure.Unreachable {
+		r.ObserveFailure()
 		return r.MarkUnreachable(now)
 	}
 	return r.RecordFailure(now)
--- a/internal/replica/health.go
+++ b/internal/replica/health.go
@@ -82,6 +82,7 @@
 	if s := g.scanStalled(now); len(s.replicas) > 0 && !s.allStalled() {
 		for _, r := range s.replicas {
 			if !r.unreachable.Load() {
+				r.ObserveFailure()
 				r.MarkUnreachable(now)
 				found = append(found, r)
 			}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -54,6 +54,10 @@
 	// when bytes of any response were last received.
 	openResponses atomic.Int32
 	lastRead      monotime.AtomicTime
+
+	outcomes outcomes
+	// standing is nil while the replica is sound by what the hub says.
+	standing atomic.Pointer[Standing]
 }
 
 type reportedLoad struct {
@@ -201,9 +205,14 @@
 	return report.load, true
 }
 
-// RecordFailure records a failure for which the replica may be responsible. It
+// RecordFailure records a failed run for which the replica may be responsible. It
 // ejects the replica with exponential backoff and returns for how long.
 func (r *Replica) RecordFailure(now time.Time) time.Duration {
+	r.ObserveFailure()
+	return r.eject(now)
+}
+
+func (r *Replica) eject(now time.Time) time.Duration {
 	n := r.failures.Add(1)
 	wait := maxEjection
 	if n < 8 { // a larger shift exceeds maxEjection anyway
@@ -219,7 +228,7 @@
 func (r *Replica) MarkUnreachable(now time.Time) time.Duration {
 	r.unreachable.Store(true)
 	r.pool.closeAll()
-	return r.RecordFailure(now)
+	return r.eject(now)
 }
 
 // Suspect briefly ejects a replica that another node found to be stalled. It does
@@ -258,5 +267,6 @@
 	r.failures.Store(0)
 	r.ejectedUntil.Clear()
 	r.unreachable.Store(false)
+	r.standing.Store(nil)
 	r.pool.closeAll()
 }
