--- a/internal/forward/buffered.go
+++ b/internal/forward/buffered.go
@@ -119,7 +119,9 @@
 	if a.response.Status < http.StatusInternalServerError {
 		a.replica.RecordSuccess()
 		a.replica.ObserveSuccess(a.sent)
-	} else if !r.outOfTime(a.response.Status) {
+	} else if r.outOfTime(a.response.Status) {
+		a.replica.ObserveOverrun()
+	} else {
 		a.replica.ObserveFailure()
 	}
 	return response
@@ -173,7 +175,7 @@
 }
 
 // outOfTime reports whether a replica gave the request up at the deadline that it was
-// told. That shows no fault of the replica.
+// told. That may be the fault of the request.
 func (r *request) outOfTime(status int) bool {
 	return status == http.StatusGatewayTimeout && time.Until(r.deadline) < deadlineSlack
 }
--- a/internal/placement/outcomes.go
+++ b/internal/placement/outcomes.go
@@ -60,6 +60,8 @@
 	// succeeded.
 	failuresInRow int
 	lastFailure   time.Time
+	// lastTrouble is when a run failed last, or was given up at its deadline.
+	lastTrouble time.Time
 	// released is when the run began whose success ended the last probation.
 	released time.Time
 	// probedAt is when a request was granted on probation whose result is not known, or
@@ -123,7 +125,10 @@
 		record := o.record(r.ID, process.started, now)
 		record.age(now)
 		record.succeeded += float64(max(0, r.Succeeded))
-		record.failed += float64(failed)
+		record.failed += float64(failed + max(0, r.Overrun))
+		if failed > 0 || r.Overrun > 0 {
+			record.lastTrouble = now
+		}
 		began := now.Add(-max(0, r.SuccessAge))
 		if r.Succeeded > 0 && record.failuresInRow > 0 && began.After(record.lastFailure) {
 			o.release(r.ID, process.dc, began)
@@ -210,7 +215,7 @@
 	}
 	record.age(now)
 	out := standing{}
-	if record.failed >= minDoubtfulFailures && now.Sub(record.lastFailure) <= doubtfulFor {
+	if record.failed >= minDoubtfulFailures && now.Sub(record.lastTrouble) <= doubtfulFor {
 		out.failedShare = record.failed / (record.failed + record.succeeded)
 	}
 	out.doubtful = out.failedShare >= minDoubtfulShare
@@ -267,7 +272,7 @@
 	o.blamed.expire(now)
 	removed := false
 	for id, record := range o.records {
-		if now.Sub(record.agedAt) > outcomeTTL && now.Sub(record.lastFailure) > outcomeTTL {
+		if now.Sub(record.agedAt) > outcomeTTL && now.Sub(record.lastTrouble) > outcomeTTL {
 			delete(o.records, id)
 			removed = true
 		}
--- a/internal/placement/standings.go
+++ b/internal/placement/standings.go
@@ -70,6 +70,7 @@
 		record.age(now)
 		record.succeeded, record.failed = max(record.succeeded, s.Succeeded), max(record.failed, s.Failed)
 		record.failuresInRow, record.lastFailure = max(record.failuresInRow, s.FailuresInRow, 0), lastFailure
+		record.lastTrouble = later(record.lastTrouble, lastFailure)
 	}
 	o.count()
 }
@@ -114,12 +115,12 @@
 			continue
 		}
 		total, last := r.Outcomes(), sent[info.ID]
-		succeeded, failed := int(total.Succeeded-last.Succeeded), int(total.Failed-last.Failed)
-		if succeeded <= 0 && failed <= 0 {
+		succeeded, failed, overrun := int(total.Succeeded-last.Succeeded), int(total.Failed-last.Failed), int(total.Overrun-last.Overrun)
+		if succeeded <= 0 && failed <= 0 && overrun <= 0 {
 			continue
 		}
 		sent[info.ID] = total
-		added := replicaOutcomes{ID: info.ID, Succeeded: max(0, succeeded), Failed: max(0, failed)}
+		added := replicaOutcomes{ID: info.ID, Succeeded: max(0, succeeded), Failed: max(0, failed), Overrun: max(0, overrun)}
 		if succeeded > 0 {
 			added.SuccessAge = now.Sub(total.NewestSuccess)
 		}
--- a/internal/placement/standings_test.go
+++ b/internal/placement/standings_test.go
@@ -102,3 +102,23 @@
 	learnStandings(registry, &groupTotals{Replicas: []replicaCounts{{ID: "r0"}, {ID: "r1"}}}, now)
 	g.Expect(choose(now)).To(gomega.Equal(core.ReplicaID("r0")))
 }
+
+// Guards against sound replicas on probation because of requests that take longer than
+// their route allows: one in twenty runs is given up at its deadline. A replica at which
+// all are given up is doubtful.
+func TestOverrunsBringNoProbation(t *testing.T) {
+	g, now := gomega.NewWithT(t), time.Now()
+	s := newTestScheduler(3, 20)
+	s.setReplicas(s.replicas, now)
+	for i := range 100 {
+		overrun := 0
+		if i%20 == 0 {
+			overrun = 1
+		}
+		s.outcomes.receive("a", []replicaOutcomes{{ID: "r0", Succeeded: 1, Overrun: overrun}, {ID: "r1", Overrun: 1 - min(1, i%20)}}, now)
+		now = now.Add(50 * time.Millisecond)
+		g.Expect(s.outcomes.standing("r0", now).doubtful).To(gomega.BeFalse())
+	}
+	g.Expect(s.outcomes.standing("r1", now).doubtful).To(gomega.BeTrue())
+	g.Expect(s.outcomes.numTroubled).To(gomega.BeZero())
+}
--- a/internal/replica/outcomes.go
+++ b/internal/replica/outcomes.go
@@ -13,6 +13,9 @@
 	// Failed those that broke off or were answered with an error of the replica. A
 	// stream that breaks off after its first event is in both.
 	Succeeded, Failed int64
+	// Overrun counts the runs that were given up at the deadline of their request without
+	// a response: the replica is silent, or the request takes long.
+	Overrun int64
 	// NewestSuccess is when the last one sent of the successful runs was sent. It is
 	// zero if there is none.
 	NewestSuccess time.Time
@@ -20,7 +23,7 @@
 
 // outcomes are the Outcomes of a replica, safe for concurrent use.
 type outcomes struct {
-	succeeded, failed atomic.Int64
+	succeeded, failed, overrun atomic.Int64
 	newestSuccess     monotime.AtomicTime
 }
 
@@ -41,9 +44,15 @@
 	r.notify()
 }
 
+// ObserveOverrun counts a run that was given up at the deadline of its request.
+func (r *Replica) ObserveOverrun() {
+	r.outcomes.overrun.Add(1)
+	r.notify()
+}
+
 // Outcomes returns the results of this node's runs at the replica.
 func (r *Replica) Outcomes() Outcomes {
-	out := Outcomes{Failed: r.outcomes.failed.Load(), Succeeded: r.outcomes.succeeded.Load()}
+	out := Outcomes{Failed: r.outcomes.failed.Load(), Succeeded: r.outcomes.succeeded.Load(), Overrun: r.outcomes.overrun.Load()}
 	if at, ok := r.outcomes.newestSuccess.Get(); ok {
 		out.NewestSuccess = at
 	}
