--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -108,7 +108,7 @@
 	// A caller that disconnected, a deadline, the end of the node, a quarantine or a
 	// silent replica that went on is no fault of the replica.
 	if errors.Is(a.err, errRouteTimeout) && time.Since(a.sent) >= standbyAfter {
-		a.replica.ObserveOverrun() // no head for so long
+		a.replica.ObserveUnclear() // no head for so long
 	}
 	for _, harmless := range []error{context.Canceled, errRouteTimeout, errStopOver, errStandbyEnded, quarantine.ErrQuarantined} {
 		if errors.Is(a.err, harmless) {
--- a/internal/forward/buffered.go
+++ b/internal/forward/buffered.go
@@ -119,8 +119,8 @@
 	if a.response.Status < http.StatusInternalServerError {
 		a.replica.RecordSuccess()
 		a.replica.ObserveSuccess(a.sent)
-	} else if r.outOfTime(a.response.Status) {
-		a.replica.ObserveOverrun()
+	} else if r.outOfTime(a.response.Status) || r.runs > 1 {
+		a.replica.ObserveUnclear()
 	} else {
 		a.replica.ObserveFailure()
 	}
--- a/internal/jobs/executor.go
+++ b/internal/jobs/executor.go
@@ -209,7 +209,7 @@
 	case response.Status == http.StatusUnprocessableEntity:
 		return outcomeImpossible, nil
 	case response.Status == http.StatusInternalServerError:
-		target.ObserveFailure()
+		target.ObserveUnclear() // items are not judged before they run, and some fail everywhere
 		return outcomeFailed, nil
 	case response.Status < http.StatusInternalServerError:
 		// The status concerns the item, not the replica, but does not justify
--- a/internal/placement/messages.go
+++ b/internal/placement/messages.go
@@ -64,7 +64,7 @@
 	Succeeded, Failed int
 	// SuccessAge is how long ago the last sent one of the node's successful runs was sent.
 	SuccessAge time.Duration
-	Overrun    int
+	Unclear    int
 }
 
 // replicaStanding is what a hub knows of a replica that has failed, see outcomeRecord.
--- a/internal/placement/outcomes.go
+++ b/internal/placement/outcomes.go
@@ -60,7 +60,7 @@
 	// succeeded.
 	failuresInRow int
 	lastFailure   time.Time
-	// lastTrouble is when a run failed last, or was given up at its deadline.
+	// lastTrouble is when a run failed last, also unclearly.
 	lastTrouble time.Time
 	// released is when the run began whose success ended the last probation.
 	released time.Time
@@ -125,15 +125,15 @@
 		record := o.record(r.ID, process.started, now)
 		record.age(now)
 		record.succeeded += float64(max(0, r.Succeeded))
-		record.failed += float64(failed + max(0, r.Overrun))
-		if failed > 0 || r.Overrun > 0 {
+		record.failed += float64(failed + max(0, r.Unclear))
+		if failed > 0 || r.Unclear > 0 {
 			record.lastTrouble = now
 		}
 		began := now.Add(-max(0, r.SuccessAge))
 		if r.Succeeded > 0 && record.failuresInRow > 0 && began.After(record.lastFailure) {
 			o.release(r.ID, process.dc, began)
 		}
-		if failed > 0 {
+		if failed > 0 || r.Unclear > 0 && record.failuresInRow > 0 {
 			o.fail(r.ID, record, failed, now)
 		}
 	}
--- a/internal/placement/standings.go
+++ b/internal/placement/standings.go
@@ -115,12 +115,12 @@
 			continue
 		}
 		total, last := r.Outcomes(), sent[info.ID]
-		succeeded, failed, overrun := int(total.Succeeded-last.Succeeded), int(total.Failed-last.Failed), int(total.Overrun-last.Overrun)
-		if succeeded <= 0 && failed <= 0 && overrun <= 0 {
+		succeeded, failed, unclear := int(total.Succeeded-last.Succeeded), int(total.Failed-last.Failed), int(total.Unclear-last.Unclear)
+		if succeeded <= 0 && failed <= 0 && unclear <= 0 {
 			continue
 		}
 		sent[info.ID] = total
-		added := replicaOutcomes{ID: info.ID, Succeeded: max(0, succeeded), Failed: max(0, failed), Overrun: max(0, overrun)}
+		added := replicaOutcomes{ID: info.ID, Succeeded: max(0, succeeded), Failed: max(0, failed), Unclear: max(0, unclear)}
 		if succeeded > 0 {
 			added.SuccessAge = now.Sub(total.NewestSuccess)
 		}
--- a/internal/placement/standings_test.go
+++ b/internal/placement/standings_test.go
@@ -106,16 +106,16 @@
 // Guards against sound replicas on probation because of requests that take longer than
 // their route allows: one in twenty runs is given up at its deadline. A replica at which
 // all are given up is doubtful.
-func TestOverrunsBringNoProbation(t *testing.T) {
+func TestUnclearsBringNoProbation(t *testing.T) {
 	g, now := gomega.NewWithT(t), time.Now()
 	s := newTestScheduler(3, 20)
 	s.setReplicas(s.replicas, now)
 	for i := range 100 {
-		overrun := 0
+		unclear := 0
 		if i%20 == 0 {
-			overrun = 1
+			unclear = 1
 		}
-		s.outcomes.receive("a", []replicaOutcomes{{ID: "r0", Succeeded: 1, Overrun: overrun}, {ID: "r1", Overrun: 1 - min(1, i%20)}}, now)
+		s.outcomes.receive("a", []replicaOutcomes{{ID: "r0", Succeeded: 1, Unclear: unclear}, {ID: "r1", Unclear: 1 - min(1, i%20)}}, now)
 		now = now.Add(50 * time.Millisecond)
 		g.Expect(s.outcomes.standing("r0", now).doubtful).To(gomega.BeFalse())
 	}
--- a/internal/replica/outcomes.go
+++ b/internal/replica/outcomes.go
@@ -13,9 +13,10 @@
 	// Failed those that broke off or were answered with an error of the replica. A
 	// stream that breaks off after its first event is in both.
 	Succeeded, Failed int64
-	// Overrun counts the runs that were given up at the deadline of their request without
-	// a response: the replica is silent, or the request takes long.
-	Overrun int64
+	// Unclear counts the runs that failed, perhaps by the fault of their request: it was
+	// given up at its deadline without a response, or answered with an error again and
+	// again.
+	Unclear int64
 	// NewestSuccess is when the last one sent of the successful runs was sent. It is
 	// zero if there is none.
 	NewestSuccess time.Time
@@ -23,8 +24,8 @@
 
 // outcomes are the Outcomes of a replica, safe for concurrent use.
 type outcomes struct {
-	succeeded, failed, overrun atomic.Int64
-	newestSuccess     monotime.AtomicTime
+	succeeded, failed, unclear atomic.Int64
+	newestSuccess              monotime.AtomicTime
 }
 
 // ObserveSuccess counts a run that was sent at a time and has brought an event or a
@@ -44,15 +45,15 @@
 	r.notify()
 }
 
-// ObserveOverrun counts a run that was given up at the deadline of its request.
-func (r *Replica) ObserveOverrun() {
-	r.outcomes.overrun.Add(1)
+// ObserveUnclear counts a run that failed, perhaps by the fault of its request.
+func (r *Replica) ObserveUnclear() {
+	r.outcomes.unclear.Add(1)
 	r.notify()
 }
 
 // Outcomes returns the results of this node's runs at the replica.
 func (r *Replica) Outcomes() Outcomes {
-	out := Outcomes{Failed: r.outcomes.failed.Load(), Succeeded: r.outcomes.succeeded.Load(), Overrun: r.outcomes.overrun.Load()}
+	out := Outcomes{Failed: r.outcomes.failed.Load(), Succeeded: r.outcomes.succeeded.Load(), Unclear: r.outcomes.unclear.Load()}
 	if at, ok := r.outcomes.newestSuccess.Get(); ok {
 		out.NewestSuccess = at
 	}
