--- a/internal/placement/hub.go
+++ b/internal/placement/hub.go
@@ -89,6 +89,9 @@
 	lastMessageAt time.Time // last placement request or counts
 	totalsSentAt  time.Time
 	sentNotices   sentNotices // with the totals
+	// noticesSentTo is ledger.nodeChanges when the notices were last due: nodes that came
+	// since then have none.
+	noticesSentTo int
 	dispatchedAt  time.Time
 	demandsSentAt time.Time // to the other hubs
 	// dispatchDue is set while a dispatch is scheduled, see dispatchSoon.
@@ -150,15 +153,6 @@
 	return state
 }
 
-// handleProbe answers a node that wants to know whether this hub is available
-// again.
-func (h *hub) handleProbe(context.Context, core.NodeID, []byte) ([]byte, error) {
-	if h.stopping.Load() {
-		return nil, errStopping
-	}
-	return nil, nil
-}
-
 // update calls fn with the state of a group, with the lock held. The caller calls
 // the function that fn returns, without the lock. If fn panics, the state is dropped;
 // the next messages of the nodes rebuild it.
@@ -362,6 +356,9 @@
 // to the nodes that report to this hub and is called without the lock.
 func (h *hub) prepareTotals(g group, state *groupState, now time.Time) func() {
 	message := &groupTotals{Group: g, First: h.firstHub(g), ServiceTime: state.serviceTime.measured(), Standings: state.outcomes.standings(now)}
+	if state.noticesSentTo != state.nodeChanges {
+		state.noticesSentTo, state.sentNotices.sentAt = state.nodeChanges, time.Time{}
+	}
 	state.sentNotices.attach(&message.Notices, knownNotices(h.registry, g, now), now)
 	for _, r := range state.replicas {
 		sum := state.sum(r.id)
--- a/internal/placement/hubrun.go
+++ b/internal/placement/hubrun.go
@@ -3,8 +3,19 @@
 import (
 	"context"
 	"time"
+
+	"gentiantide.example/gentiantide/internal/core"
 )
 
+// handleProbe answers a node that wants to know whether this hub is available
+// again.
+func (h *hub) handleProbe(context.Context, core.NodeID, []byte) ([]byte, error) {
+	if h.stopping.Load() {
+		return nil, errStopping
+	}
+	return nil, nil
+}
+
 // run calls tick periodically while the hub has groups, until ctx ends.
 func (h *hub) run(ctx context.Context) {
 	for {
