--- a/internal/placement/hubchange_test.go
+++ b/internal/placement/hubchange_test.go
@@ -170,6 +170,7 @@
 	h.firstHub = func(group) *nodes.Record { return nil }
 	h.announced = func(group, time.Time) bool { return false }
 	h.formerServiceTime = func(group) time.Duration { return 0 }
+	h.formerDemands = func(group, time.Time) *usualDemands { return nil }
 	h.ensureGroup(testGroup, time.Now())
 	info := registry.All()[0].Info()
 	body, err := msgpack.Marshal(&nodeCounts{Group: testGroup, Notices: []replicaNotice{{ID: info.ID, Started: info.Started, LimitKnown: true, Limited: true, PerSecond: 2}}})
