--- a/internal/placement/standings_test.go
+++ b/internal/placement/standings_test.go
@@ -106,7 +106,7 @@
 // Guards against sound replicas on probation because of requests that take longer than
 // their route allows: one in twenty runs is given up at its deadline. A replica at which
 // all are given up is doubtful.
-func TestUnclearsBringNoProbation(t *testing.T) {
+func TestUnclearFailuresBringNoProbation(t *testing.T) {
 	g, now := gomega.NewWithT(t), time.Now()
 	s := newTestScheduler(3, 20)
 	s.setReplicas(s.replicas, now)
