Use the limits of organisations on the platform, and show them to operators

Cause: the limits need the fleet's transport, the directory and the configuration of a node. Change: the node wires internal/quota; a stop hands ledgers over; the log line of a refusal names the node that has counted and the age of the count; `organisations` shows use and refusals over all nodes; the state dump shows ledgers.

--- a/internal/cli/organisations.go
+++ b/internal/cli/organisations.go
@@ -28,14 +28,15 @@
 	}
 	var rows [][]any
 	for _, o := range list.Organisations {
-		priority, limit := "-", "-"
+		priority, limit, use := "-", "-", "-"
 		if o.Priority != nil {
 			priority = strconv.Itoa(*o.Priority)
 		}
 		if o.RequestsPerSecond > 0 {
 			limit = fmt.Sprintf("%g/s + %g", o.RequestsPerSecond, o.Burst)
+			use = fmt.Sprintf("%.1f/s", o.Use)
 		}
-		rows = append(rows, []any{o.Name, priority, o.Keys, limit, o.OpenJobs, o.WaitingTokens})
+		rows = append(rows, []any{o.Name, priority, o.Keys, limit, use, o.Refused, o.OpenJobs, o.WaitingTokens})
 	}
-	return in.printTable([]any{"ORGANISATION", "PRIORITY", "KEYS", "LIMIT", "OPEN JOBS", "WAITING TOKENS"}, rows)
+	return in.printTable([]any{"ORGANISATION", "PRIORITY", "KEYS", "LIMIT", "USE", "REFUSED", "OPEN JOBS", "WAITING TOKENS"}, rows)
 }
--- a/internal/forward/quota.go
+++ b/internal/forward/quota.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"gentiantide.example/gentiantide/internal/core"
 	"gentiantide.example/gentiantide/internal/routetable"
 )
 
@@ -22,7 +23,10 @@
 	AdmittedAt time.Time
 	// RetryAfter is the time after which a refused request will be admitted.
 	RetryAfter time.Duration
-	// Share is the rate that this node may admit, and Use what it has admitted lately, in
+	// Share is the rate that the owner may admit, and Use what it has admitted lately, in
 	// requests a second, for the log.
 	Share, Use float64
+	// Owner is the node that has counted the use, and Age how long ago.
+	Owner core.NodeID
+	Age   time.Duration
 }
--- a/internal/forward/quotaadmission.go
+++ b/internal/forward/quotaadmission.go
@@ -23,7 +23,7 @@
 		return false
 	}
 	r.h.Log.Info("request refused", "request", r.reqInfo.ID, "reason", "over_limit", "organisation", r.org.Name, "route", r.route.Name,
-		"limit", r.org.RequestsPerSecond, "burst", r.org.Burst, "share", r.quota.Share, "use", r.quota.Use,
+		"limit", r.org.RequestsPerSecond, "burst", r.org.Burst, "share", r.quota.Share, "use", r.quota.Use, "use_age_ms", r.quota.Age.Milliseconds(), "counted_at", r.quota.Owner,
 		"retry_after_ms", r.quota.RetryAfter.Milliseconds(), "config", r.configVersion)
 	refuse(r.w, http.StatusTooManyRequests, "over_limit", r.quota.RetryAfter)
 	return true
--- a/internal/httpapi/operators/organisations.go
+++ b/internal/httpapi/operators/organisations.go
@@ -24,6 +24,10 @@
 	// RequestsPerSecond and Burst are 0 if its requests are not limited.
 	RequestsPerSecond float64 `json:"requests_per_second"`
 	Burst             float64 `json:"burst"`
+	// Use is what nodes were given of the limit lately, in requests a second, and Refused
+	// the number of requests that the nodes that keep its ledgers have refused.
+	Use     float64 `json:"use"`
+	Refused int64   `json:"refused"`
 	// WaitingTokens are those of the items of its open jobs that have no result.
 	WaitingTokens int64 `json:"waiting_tokens"`
 	OpenJobs      int   `json:"open_jobs"`
--- a/internal/platformnode/node.go
+++ b/internal/platformnode/node.go
@@ -28,7 +28,9 @@
 	"gentiantide.example/gentiantide/internal/peer"
 	"gentiantide.example/gentiantide/internal/placement"
 	"gentiantide.example/gentiantide/internal/quarantine"
+	"gentiantide.example/gentiantide/internal/quota"
 	"gentiantide.example/gentiantide/internal/replica"
+	"gentiantide.example/gentiantide/internal/routetable"
 	"gentiantide.example/gentiantide/internal/streamversion"
 	"gentiantide.example/gentiantide/internal/watch"
 	"gentiantide.example/gentiantide/platform"
@@ -67,6 +69,7 @@
 	placer     *placement.Service
 	quarantine *quarantine.Service
 	versions   *streamversion.Service
+	quota      *quota.Service
 	forward    *forward.Handler
 	keys       *forward.KeyGate
 	counters   *forward.Counters
@@ -155,10 +158,13 @@
 		Store: n.store, Clock: n.store.Clock, Registry: n.registry, Registrations: registrations, View: n.nodes.View,
 		Self: self.Owner(), LongestLife: n.longestStream, Log: log, Scope: scope,
 	})
+	n.quota = quota.New(quota.Options{
+		Messenger: n.peers, Self: self, View: n.nodes.View, AddNode: n.nodes.Add, Organisations: n.organisations, Log: log, Scope: scope,
+	})
 	n.forward = &forward.Handler{
 		Codec: platform.HeaderCodec{}, Placer: n.placer, Routes: &n.configs.Table, RoutesAge: n.configAge, Keys: n.keys,
 		Registered: func(id core.ReplicaID) bool { return n.registry.Get(id) != nil },
-		Memory:     n.memory, Submit: n.jobsAPI.Submit, Quarantine: n.quarantine, Versions: n.versions, Stop: forward.NewStop(), Log: log, Counters: n.counters,
+		Memory:     n.memory, Submit: n.jobsAPI.Submit, Quota: n.quota, Quarantine: n.quarantine, Versions: n.versions, Stop: forward.NewStop(), Log: log, Counters: n.counters,
 	}
 	n.routingWatchers = []*watch.Watcher{n.configWatcher, registrations, n.versions.Watcher()}
 	n.jobWatcher = watch.New(n.store, jobs.JobsTable, jobs.Partitions(), n.jobs.JobCache, log)
@@ -195,6 +201,7 @@
 	go n.jobs.Run(ctx)
 	go n.placer.Run(ctx)
 	go n.versions.Run(ctx)
+	go n.quota.Run(ctx)
 	go n.monitor(ctx)
 	n.waitForStop(signals)
 	n.stop(callers)
@@ -250,6 +257,14 @@
 	return 0
 }
 
+// organisations returns those of the configuration in force, or nil.
+func (n *Node) organisations() *routetable.Organisations {
+	if table := n.configs.Table.Load(); table != nil {
+		return table.Organisations
+	}
+	return nil
+}
+
 // serveCaller serves one request of a caller. While the node stops, each response
 // closes its connection.
 func (n *Node) serveCaller(w http.ResponseWriter, in *http.Request) {
--- a/internal/platformnode/operatorsorganisations.go
+++ b/internal/platformnode/operatorsorganisations.go
@@ -23,10 +23,12 @@
 	if table.Organisations == nil {
 		return list
 	}
+	use := n.quota.FleetUse(ctx)
 	waiting := n.jobs.WaitingByOrganisation(ctx)
 	for _, o := range table.Organisations.All() {
 		list.Organisations = append(list.Organisations, operators.Organisation{
 			Name: string(o.Name), Priority: o.Priority, Keys: o.Keys, RequestsPerSecond: o.RequestsPerSecond, Burst: o.Burst,
+			Use: use[o.Name].PerSecond, Refused: use[o.Name].Refused,
 			WaitingTokens: waiting[o.Name].Tokens, OpenJobs: waiting[o.Name].Jobs,
 		})
 	}
--- a/internal/platformnode/statedump.go
+++ b/internal/platformnode/statedump.go
@@ -5,6 +5,7 @@
 
 	"gentiantide.example/gentiantide/internal/contain"
 	"gentiantide.example/gentiantide/internal/httpapi/operators"
+	"gentiantide.example/gentiantide/internal/quota"
 	"gentiantide.example/gentiantide/internal/replica"
 	"gentiantide.example/gentiantide/internal/streamversion"
 )
@@ -33,6 +34,8 @@
 	Quarantine []operators.QuarantinedPart `json:"quarantine"`
 	// StreamVersions are the versions of the services' software at which streams began.
 	StreamVersions streamversion.Dump `json:"stream_versions"`
+	// Limits are the limits of organisations whose ledgers this node keeps.
+	Limits []quota.Use `json:"limits,omitempty"`
 }
 
 // dumpReplica is one replica in the state dump.
@@ -80,5 +83,6 @@
 	}
 	state.Quarantine = operatorsQuarantine{n.quarantine}.List()
 	state.StreamVersions = n.versions.Dump()
+	state.Limits = n.quota.Snapshot()
 	return state
 }
--- a/internal/platformnode/stop.go
+++ b/internal/platformnode/stop.go
@@ -55,6 +55,7 @@
 	<-passedOn
 	n.jobs.Stop(jobsCtx)
 	n.placer.Stop(context.Background()) // other nodes used this hub until now
+	n.quota.Stop(context.Background())
 	n.leaveFleet()
 	n.log.Info("stopped", "in_flight", n.counters.InFlight())
 }
