Find out what a node owns once for each configuration and view

Cause: each round, ten times a second, a node ranked the owners of all limited organisations and copied its accounts. Change: duties, computed when the configuration or the view of the directory changes. Measured: tests of internal/quota pass; no behaviour changes.

--- a/internal/quota/announce.go
+++ b/internal/quota/announce.go
@@ -23,7 +23,7 @@
 // Stop makes other nodes ask the next owners. It returns when they know, or ctx has ended.
 func (s *Service) Stop(ctx context.Context) {
 	s.stopping.Store(true)
-	if len(s.limited()) > 0 {
+	if len(s.duties().limited) > 0 {
 		s.announce(ctx, true)
 		s.handOver(ctx)
 	}
--- a/internal/quota/fleetuse.go
+++ b/internal/quota/fleetuse.go
@@ -25,7 +25,7 @@
 // FleetUse asks all nodes that may own organisations for the use of the limits.
 func (s *Service) FleetUse(ctx context.Context) map[core.Org]FleetUse {
 	total := make(map[core.Org]FleetUse)
-	if len(s.limited()) == 0 {
+	if len(s.duties().limited) == 0 {
 		return total
 	}
 	var mu sync.Mutex
--- a/internal/quota/ownedledger.go
+++ b/internal/quota/ownedledger.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"gentiantide.example/gentiantide/internal/core"
-	"gentiantide.example/gentiantide/internal/routetable"
 )
 
 // ledgerTime is how long a ledger is kept that no node has asked for.
@@ -116,26 +115,21 @@
 
 // refreshLedgers creates the ledgers of which this node is the first owner, so that they
 // fill, and drops those that are not used.
-func (s *Service) refreshLedgers(limited map[core.Org]*routetable.Organisation, now time.Time) {
+func (s *Service) refreshLedgers(d *duties, now time.Time) {
 	s.wake(now)
-	c := s.candidates()
-	first := make(map[core.Org]bool)
 	if !s.stopping.Load() {
-		for name, org := range limited {
-			if owners := c.owners(name, s.Self.DataCentre); len(owners) > 0 && owners[0] == s.Messenger.Self() {
-				first[name] = true
-				o := s.ledger(name, limitOf(org), now)
-				o.mu.Lock()
-				s.set(o, limitOf(org), now)
-				o.mu.Unlock()
-			}
+		for name, org := range d.first {
+			o := s.ledger(name, limitOf(org), now)
+			o.mu.Lock()
+			s.set(o, limitOf(org), now)
+			o.mu.Unlock()
 		}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for name, o := range s.ledgers {
 		o.mu.Lock()
-		if limited[name] == nil || !first[name] && now.Sub(o.askedAt) > ledgerTime {
+		if d.limited[name] == nil || d.first[name] == nil && now.Sub(o.askedAt) > ledgerTime {
 			delete(s.ledgers, name)
 		}
 		o.mu.Unlock()
--- a/internal/quota/service.go
+++ b/internal/quota/service.go
@@ -45,6 +45,7 @@
 	accounts       atomic.Pointer[map[core.Org]*nodeAccount]
 	accountsMu     sync.Mutex // held while accounts is replaced
 	lastCandidates atomic.Pointer[candidates]
+	lastDuties     atomic.Pointer[duties]
 	peers          *peers
 	counters       *counters
 	stopping       atomic.Bool
@@ -80,19 +81,23 @@
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	announced := false
+	var applied *duties
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			limited := s.limited()
-			if len(limited) == 0 && len(*s.accounts.Load()) == 0 {
+			d := s.duties()
+			if len(d.limited) == 0 && len(*s.accounts.Load()) == 0 {
 				s.noteTick(now)
 				continue
 			}
-			s.refreshLedgers(limited, now)
+			s.refreshLedgers(d, now)
 			s.noteTick(now)
-			s.forgetAccounts(limited)
+			if d != applied {
+				applied = d
+				s.forgetAccounts(d.limited)
+			}
 			if !announced && s.candidates().nodes > 0 {
 				announced = true
 				go s.announce(ctx, false)
@@ -103,21 +108,6 @@
 	}
 }
 
-// limited returns the organisations of the configuration in force that have limits.
-func (s *Service) limited() map[core.Org]*routetable.Organisation {
-	orgs := s.Organisations()
-	if orgs == nil {
-		return nil
-	}
-	out := make(map[core.Org]*routetable.Organisation)
-	for _, org := range orgs.All() {
-		if org.Limited() {
-			out[org.Name] = org
-		}
-	}
-	return out
-}
-
 // candidates returns the candidates by the current view of the directory.
 func (s *Service) candidates() *candidates {
 	c, view := s.lastCandidates.Load(), s.View()
