--- a/internal/placement/hub.go
+++ b/internal/placement/hub.go
@@ -186,11 +186,10 @@
 	send, err := h.update(req.Group, now, func(state *groupState) func() {
 		state.lastMessageAt = now
 		var assigned *assignment
+		waiting := len(state.queue)
 		answer, assigned = state.place(from, &req, now)
-		switch answer.Outcome {
-		case outcomeQueued:
-			state.queuedSinceLog++
-		case outcomeRejected:
+		state.queuedSinceLog += len(state.queue) - waiting // a node asks again for what is queued
+		if answer.Outcome == outcomeRejected {
 			state.rejectedSinceLog++
 		}
 		return h.preparePreemption(state, assigned)
