Check a configuration before it is sent

Cause: the operators ask for it: errors, entries that can never match, limits that contradict each other, and what differs from the version in force. Nodes decide nothing by it.

--- a/internal/cli/app.go
+++ b/internal/cli/app.go
@@ -78,6 +78,7 @@
 		&group{a, "deployment", "list, show, create and delete deployments", a.deploymentCommands()},
 		&group{a, "job", "create, watch and cancel batch jobs", a.jobCommands()},
 		&group{a, "quarantine", "list and release parts of prompts that crash backend servers", a.quarantineCommands()},
+		&group{a, "config", "check configurations of the users' platform", a.configCommands()},
 		a.drainCommand(), a.fleetCommand(), a.organisationsCommand(), a.dumpCommand(), a.versionCommand(),
 	}
 }
--- a/internal/httpapi/operators/server.go
+++ b/internal/httpapi/operators/server.go
@@ -32,6 +32,9 @@
 	// Organisations returns the organisations of the configuration. It is nil on a node
 	// whose configuration names none.
 	Organisations func(context.Context) OrganisationList
+	// Configuration returns the configuration in force. It is nil on a node with a settings
+	// tree.
+	Configuration func() *Configuration
 	// Metrics serves the metrics as text; nil: there is no metrics endpoint.
 	Metrics http.Handler
 	// Version is the program's version.
@@ -60,6 +63,7 @@
 	mux.HandleFunc("GET /admin/v1/version", s.version)
 	s.registerQuarantine(mux)
 	s.registerOrganisations(mux, s.Organisations)
+	s.registerConfiguration(mux, s.Configuration)
 	if s.Metrics != nil {
 		mux.Handle("GET /admin/v1/metrics", s.Metrics)
 	}
--- a/internal/platformnode/operators.go
+++ b/internal/platformnode/operators.go
@@ -58,7 +58,7 @@
 func (n *Node) registerOperators(mux *http.ServeMux) {
 	server := &operators.Server{
 		Fleet: func() any { return n.fleetView(time.Now()) }, Dump: func() any { return n.stateDump() },
-		Quarantine: operatorsQuarantine{n.quarantine}, Organisations: n.organisationsView, Metrics: n.metrics, Version: core.Version,
+		Quarantine: operatorsQuarantine{n.quarantine}, Organisations: n.organisationsView, Configuration: n.configurationView, Metrics: n.metrics, Version: core.Version,
 	}
 	server.Register(mux)
 	mux.HandleFunc("GET /v1/batches", n.listJobs)
