Make two tests of connections fail without what they guard

TestStuckConnectionsEndForNewOnes passed without evictions, since the collector closed the crowd's connections and the served ones were closed; now all are kept open. TestRefusalReachesCallerThatSends passed without the reading on; it now expects the end of the connection instead of a reset. Both fail now when that code is taken out.

--- a/internal/callerconn/crowd_test.go
+++ b/internal/callerconn/crowd_test.go
@@ -73,15 +73,16 @@
 	g.Expect(exchange(kept)).To(gomega.Equal(http.StatusNoContent))
 	for i := range maxConns - 1 {
 		stuck := dialCaller(g, s)
+		t.Cleanup(func() { _ = stuck.Close() }) // the collector would close it
 		_, err := io.WriteString(stuck, request[:i])
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 	}
 	g.Eventually(func() int { return len(s.openConns()) }, waitTimeout).Should(gomega.Equal(maxConns))
 	time.Sleep(2 * firstBytesWait) // they are no longer fresh
-	for range 3 * maxConns {
+	for range maxConns - 1 {       // those that are served stay open
 		g.Eventually(func() int { // closed connections are counted for a moment
 			fresh := dialCaller(g, s)
-			defer func() { _ = fresh.Close() }()
+			t.Cleanup(func() { _ = fresh.Close() })
 			return exchange(fresh)
 		}, waitTimeout).Should(gomega.Equal(http.StatusNoContent))
 		g.Expect(len(s.openConns())).To(gomega.BeNumerically("<=", maxConns*hardShare))
@@ -126,6 +127,8 @@
 		resp, err := http.ReadResponse(c.reader, nil)
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 		g.Expect(resp.StatusCode).To(gomega.Equal(http.StatusRequestEntityTooLarge))
+		_, err = c.reader.ReadByte()
+		g.Expect(err).To(gomega.Equal(io.EOF), "it is not reset")
 		_ = c.Close()
 	}
 }
