Give what a node returns to one owner only

Cause: an ask carries what the node gives back. If an owner took it and answered too late, the node sent the same returns with its ask to the next owner, and a node that is not first did so when it passed an ask on and then leased itself. Requests that had been leased once were given back two or three times, so more could run in a window than the ledgers allow.

Change: after an ask without an answer the returns are dropped. What the owner did not take counts as used.

Result: with an owner that answers after 1 s, 15 requests were given back in messages for 5 before (TestReturnsReachOneLedgerOnly), and the next owner's ledger stood at -4 (TestRelayedReturnsReachOneLedgerOnly). Both pass now; the tests of the package pass, also with -race.

--- a/internal/quota/ask.go
+++ b/internal/quota/ask.go
@@ -31,7 +31,8 @@
 	return out
 }
 
-// ask asks the owners for a lease until one answers.
+// ask asks the owners for a lease until one answers. Only the first of them gets the
+// returns: it may have taken them although it has not answered.
 func (s *Service) ask(ctx context.Context, req *askRequest) (*askAnswer, error) {
 	ctx, cancel := context.WithTimeout(ctx, maxAdmissionWait)
 	defer cancel()
@@ -49,6 +50,7 @@
 		if s.call(ctx, id, kindAsk, req, &answer, askTimeout) == nil {
 			return &answer, nil
 		}
+		req.Returns = nil
 	}
 	return nil, errNoOwner
 }
--- /dev/null
+++ b/internal/quota/failover_test.go
@@ -0,0 +1,100 @@
+package quota
+
+import (
+	"context"
+	"maps"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"gentiantide.example/gentiantide/internal/core"
+	"gentiantide.example/gentiantide/internal/peer"
+)
+
+// owner returns the node that is the n-th to own an organisation in the first data centre.
+func (f *simFleet) owner(org core.Org, n int) *simNode {
+	service := f.nodes[f.ids[0]].process.Load().service
+	return f.nodes[service.candidates().owners(org, "dc-0")[n]]
+}
+
+// wrap puts a function around the handler of a kind of message.
+func (n *simNode) wrap(kind string, around func(handle peer.Handler) peer.Handler) {
+	process := *n.process.Load()
+	process.handlers = maps.Clone(process.handlers)
+	process.handlers[kind] = around(process.handlers[kind])
+	n.process.Store(&process)
+}
+
+// answersLate lets a node act on messages of a kind at once and answer them after all
+// callers have given up.
+func (n *simNode) answersLate(kind string) {
+	n.wrap(kind, func(handle peer.Handler) peer.Handler {
+		return func(ctx context.Context, from core.NodeID, body []byte) ([]byte, error) {
+			response, err := handle(ctx, from, body)
+			time.Sleep(time.Second)
+			return response, err
+		}
+	})
+}
+
+// Load: a slow first owner takes what a node gives back, but the node asks the next owner
+// before it hears of that.
+func TestReturnsReachOneLedgerOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		org := simOrg("a", 10, 20)
+		f := newSimFleet(t, 1, []int{4}, org)
+		defer f.stop()
+		time.Sleep(warmUp)
+		first, second := f.owner("a", 0), f.owner("a", 1)
+		first.answersLate(kindAsk)
+		var asker *simNode
+		for _, n := range f.nodes {
+			if n != first && n != second && n != f.owner("a", 2) {
+				asker = n
+			}
+		}
+		var sent atomic.Int64
+		for _, n := range []*simNode{first, second} {
+			n.wrap(kindAsk, func(handle peer.Handler) peer.Handler {
+				return func(ctx context.Context, from core.NodeID, body []byte) ([]byte, error) {
+					var req askRequest
+					if err := msgpack.Unmarshal(body, &req); err != nil {
+						return nil, err
+					}
+					for _, r := range req.Returns {
+						sent.Add(int64(r.Count))
+					}
+					return handle(ctx, from, body)
+				}
+			})
+		}
+		req := &askRequest{Org: "a", Limit: limitOf(org), Needed: 1, Returns: []returned{{Count: 5, Age: leaseTime}}}
+		_, err := asker.process.Load().service.ask(t.Context(), req)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(sent.Load()).To(gomega.BeEquivalentTo(5), "requests given back, in all messages")
+	})
+}
+
+// Load: an owner that is not first passes an ask on to one that takes the returns and
+// answers late, and then leases itself.
+func TestRelayedReturnsReachOneLedgerOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		org := simOrg("a", 10, 20)
+		f := newSimFleet(t, 1, []int{4}, org)
+		defer f.stop()
+		time.Sleep(warmUp)
+		f.owner("a", 0).answersLate(kindAsk)
+		service := f.owner("a", 1).process.Load().service
+		service.ledger("a", limitOf(org), time.Now())
+		time.Sleep(time.Second)
+		_, err := service.serve(t.Context(), &askRequest{Org: "a", Limit: limitOf(org), Needed: 1, Returns: []returned{{Count: 5, Age: leaseTime}}})
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(service.ledgers["a"].ledger.net.sum).To(gomega.BeNumerically(">=", 0), "of the next owner, which has leased nothing before")
+	})
+}
--- a/internal/quota/serve.go
+++ b/internal/quota/serve.go
@@ -57,7 +57,8 @@
 	return s.lease(ctx, req), nil
 }
 
-// relay passes a request on to the first of some owners that answers.
+// relay passes a request on to the first of some owners that answers. One that has not may
+// have taken the returns, which the request then no longer holds.
 func (s *Service) relay(ctx context.Context, owners []core.NodeID, req *askRequest) *askAnswer {
 	relayed := *req
 	relayed.Relayed = true
@@ -69,6 +70,7 @@
 		if s.call(ctx, id, kindAsk, &relayed, &answer, relayTimeout) == nil {
 			return &answer
 		}
+		req.Returns, relayed.Returns = nil, nil
 	}
 	return nil
 }
