Hand a ledger over once

Cause: an owner that stops offered its ledger to the next owner, and after 200 ms without an answer to the one after it. If the first of them had taken it, both held it: up to the share of the burst twice.

Change: another owner gets it only if the one before has refused it. Owners that are known not to answer are left out, as they are elsewhere.

Result: with a limit of 1/s and a burst of 60, the next owners held 126 requests after the stop; now 70 at most (TestLedgerIsHandedOverOnce). A ledger whose next owner is gone without anyone having noticed is lost; it fills at the rate.

--- a/internal/quota/announce.go
+++ b/internal/quota/announce.go
@@ -12,6 +12,7 @@
 
 	"gentiantide.example/gentiantide/internal/contain"
 	"gentiantide.example/gentiantide/internal/core"
+	"gentiantide.example/gentiantide/internal/peer"
 )
 
 // announceTimeout bounds the call to one node. A node that doesn't get it finds out by
@@ -29,7 +30,8 @@
 	}
 }
 
-// handOver leaves the next owners what the ledgers of this node have.
+// handOver leaves the next owners what the ledgers of this node have. What an owner gets
+// that does not answer is not offered to another, unless the owner has refused it.
 func (s *Service) handOver(ctx context.Context) {
 	now := time.Now()
 	s.mu.Lock()
@@ -43,7 +45,11 @@
 		wait.Go(func() {
 			defer contain.Recover(s.Log, "limit of organisation", string(o.org))
 			for _, id := range s.candidates().owners(o.org, s.Self.DataCentre) {
-				if id != s.Messenger.Self() && s.call(ctx, id, kindHandOver, message, nil, announceTimeout) == nil {
+				if _, down := s.peers.downFor(id, time.Now()); down || id == s.Messenger.Self() {
+					continue
+				}
+				var refusal *peer.RemoteError
+				if err := s.call(ctx, id, kindHandOver, message, nil, announceTimeout); !errors.As(err, &refusal) {
 					return
 				}
 			}
--- a/internal/quota/failover_test.go
+++ b/internal/quota/failover_test.go
@@ -98,3 +98,25 @@
 		g.Expect(service.ledgers["a"].ledger.net.sum).To(gomega.BeNumerically(">=", 0), "of the next owner, which has leased nothing before")
 	})
 }
+
+// Load: an owner stops, and the next one takes its ledger but answers late.
+func TestLedgerIsHandedOverOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		org := simOrg("a", 1, 60)
+		f := newSimFleet(t, 1, []int{3}, org)
+		defer f.stop()
+		time.Sleep(2 * time.Minute)
+		first, second, third := f.owner("a", 0), f.owner("a", 1), f.owner("a", 2)
+		second.answersLate(kindHandOver)
+		first.process.Load().service.Stop(t.Context())
+		left := 0.0
+		for _, n := range []*simNode{second, third} {
+			for _, use := range n.process.Load().service.Snapshot() {
+				left += use.Left
+			}
+		}
+		g.Expect(left).To(gomega.BeNumerically("<=", 70), "held by all next owners")
+		g.Expect(left).To(gomega.BeNumerically(">=", 50), "held by all next owners")
+	})
+}
