Keep the ledger of an organisation that the owner does not know yet

Cause: every 100 ms, an owner dropped the ledgers of organisations that its own configuration does not limit. Nodes that know a new organisation already go on asking; each ask then began a new ledger, which holds one request and has counted nothing. An owner that has lost the store is in this state for seconds.

Change: such a ledger is dropped as others are, 30 s after the last ask. Rounds go on while there are ledgers, so that the last one is dropped as well.

--- a/internal/quota/failover_test.go
+++ b/internal/quota/failover_test.go
@@ -120,3 +120,26 @@
 		g.Expect(left).To(gomega.BeNumerically(">=", 50), "held by all next owners")
 	})
 }
+
+// Load: the owner does not know a new organisation yet, whose callers send many times its
+// limit through nodes that do.
+func TestOwnerThatDoesNotKnowTheOrganisationYet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		org := simOrg("new", 1, 1)
+		f := newSimFleet(t, 1, []int{3}, simOrg("a", 1, 1))
+		defer f.stop()
+		time.Sleep(warmUp)
+		service := f.owner("new", 0).process.Load().service
+		granted := 0
+		for began := time.Now(); time.Since(began) < window; time.Sleep(20 * time.Millisecond) {
+			answer, err := service.serve(t.Context(), &askRequest{Org: "new", Limit: limitOf(org), Needed: 5})
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			granted += answer.Granted
+		}
+		g.Expect(granted).To(gomega.BeNumerically("<=", allowed(1, 1)))
+		f.configure()
+		time.Sleep(ledgerTime + time.Second)
+		g.Expect(service.Snapshot()).To(gomega.BeEmpty(), "after nobody has asked for a while")
+	})
+}
--- a/internal/quota/ownedledger.go
+++ b/internal/quota/ownedledger.go
@@ -114,7 +114,8 @@
 }
 
 // refreshLedgers creates the ledgers of which this node is the first owner, so that they
-// fill, and drops those that are not used.
+// fill, and drops those that are not used. Other nodes may know organisations that this
+// one does not know yet: a ledger that was dropped would begin anew with each of their asks.
 func (s *Service) refreshLedgers(d *duties, now time.Time) {
 	s.wake(now)
 	if !s.stopping.Load() {
@@ -129,7 +130,7 @@
 	defer s.mu.Unlock()
 	for name, o := range s.ledgers {
 		o.mu.Lock()
-		if d.limited[name] == nil || d.first[name] == nil && now.Sub(o.askedAt) > ledgerTime {
+		if d.first[name] == nil && now.Sub(o.askedAt) > ledgerTime {
 			delete(s.ledgers, name)
 		}
 		o.mu.Unlock()
--- a/internal/quota/service.go
+++ b/internal/quota/service.go
@@ -88,7 +88,7 @@
 			return
 		case now := <-ticker.C:
 			d := s.duties()
-			if len(d.limited) == 0 && len(*s.accounts.Load()) == 0 {
+			if len(d.limited) == 0 && len(*s.accounts.Load()) == 0 && !s.owns() {
 				s.noteTick(now)
 				continue
 			}
