Pass nothing on for a count that is no number

Cause: a request for a part of a ledger with NaN as its count made the level of the ledger NaN, for as long as the process runs.

Change: only counts above 0 reach the ledger.

Result: TestPassOfNoNumber failed before and passes now.

--- a/internal/quota/failover_test.go
+++ b/internal/quota/failover_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -143,3 +144,20 @@
 		g.Expect(service.Snapshot()).To(gomega.BeEmpty(), "after nobody has asked for a while")
 	})
 }
+
+// Load: a message asks for a number that is none.
+func TestPassOfNoNumber(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		org := simOrg("a", 10, 20)
+		f := newSimFleet(t, 1, []int{2, 2}, org)
+		defer f.stop()
+		time.Sleep(warmUp)
+		service := f.owner("a", 0).process.Load().service
+		body, err := msgpack.Marshal(&passRequest{Org: "a", Limit: limitOf(org), Count: math.NaN()})
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		_, err = service.handlePass(t.Context(), f.ids[len(f.ids)-1], body)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(math.IsNaN(service.Snapshot()[0].Left)).To(gomega.BeFalse())
+	})
+}
--- a/internal/quota/pull.go
+++ b/internal/quota/pull.go
@@ -111,6 +111,9 @@
 	if s.stopping.Load() {
 		return nil, errStopping
 	}
+	if !(req.Count > 0) { // also if it is no number, which the ledger would keep
+		return msgpack.Marshal(&passAnswer{})
+	}
 	now := time.Now()
 	s.wake(now)
 	limit := s.limitFor(req.Org, req.Limit)
@@ -119,5 +122,5 @@
 	defer o.mu.Unlock()
 	o.askedAt = now
 	s.set(o, limit, now)
-	return msgpack.Marshal(&passAnswer{Count: o.ledger.Pass(max(0, req.Count), now)})
+	return msgpack.Marshal(&passAnswer{Count: o.ledger.Pass(req.Count, now)})
 }
