Keep the parts of a limit when the directory forgets a data centre

Cause: a limit is divided among the data centres of the directory, which drops nodes a minute after their lease lapsed. In a cut that lasts longer, the larger side then divided the limit by one data centre less, while the smaller side, whose view stands still, went on with its part: 4/3 of the limit with two of three.

Change: a process goes on to count the data centres that it has seen. A larger part is leased only by processes that start after the data centre was forgotten. The part of a data centre that is removed for good stays unused until then.

Result: with a limit of 40/s and a burst of 20 in three data centres, 307 requests were admitted in a window where the rule allows 262 (TestDataCentreThatTheDirectoryHasForgotten); it passes now, as do the tests of internal/quota with -race.

--- a/internal/quota/candidates.go
+++ b/internal/quota/candidates.go
@@ -27,7 +27,11 @@
 	view         *nodes.View
 	byDataCentre map[core.DataCentre][]nodes.Record
 	nodes        int
-	cache        sync.Map // map[ownersKey][]core.NodeID
+	// dataCentresKnown is the largest number of data centres that the directory has shown
+	// since the process started. One that it shows no longer may be cut off, and goes on with
+	// its part of the limits.
+	dataCentresKnown int
+	cache            sync.Map // map[ownersKey][]core.NodeID
 }
 
 type ownersKey struct {
@@ -59,6 +63,7 @@
 			return r.CPUCores < minOwnerCPUShare*largest
 		})
 	}
+	c.dataCentresKnown = len(c.byDataCentre)
 	return c
 }
 
--- a/internal/quota/failover_test.go
+++ b/internal/quota/failover_test.go
@@ -13,6 +13,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"gentiantide.example/gentiantide/internal/core"
+	"gentiantide.example/gentiantide/internal/nodes"
 	"gentiantide.example/gentiantide/internal/peer"
 )
 
@@ -161,3 +162,30 @@
 		g.Expect(math.IsNaN(service.Snapshot()[0].Left)).To(gomega.BeFalse())
 	})
 }
+
+// Load: a data centre is cut off for so long that the directory forgets its nodes, and
+// callers on both sides send many times the limit.
+func TestDataCentreThatTheDirectoryHasForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		org := simOrg("a", 40, 20)
+		f := newSimFleet(t, 1, []int{3, 3, 3}, org)
+		defer f.stop()
+		time.Sleep(warmUp)
+		f.cut("dc-2", 1)
+		rest := &nodes.View{Alive: make(map[string]nodes.Record)}
+		for owner, record := range f.view.Load().Alive {
+			if record.DataCentre != "dc-2" {
+				rest.Alive[owner] = record
+			}
+		}
+		synctest.Wait()
+		for _, n := range f.nodes {
+			if n.record.DataCentre != "dc-2" {
+				n.view.Store(rest)
+			}
+		}
+		time.Sleep(time.Minute)
+		f.send(org, 200, 15*time.Second, f.any())
+		f.checkRule(org, time.Time{})
+	})
+}
--- a/internal/quota/nodeaccount.go
+++ b/internal/quota/nodeaccount.go
@@ -58,7 +58,7 @@
 	}
 	limit := limitOf(org)
 	c := s.candidates()
-	a := &nodeAccount{org: org.Name, limit: limit, alone: NewLedger(limit, loneRight(c.nodes, len(c.byDataCentre)), now)}
+	a := &nodeAccount{org: org.Name, limit: limit, alone: NewLedger(limit, loneRight(c.nodes, c.dataCentresKnown), now)}
 	a.alone.level = 0
 	next := maps.Clone(current)
 	next[org.Name] = a
@@ -145,7 +145,7 @@
 // admitAlone decides on a request while no owner answers.
 func (s *Service) admitAlone(a *nodeAccount, now time.Time) forward.QuotaDecision {
 	c := s.candidates()
-	a.alone.Set(a.limit, loneRight(c.nodes, len(c.byDataCentre)), now)
+	a.alone.Set(a.limit, loneRight(c.nodes, c.dataCentresKnown), now)
 	if a.alone.Lease(1, 0, now) == 1 {
 		s.counters.alone.Inc(1)
 		return forward.QuotaDecision{Admitted: true, AdmittedAt: now}
--- a/internal/quota/ownedledger.go
+++ b/internal/quota/ownedledger.go
@@ -65,7 +65,7 @@
 // right returns which part of an organisation's limit this node may lease.
 func (s *Service) right(org core.Org, now time.Time) Right {
 	c := s.candidates()
-	dataCentres := len(c.byDataCentre)
+	dataCentres := c.dataCentresKnown
 	owners := c.owners(org, s.Self.DataCentre)
 	if len(owners) == 1 && owners[0] == s.Messenger.Self() {
 		return dataCentreRight(dataCentres) // nobody else takes it
--- a/internal/quota/service.go
+++ b/internal/quota/service.go
@@ -110,12 +110,17 @@
 
 // candidates returns the candidates by the current view of the directory.
 func (s *Service) candidates() *candidates {
-	c, view := s.lastCandidates.Load(), s.View()
-	if c.view != view {
-		c = newCandidates(view, s.Self)
-		s.lastCandidates.Store(c)
+	for {
+		c, view := s.lastCandidates.Load(), s.View()
+		if c.view == view {
+			return c
+		}
+		next := newCandidates(view, s.Self)
+		next.dataCentresKnown = max(next.dataCentresKnown, c.dataCentresKnown)
+		if s.lastCandidates.CompareAndSwap(c, next) {
+			return next
+		}
 	}
-	return c
 }
 
 // probe calls the nodes that did not answer, and some others if none was heard of lately.
--- a/internal/quota/simfleet_test.go
+++ b/internal/quota/simfleet_test.go
@@ -53,6 +53,8 @@
 	starting map[string]peer.Handler
 	// side tells the sides of a cut apart. Nodes of different sides don't reach each other.
 	side atomic.Int64
+	// view, if set, is the node's own view of the directory, in place of that of the fleet.
+	view atomic.Pointer[nodes.View]
 	// down is set while the process doesn't run, frozen while it is stopped for a while.
 	down, frozen atomic.Bool
 }
@@ -126,7 +128,7 @@
 func (n *simNode) start() {
 	n.starting = make(map[string]peer.Handler)
 	service := New(Options{
-		Messenger: n, Self: n.record, View: n.fleet.view.Load, AddNode: func(nodes.Record) bool { return false },
+		Messenger: n, Self: n.record, View: n.currentView, AddNode: func(nodes.Record) bool { return false },
 		Organisations: n.fleet.orgs.Load, Log: slog.New(slog.DiscardHandler),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -134,6 +136,13 @@
 	go service.Run(ctx)
 }
 
+func (n *simNode) currentView() *nodes.View {
+	if own := n.view.Load(); own != nil {
+		return own
+	}
+	return n.fleet.view.Load()
+}
+
 // restart kills the process and starts another one after a while.
 func (n *simNode) restart(after time.Duration) {
 	n.down.Store(true)
