Learn the shares of organisations after a silence

Cause: what is counted of a demand is bounded by the mean of before once a hub has measured for 4 s. With nobody asking until then that mean is 0, and after a long silence nearly 0: the usual demand of each organisation stayed under the least that is remembered, and its account was deleted at each update, once a second. The hub then told no organisations apart, for as long as it kept the group. This is the usual case for items of jobs (the group's state begins with online requests), and that of online requests at a hub that has had only items so far.

Change: without accounts the measurement begins anew, and the demand of items is not bounded, as it does not decide on their shares.

Result: TestSharesAreLearnedAfterSilence fails without the change (online, after 10 s: no organisations told apart) and passes with it.

--- a/internal/placement/shares.go
+++ b/internal/placement/shares.go
@@ -40,7 +40,9 @@
 	mean, sum float64
 }
 
-// update ages the demands and computes the shares, once in each interval.
+// update ages the demands and computes the shares, once in each interval. While nobody asks
+// for anything there is no usual demand: the measurement begins anew, as no rise is bounded
+// by the demand of nobody.
 func (s *shares) update(accounts map[core.Org]*account, now time.Time) {
 	if s.beganAt.IsZero() {
 		s.beganAt, s.updatedAt = now, now
@@ -52,11 +54,15 @@
 	age := now.Sub(s.beganAt)
 	s.updatedAt = now
 	for _, a := range accounts {
-		a.demand.update(elapsed, age, age > learningTime, leastShare*s.mean)
+		a.demand.update(elapsed, age, !s.equal && age > learningTime, leastShare*s.mean)
 	}
 	maps.DeleteFunc(accounts, func(_ core.Org, a *account) bool {
 		return a.demand.perSecond < forgottenDemand
 	})
+	if len(accounts) == 0 {
+		*s = shares{equal: s.equal}
+		return
+	}
 	s.derive(accounts, age)
 }
 
--- a/internal/placement/turns_test.go
+++ b/internal/placement/turns_test.go
@@ -333,3 +333,32 @@
 		})
 	}
 }
+
+// Guards against organisations that are never told apart because they were silent while
+// the hub learned: one that serves only items, or nothing, for its first ten seconds.
+func TestSharesAreLearnedAfterSilence(t *testing.T) {
+	for name, turns := range map[string]*turns{"online": newOnlineTurns(), "items": newItemTurns()} {
+		g, now := gomega.NewWithT(t), time.Now()
+		seconds := func(n int, demand ...float64) {
+			for range n {
+				for i, cost := range demand {
+					turns.account(orgName(i), 0).demand.observe(cost)
+				}
+				now = now.Add(time.Second)
+				turns.update(now)
+			}
+		}
+		turns.update(now)
+		for _, silence := range []int{10, 600} {
+			seconds(silence)
+			g.Expect(turns.accounts).To(gomega.BeEmpty(), name)
+			g.Expect(turns.usual(group{})).To(gomega.BeNil(), name)
+			seconds(10, 30, 10)
+			g.Expect(turns.binding()).To(gomega.BeTrue(), "%s after %d s", name, silence)
+			g.Expect(turns.account(orgName(1), 0).share).To(gomega.BeNumerically("~", 0.35, 0.16), "%s after %d s", name, silence)
+			kept := turns.account(orgName(0), 0)
+			seconds(1, 30, 10)
+			g.Expect(turns.account(orgName(0), 0)).To(gomega.BeIdenticalTo(kept), name)
+		}
+	}
+}
