Report runs and failures right after a new registration and a new hub

Cause: (1) a replica whose registration ended and that came again under its name counts its runs from zero, but a node reported them only once they exceeded those of before. So no node that had used it much reported its successes, and a probation lasted for thousands of runs. (2) The age of the failure of a replica at which none is known (runs were only given up at their deadline) is the largest duration; a node that passed it on added to it, it became negative, and the next hub took the failure for one of that moment.

Change: counts that have fallen begin from zero; an age over inheritedTTL is passed on as it is.

Result: TestRunsAreReportedAfterANewRegistration and TestUnclearFailuresAreNotNewAtANewHub fail without the change and pass with it.

--- a/internal/placement/standings.go
+++ b/internal/placement/standings.go
@@ -30,7 +30,9 @@
 	}
 	out := make([]replicaStanding, len(f.standings))
 	for i, s := range f.standings {
-		s.FailureAge += now.Sub(f.at)
+		if s.FailureAge <= inheritedTTL { // the largest one means that no failure is known
+			s.FailureAge += now.Sub(f.at)
+		}
 		out[i] = s
 	}
 	return out
@@ -115,6 +117,9 @@
 			continue
 		}
 		total, last := r.Outcomes(), sent[info.ID]
+		if total.Succeeded < last.Succeeded || total.Failed < last.Failed || total.Unclear < last.Unclear {
+			last = replica.Outcomes{} // it was registered anew, and counts from zero
+		}
 		succeeded, failed, unclear := int(total.Succeeded-last.Succeeded), int(total.Failed-last.Failed), int(total.Unclear-last.Unclear)
 		if succeeded <= 0 && failed <= 0 && unclear <= 0 {
 			continue
--- a/internal/placement/standings_test.go
+++ b/internal/placement/standings_test.go
@@ -122,3 +122,46 @@
 	g.Expect(s.outcomes.standing("r1", now).doubtful).To(gomega.BeTrue())
 	g.Expect(s.outcomes.numTroubled).To(gomega.BeZero())
 }
+
+// Guards against a failure that seems new at each new hub: of a replica at which runs were
+// only given up at their deadline, nobody knows a failure.
+func TestUnclearFailuresAreNotNewAtANewHub(t *testing.T) {
+	g, now := gomega.NewWithT(t), time.Now()
+	former, next := newTestScheduler(3, 20), newTestScheduler(3, 20)
+	former.setReplicas(former.replicas, now)
+	next.setReplicas(next.replicas, now)
+	former.outcomes.receive("a", []replicaOutcomes{{ID: "r0", Unclear: 8}}, now)
+	totals := &formerTotals{at: now, standings: former.outcomes.standings(now)}
+	g.Expect(totals.standings).To(gomega.HaveLen(1))
+	now = now.Add(inheritedTTL / 2)
+	for _, s := range totals.standingsAt(now) {
+		g.Expect(s.FailureAge).To(gomega.BeNumerically(">", inheritedTTL))
+	}
+	next.takeOver(totals, now)
+	g.Expect(next.outcomes.standing("r0", now).doubtful).To(gomega.BeFalse())
+}
+
+// Guards against a replica on probation for good: it came again under its name after its
+// registration had ended, and its runs are reported only when there are more than before.
+func TestRunsAreReportedAfterANewRegistration(t *testing.T) {
+	g, now := gomega.NewWithT(t), time.Now()
+	registry, sent := replica.NewRegistry(), make(reportedOutcomes)
+	register := func() *replica.Replica {
+		registry.Put(replica.Info{ID: "r0", Service: "m", Address: "127.0.0.1:1", Slots: 8})
+		return registry.Get("r0")
+	}
+	r := register()
+	for range 9 {
+		r.ObserveSuccess(now)
+	}
+	r.ObserveFailure()
+	own := group{Service: "m", Count: 1}
+	g.Expect(sent.due(registry, own, now)).To(gomega.HaveLen(1))
+	registry.Remove("r0")
+	register().ObserveSuccess(now)
+	due := sent.due(registry, own, now)
+	g.Expect(due).To(gomega.HaveLen(1))
+	g.Expect(due[0].Succeeded).To(gomega.Equal(1))
+	g.Expect(due[0].Failed).To(gomega.BeZero())
+	g.Expect(sent.due(registry, own, now)).To(gomega.BeEmpty())
+}
