Let items try a replica on probation when only the headroom is free

Cause: no item was placed while the free slots of the sound replicas were no more than the headroom, not even to try a replica on probation. Where the sound replicas have no more slots than the headroom, as with two replicas of one slot, and only items wait, nothing tried the other one: it stayed on probation and the items waited for good.

Change: an item may try a replica on probation then, too. Its slots are no part of the headroom.

Result: TestItemsTryAReplicaOnProbationInTheHeadroom fails without the change (nothing is placed a minute later) and passes with it. All tests of the package pass.

--- a/internal/placement/openings.go
+++ b/internal/placement/openings.go
@@ -95,14 +95,14 @@
 // replica on probation gets the first request that may try it, and no other.
 func (o *openings) choose(q *queuedRequest, headroom int) (chosen *opening, preempts bool) {
 	if q.batch && o.free <= headroom {
-		return nil, false
+		return o.probe(q), false
 	}
 	var free, occupied *opening
 	for _, r := range o.list {
 		switch {
 		case q.excludes(&r.replicaSlots):
 		case r.standing.onProbation:
-			if r.free() > 0 && (!q.batch || r.settled) && r.standing.mayProbe(q, o.now) {
+			if r.takesProbe(q, o.now) {
 				return r, false
 			}
 		case q.batch && !r.takesItems():
@@ -120,6 +120,22 @@
 	return free, false
 }
 
+// probe returns a replica on probation that a request may try, or nil. Its slots are no
+// part of the headroom, and it gets no other work until a request has tried it.
+func (o *openings) probe(q *queuedRequest) *opening {
+	for _, r := range o.list {
+		if r.standing.onProbation && !q.excludes(&r.replicaSlots) && r.takesProbe(q, o.now) {
+			return r
+		}
+	}
+	return nil
+}
+
+// takesProbe reports whether a request may try a replica on probation.
+func (o *opening) takesProbe(q *queuedRequest, now time.Time) bool {
+	return o.free() > 0 && (!q.batch || o.settled) && o.standing.mayProbe(q, now)
+}
+
 // before reports whether a request goes to r rather than to o, if both have a free
 // slot.
 func (r *opening) before(o *opening, q *queuedRequest) bool {
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -284,7 +284,7 @@
 	var out []*assignment
 	remaining := s.queue[:0:0]
 	for i, q := range s.queue {
-		if len(open.list) == 0 || q.batch && open.free <= headroom {
+		if len(open.list) == 0 || q.batch && open.free <= headroom && open.probe(q) == nil {
 			remaining = append(remaining, s.queue[i:]...) // only items follow an item, as before orders them last
 			break
 		}
--- a/internal/placement/standings_test.go
+++ b/internal/placement/standings_test.go
@@ -165,3 +165,24 @@
 	g.Expect(due[0].Failed).To(gomega.BeZero())
 	g.Expect(sent.due(registry, own, now)).To(gomega.BeEmpty())
 }
+
+// Guards against a replica on probation for good, and items that wait with it: two
+// replicas of one slot, of which one has failed, and only items wait. The slot of the
+// sound one is the headroom.
+func TestItemsTryAReplicaOnProbationInTheHeadroom(t *testing.T) {
+	g, now := gomega.NewWithT(t), time.Now()
+	s := newTestScheduler(2, 1)
+	for i := range s.replicas {
+		s.replicas[i].usableSince = now.Add(-time.Hour)
+	}
+	s.setReplicas(s.replicas, now)
+	s.outcomes.receive("a", []replicaOutcomes{{ID: "r0", Failed: 1}}, now)
+	s.outcomes.receive("a", []replicaOutcomes{{ID: "r0", Failed: 1}}, now.Add(2*sameFailure))
+	for id := range uint64(3) {
+		s.place("a", &placementRequest{ID: id, DataCentre: "dc-a", Batch: true, DueIn: time.Minute, MaxWait: time.Hour}, now.Add(2*sameFailure))
+	}
+	g.Expect(s.dispatch(now.Add(2*sameFailure))).To(gomega.BeEmpty(), "the pause is not over")
+	assigned := s.dispatch(now.Add(time.Minute))
+	g.Expect(assigned).To(gomega.HaveLen(1))
+	g.Expect(assigned[0].replica).To(gomega.Equal(core.ReplicaID("r0")))
+}
