End no more bodies than a full account needs

Cause: a body that waits for the memory of one that was ended looked again after each release, of any request, and ended one more body each time, although the first was about to give its memory back. When none was left to end, it was refused, too. And a body that was ended while it waited for room itself was not woken, so that it held its memory, and both waited in vain, until roomWait had passed.

Change: the account knows which bytes ended holders are about to give back; while these are enough, no other body ends. An end wakes those that wait.

--- a/internal/memaccount/account.go
+++ b/internal/memaccount/account.go
@@ -11,8 +11,9 @@
 
 	mu      sync.Mutex
 	used    int64
+	freeing int64                // the part of used that ended holders are about to give back
 	holders map[*Holder]struct{} // those that may be ended
-	freed   chan struct{}        // closed when bytes are released
+	freed   chan struct{}        // closed when bytes are released or a holder ends
 	stats   Stats
 }
 
@@ -55,7 +56,8 @@
 	return h
 }
 
-// Freed returns a channel that is closed when bytes are released after the call.
+// Freed returns a channel that is closed when bytes are released or a holder ends after the
+// call.
 func (a *Account) Freed() <-chan struct{} {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -64,11 +66,21 @@
 
 // fits reports whether a holder of so many bytes may hold n more.
 func (a *Account) fits(held, n int64) bool {
-	room := a.limits.Bytes
-	if held+n > a.limits.Small {
-		room -= a.limits.Reserve
+	return a.limits.Bytes == 0 || a.used+n <= a.room(held+n)
+}
+
+// room is the part of the account for holders of so many bytes.
+func (a *Account) room(bytes int64) int64 {
+	if bytes > a.limits.Small {
+		return a.limits.Bytes - a.limits.Reserve
 	}
-	return a.limits.Bytes == 0 || a.used+n <= room
+	return a.limits.Bytes
+}
+
+// notify wakes those that wait for a change. The caller holds the lock.
+func (a *Account) notify() {
+	close(a.freed)
+	a.freed = make(chan struct{})
 }
 
 // EndSlowest ends the incomplete holder that progresses least and reports whether there
@@ -103,6 +115,8 @@
 		slowest.ended = true
 		delete(a.holders, slowest)
 		a.stats.Ended++
+		a.freeing += slowest.bytes
+		a.notify() // it may wait for room itself
 	}
 	a.mu.Unlock()
 	if slowest == nil {
--- a/internal/memaccount/holder.go
+++ b/internal/memaccount/holder.go
@@ -28,9 +28,24 @@
 	}
 	h.bytes += n
 	a.used += n
+	if h.ended {
+		a.freeing += n
+	}
 	return true
 }
 
+// WillFit reports whether n more bytes fit once the holders that were ended have given
+// theirs back.
+func (h *Holder) WillFit(n int64) bool {
+	a := h.account
+	if a == nil {
+		return true
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.used-a.freeing+n <= a.room(h.bytes+n)
+}
+
 // Release gives n bytes back that are no longer referenced.
 func (h *Holder) Release(n int64) {
 	a := h.account
@@ -46,8 +61,10 @@
 	a := h.account
 	h.bytes -= n
 	a.used -= n
-	close(a.freed)
-	a.freed = make(chan struct{})
+	if h.ended {
+		a.freeing -= n
+	}
+	a.notify()
 }
 
 // Received records that n bytes have arrived.
--- a/internal/reqbody/read.go
+++ b/internal/reqbody/read.go
@@ -208,7 +208,7 @@
 		if holder.Ended() {
 			return ErrEnded
 		}
-		if !account.EndFor(time.Now(), holder) {
+		if !holder.WillFit(n) && !account.EndFor(time.Now(), holder) {
 			return ErrNoRoom
 		}
 		select {
--- a/internal/reqbody/read_test.go
+++ b/internal/reqbody/read_test.go
@@ -93,3 +93,48 @@
 	g.Expect(errors.Is(err, os.ErrDeadlineExceeded)).To(gomega.BeFalse(), "the connection ends, although its body never does")
 	g.Expect(account.Stats().Ended).To(gomega.Equal(int64(1)))
 }
+
+// Answers a full account in which other requests give back a little all the time: one body
+// that ends makes enough room, and no other one ends before it has given its memory back.
+func TestNoMoreBodiesEndThanAreNeeded(t *testing.T) {
+	g := gomega.NewWithT(t)
+	account := memaccount.New(memaccount.Limits{Bytes: 1000, Small: 1000})
+	before := time.Now().Add(-time.Minute)
+	var large, other, busy *memaccount.Holder
+	large = account.Open(before, func() { time.AfterFunc(50*time.Millisecond, func() { large.Close() }) })
+	other = account.Open(before, func() {})
+	busy, fast := account.Open(time.Now(), func() {}), account.Open(time.Now(), func() {})
+	for holder, n := range map[*memaccount.Holder]int64{large: 500, other: 300, busy: 100} {
+		g.Expect(holder.Reserve(n)).To(gomega.BeTrue())
+	}
+	go func() {
+		for range 20 {
+			time.Sleep(time.Millisecond)
+			busy.Release(1)
+		}
+	}()
+	g.Expect(Reserve(account, fast, 400)).To(gomega.Succeed())
+	g.Expect(large.Ended()).To(gomega.BeTrue())
+	g.Expect(other.Ended()).To(gomega.BeFalse())
+}
+
+// Answers two bodies that wait for memory: the one that ends in favour of the other must
+// not hold its memory until it has waited in vain.
+func TestBodyThatWaitsEndsAtOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	account := memaccount.New(memaccount.Limits{Bytes: 1000, Small: 1000})
+	before := time.Now().Add(-time.Minute)
+	stuck, slow, fast := account.Open(before, func() {}), account.Open(before, func() {}), account.Open(time.Now(), func() {})
+	g.Expect(stuck.Reserve(300)).To(gomega.BeTrue())
+	g.Expect(slow.Reserve(600)).To(gomega.BeTrue())
+	slow.Received(100, time.Now())
+	result := make(chan error, 1)
+	go func() {
+		err := Reserve(account, slow, 300)
+		slow.Close()
+		result <- err
+	}()
+	g.Eventually(stuck.Ended).Should(gomega.BeTrue())
+	g.Expect(Reserve(account, fast, 600)).To(gomega.Succeed())
+	g.Expect(<-result).To(gomega.BeIdenticalTo(ErrEnded))
+}
