Forget replicas of which no runs are reported any more

Cause: the hub forgets a replica when its record has not been aged for 30 s, but telling the standings ages all records, ten times a second. So no record expired while the hub had the group: replicas that crashed and were gone stayed in its memory and in its totals.

Change: the age of the last report counts, as outcomeTTL says.

Result: TestReplicasWithoutRunsAreForgotten fails without the change and passes with it.

--- a/internal/placement/outcomes.go
+++ b/internal/placement/outcomes.go
@@ -56,6 +56,8 @@
 	// succeeded and failed are the runs, weighted by their age, at agedAt.
 	succeeded, failed float64
 	agedAt            time.Time
+	// reportedAt is when a node or another hub last reported runs.
+	reportedAt time.Time
 	// failuresInRow are the failures since the last run that began after a failure and
 	// succeeded.
 	failuresInRow int
@@ -139,12 +141,14 @@
 	}
 }
 
+// record returns the record of a replica of which runs are reported, and creates it if needed.
 func (o *outcomes) record(id core.ReplicaID, started int64, now time.Time) *outcomeRecord {
 	record := o.records[id]
 	if record == nil {
 		record = &outcomeRecord{started: started, agedAt: now}
 		o.records[id] = record
 	}
+	record.reportedAt = now
 	return record
 }
 
@@ -272,7 +276,7 @@
 	o.blamed.expire(now)
 	removed := false
 	for id, record := range o.records {
-		if now.Sub(record.agedAt) > outcomeTTL && now.Sub(record.lastTrouble) > outcomeTTL {
+		if now.Sub(record.reportedAt) > outcomeTTL && now.Sub(record.lastTrouble) > outcomeTTL {
 			delete(o.records, id)
 			removed = true
 		}
--- a/internal/placement/standings_test.go
+++ b/internal/placement/standings_test.go
@@ -186,3 +186,18 @@
 	g.Expect(assigned).To(gomega.HaveLen(1))
 	g.Expect(assigned[0].replica).To(gomega.Equal(core.ReplicaID("r0")))
 }
+
+// Guards against a hub that never forgets replicas that crashed and are gone: it tells of
+// them in its totals, ten times a second.
+func TestReplicasWithoutRunsAreForgotten(t *testing.T) {
+	g, now := gomega.NewWithT(t), time.Now()
+	s := newTestScheduler(4, 20)
+	s.setReplicas(s.replicas, now)
+	s.outcomes.receive("a", []replicaOutcomes{{ID: "r0", Failed: 1}, {ID: "r1", Succeeded: 1}}, now)
+	s.setReplicas(s.replicas[1:], now)
+	for passed := time.Duration(0); passed <= outcomeTTL+time.Second; passed += 100 * time.Millisecond {
+		s.outcomes.standings(now.Add(passed))
+		s.outcomes.expire(now.Add(passed))
+	}
+	g.Expect(s.outcomes.records).To(gomega.BeEmpty())
+}
