Begin with told demands also at a hub that was one before

Cause: a node that was the hub for a moment keeps a state without shares, and did not take over the usual demands when it became the hub again. Change: the demands are taken over as long as the hub has measured too little itself, at the place where the service time is. Tests: TestDemandsReplaceThoseOfAMoment fails before.

--- a/internal/placement/demandhandover.go
+++ b/internal/placement/demandhandover.go
@@ -70,9 +70,10 @@
 	return out
 }
 
-// adopt begins with what another hub has measured, if there is any.
+// adopt begins with what another hub has measured, if there is any, in place of the little
+// that this one has measured.
 func (t *turns) adopt(d *usualDemands, now time.Time) {
-	if d == nil || len(t.accounts) > 0 {
+	if d == nil || t.known {
 		return
 	}
 	t.beganAt, t.updatedAt = now.Add(-d.Measured), now
--- a/internal/placement/demandhandover_test.go
+++ b/internal/placement/demandhandover_test.go
@@ -64,3 +64,15 @@
 	g.Expect(told.Orgs).To(gomega.HaveLen(maxToldDemands))
 	g.Expect(told.Orgs[0].Org).To(gomega.Equal(orgName(2*maxToldDemands - 1)))
 }
+
+// Guards against a hub that was one for a moment before, and keeps to the little that it
+// measured then.
+func TestDemandsReplaceThoseOfAMoment(t *testing.T) {
+	g := gomega.NewWithT(t)
+	turns, now := newOnlineTurns(), time.Now()
+	turns.account("small", 0).demand.observe(50)
+	turns.update(now)
+	turns.adopt(&usualDemands{Group: testGroup, Measured: usualWindow, Orgs: []orgDemand{{Org: "large", PerSecond: 30}, {Org: "small", PerSecond: 10}}}, now)
+	g.Expect(turns.known).To(gomega.BeTrue())
+	g.Expect(turns.account("large", 0).share / turns.account("small", 0).share).To(gomega.BeNumerically("~", 3, 0.5))
+}
--- a/internal/placement/hub.go
+++ b/internal/placement/hub.go
@@ -116,7 +116,6 @@
 	state, ok := h.groups[g]
 	if !ok {
 		state = &groupState{scheduler: newScheduler(), lastMessageAt: now}
-		state.onlineTurns.adopt(h.formerDemands(g, now), now)
 		h.groups[g] = state
 		h.log.Info("became hub of a group", "group", g.key())
 		select {
@@ -133,6 +132,9 @@
 		if state.serviceTime.measured() == 0 {
 			state.serviceTime.adopt(h.formerServiceTime(g)) // this one may have been the hub before, too
 		}
+		if !state.onlineTurns.known {
+			state.onlineTurns.adopt(h.formerDemands(g, now), now)
+		}
 		state.limits.share = 1
 		if h.firstHub(g) != nil {
 			state.limits.share = secondHubShare
