Wait for the adoption of demands in its test

Cause: TestHubBeginsWithTheUsualDemandsOfTheFormerOne failed in 2 of 45 runs with -race, three processes at a time: the next hub had been the hub for a moment, so that its nodes were known already, and it looks for told demands every 5 ms. Change: the test waits for the shares, for less than the hub would need to measure them. Measured: 0 of 45 in the same way; fails without the adoption.

--- a/internal/placement/demandhandover_test.go
+++ b/internal/placement/demandhandover_test.go
@@ -31,12 +31,15 @@
 	next := f.nodes[f.others(hub)[0]].candidates.Load().hubs(testGroup)[1]
 	f.Eventually(func() any { return f.nodes[next].formerDemands(testGroup, time.Now()) }, testTimeout, "5ms").ShouldNot(gomega.BeNil())
 	f.nodes[hub].Stop(t.Context())
-	f.Eventually(func() int { return f.nodes[next].hub.reported(testGroup) }, testTimeout, "5ms").Should(gomega.BeNumerically(">", 0))
 	h := f.nodes[next].hub
+	f.Eventually(func() bool { // it may have been the hub for a moment, and look again in 5 ms
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		return h.groups[testGroup] != nil && h.groups[testGroup].onlineTurns.known
+	}, learningTime/2, "1ms").Should(gomega.BeTrue(), "before it has measured anything itself")
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	adopted := h.groups[testGroup].onlineTurns
-	f.Expect(adopted.known).To(gomega.BeTrue())
 	f.Expect(adopted.account("large", 0).share / adopted.account("small", 0).share).To(gomega.BeNumerically("~", 3, 0.5))
 }
 
