--- a/bench/integration/suite_test.go
+++ b/bench/integration/suite_test.go
@@ -1,6 +1,7 @@
 package integration
 
 import (
+	"os"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -14,5 +15,8 @@
 	gomega.RegisterFailHandler(Fail)
 	suite, reporter := GinkgoConfiguration()
 	suite.RandomSeed = specSeed
+	if knownRed := os.Getenv("SKIP"); knownRed != "" {
+		suite.SkipStrings = append(suite.SkipStrings, knownRed) // -skip knows only whole tests
+	}
 	RunSpecs(t, "integration", suite, reporter)
 }
