Soak organisations with keys and a limit, and a replica that fails all

The soak knew no organisations: nothing checked from outside what a key that was taken away, a forged organisation or a limit do under faults, and no replica failed all of its runs at once.

Callers use keys and claim another organisation; others have no key, an unknown one or one that was taken away. Each run has a phase in which a replica fails all of its runs while its registration says ready.

--- a/bench/soak/clients.go
+++ b/bench/soak/clients.go
@@ -28,19 +28,33 @@
 type clients struct {
 	testbed *testbed
 	oracle  *oracle
-	client  *http.Client
-	wg      sync.WaitGroup
+	// contacts and checks are nil if the configuration names no organisations.
+	contacts *contactWatch
+	checks   *keyChecks
+	client   *http.Client
+	wg       sync.WaitGroup
 }
 
 func newClients(tb *testbed, o *oracle) *clients {
-	return &clients{testbed: tb, oracle: o, client: &http.Client{
+	c := &clients{testbed: tb, oracle: o, client: &http.Client{
 		// Callers keep idle connections to a node open until its process ends.
 		Transport: &http.Transport{MaxIdleConnsPerHost: onlineCallers, IdleConnTimeout: 12 * time.Second, DisableCompression: true},
 	}}
+	if tb.keys != nil {
+		c.contacts, c.checks = newContactWatch(tb), newKeyChecks(o)
+	}
+	return c
 }
 
-func (c *clients) caller(node int) *platformtest.Caller {
-	return &platformtest.Caller{Client: c.client, Address: c.testbed.nodes[node%len(c.testbed.nodes)].frontAddress, Prompt: sharedPart + ":100,own:50"}
+// caller returns a caller with a key of an organisation, if the configuration names some.
+// It and its items then claim to be of another organisation.
+func (c *clients) caller(node int, org string) *platformtest.Caller {
+	out := &platformtest.Caller{Client: c.client, Address: c.testbed.nodes[node%len(c.testbed.nodes)].frontAddress, Prompt: sharedPart + ":100,own:50"}
+	if c.testbed.keys != nil {
+		out.Key = c.testbed.keys.key(org)
+		out.Claim("org-claimed")
+	}
+	return out
 }
 
 // start runs all callers until ctx ends; wg.Wait returns when they have stopped.
@@ -53,6 +67,12 @@
 	go func() { defer c.wg.Done(); c.runJobs(ctx) }()
 }
 
+// inContact reports whether a node has been in contact with the store for so long that it
+// has the configuration.
+func (c *clients) inContact(node int) bool {
+	return c.contacts != nil && c.contacts.inContact(c.testbed.nodes[node], time.Now(), revokeTime)
+}
+
 func (c *clients) rng(stream uint64) *rand.Rand {
 	return rand.New(rand.NewPCG(c.testbed.options.Seed, stream))
 }
@@ -61,6 +81,7 @@
 func (c *clients) sendOnline(ctx context.Context, number int) {
 	rng := c.rng(uint64(number) + 1)
 	kinds := []string{"once", "resume", "safe", "unsafe"}
+	org := onlineOrgs[number%len(onlineOrgs)]
 	for n := 0; ctx.Err() == nil; n++ {
 		kind := kinds[rng.IntN(len(kinds))]
 		id := fmt.Sprintf("%s-%d-%d", kind, number, n)
@@ -69,8 +90,12 @@
 			want = platformtest.StreamBody(id, eventsPerStream)
 		}
 		callCtx, cancel := context.WithTimeout(context.Background(), callTimeout)
-		response := c.caller(rng.IntN(len(c.testbed.nodes))).Post(callCtx, "/"+kind+"/x", id)
+		node := rng.IntN(len(c.testbed.nodes))
+		contact := c.inContact(node)
+		c.checks.ask(id, askedRequest{org: org})
+		response := c.caller(node, org).Post(callCtx, "/"+kind+"/x", id)
 		cancel()
+		c.checks.checkResponse(id, &response, contact && c.inContact(node))
 		c.oracle.checkResponse(kind, id, &response, want)
 		sleep(ctx, time.Duration(rng.IntN(60))*time.Millisecond)
 	}
@@ -92,9 +117,12 @@
 }
 
 func (c *clients) submitJob(ctx context.Context, rng *rand.Rand, job string) {
+	for i := range jobItems {
+		c.checks.ask(platformtest.ItemID(job, i), askedRequest{org: jobsOrg})
+	}
 	for try := range 1 + rng.IntN(3) {
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		response := c.caller(rng.IntN(len(c.testbed.nodes))).Submit(callCtx, job, jobItems, jobTokens)
+		response := c.caller(rng.IntN(len(c.testbed.nodes)), jobsOrg).Submit(callCtx, job, jobItems, jobTokens)
 		cancel()
 		if response.Err == nil && response.Status == http.StatusAccepted {
 			c.oracle.recordAccepted(job, jobItems)
@@ -110,7 +138,7 @@
 	c.oracle.recordCancelled(job)
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	c.caller(rng.IntN(len(c.testbed.nodes))).Cancel(callCtx, job)
+	c.caller(rng.IntN(len(c.testbed.nodes)), jobsOrg).Cancel(callCtx, job)
 }
 
 // readAllJobs reads the results of every job from position 0 at one node.
@@ -123,7 +151,7 @@
 	c.oracle.mu.Unlock()
 	for _, job := range jobs {
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		page, response := c.caller(node).Page(callCtx, job, 0)
+		page, response := c.caller(node, jobsOrg).Page(callCtx, job, 0)
 		cancel()
 		if response.Err == nil {
 			c.oracle.checkPage(job, 0, &page, response.Status)
--- a/bench/soak/crashes.go
+++ b/bench/soak/crashes.go
@@ -109,7 +109,8 @@
 		p.sent[id] = n
 		p.mu.Unlock()
 	}
-	caller := platformtest.Caller{Client: p.clients.client, Address: n.frontAddress, Prompt: sharedPart + ":100," + crashingPart + ":50," + id + ":10"}
+	p.clients.checks.ask(id, askedRequest{org: jobsOrg})
+	caller := platformtest.Caller{Client: p.clients.client, Address: n.frontAddress, Prompt: sharedPart + ":100," + crashingPart + ":50," + id + ":10", Key: p.testbed.keys.key(jobsOrg)}
 	response := caller.Post(ctx, "/once/x", id)
 	if response.Err == nil && response.Status == http.StatusOK {
 		p.oracle.addViolation("%s: complete response although the engine crashed", id)
--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -48,10 +48,12 @@
 		f.log("stop %s and restart it", n.name)
 		return f.restart(n)
 	case 2:
-		if n.paused = !n.paused; n.paused {
+		if paused := !n.paused.Load(); paused {
+			n.paused.Store(true)
 			f.log("pause %s", n.name)
 			n.process.Signal(syscall.SIGSTOP)
 		} else {
+			n.paused.Store(false)
 			f.log("continue %s", n.name)
 			n.process.Signal(syscall.SIGCONT)
 		}
@@ -66,7 +68,7 @@
 	case 6, 7:
 		return f.changeStoreFaults()
 	case 8:
-		f.log("configuration %d", tb.configVersion+2)
+		f.log("configuration %d", tb.version()+2)
 		return tb.configure()
 	case 9:
 		return f.toggleDraining(b)
@@ -86,6 +88,7 @@
 // the grace period, and starts it again.
 func (f *faultInjector) restart(n *nodeProcess) error {
 	n.process.Signal(syscall.SIGCONT)
+	n.paused.Store(true) // a node that stops answers no peer for long
 	n.process.Signal(syscall.SIGTERM)
 	select {
 	case <-n.process.Done():
@@ -103,6 +106,7 @@
 	switch f.rng.IntN(6) {
 	case 0:
 		f.log("store down")
+		f.testbed.storeAway.Store(true)
 		rows.SetFaultPlan(infratest.FaultPlan{Down: true})
 		objects.SetFaultPlan(infratest.FaultPlan{Down: true})
 	case 1:
@@ -110,6 +114,7 @@
 		rows.SetFaultPlan(infratest.FaultPlan{Delay: 150 * time.Millisecond})
 	case 2:
 		f.log("store loses responses")
+		f.testbed.storeAway.Store(true)
 		rows.SetFaultPlan(infratest.FaultPlan{LoseResponses: 0.3, RefuseWrites: 0.1})
 		objects.SetFaultPlan(infratest.FaultPlan{LoseResponses: 0.3})
 	case 3:
@@ -122,6 +127,7 @@
 		f.log("store recovered, %d held writes applied", rows.ReleaseWrites())
 		rows.SetFaultPlan(infratest.FaultPlan{})
 		objects.SetFaultPlan(infratest.FaultPlan{})
+		f.testbed.storeAway.Store(false)
 	}
 	return nil
 }
@@ -190,6 +196,7 @@
 	tb.store.Rows.ReleaseWrites()
 	tb.store.Rows.SetFaultPlan(infratest.FaultPlan{})
 	tb.store.Objects.SetFaultPlan(infratest.FaultPlan{})
+	tb.storeAway.Store(false)
 	for _, b := range tb.backends {
 		b.proxy.setMode(modePass)
 		serveNormally(b)
@@ -200,7 +207,7 @@
 	for _, n := range tb.nodes {
 		n.store.setMode(modePass)
 		n.process.Signal(syscall.SIGCONT)
-		n.paused = false
+		n.paused.Store(false)
 		select {
 		case <-n.process.Done():
 			return fmt.Errorf("%s exited unexpectedly: %w", n.name, n.process.Err())
--- a/bench/soak/planned.go
+++ b/bench/soak/planned.go
@@ -60,6 +60,7 @@
 // RunPlanned makes a run with planned work only, in which nothing may be lost.
 func RunPlanned(o Options) (Report, error) {
 	report := Report{Seed: o.Seed}
+	o.Organisations = false
 	events, err := os.Create(filepath.Join(o.Dir, "planned.log"))
 	if err != nil {
 		return report, err
--- a/bench/soak/run.go
+++ b/bench/soak/run.go
@@ -46,11 +46,19 @@
 	clientCtx, stopClients := context.WithCancel(context.Background())
 	defer stopClients()
 	clients.start(clientCtx)
+	if tb.keys != nil {
+		clients.startKeyed(clientCtx, f.log)
+	}
 	faultCtx, stopFaults := context.WithTimeout(context.Background(), o.FaultDuration)
 	defer stopFaults()
 	if err := f.run(faultCtx); err != nil {
 		oracle.addViolation("%v", err)
 	}
+	if o.Failures {
+		time.Sleep(contactTime)
+		phase := &failurePhase{testbed: tb, oracle: oracle, rng: rand.New(rand.NewPCG(o.Seed, 5)), log: f.log}
+		phase.run()
+	}
 	if o.Notices {
 		time.Sleep(contactTime)
 		phase := &noticePhase{testbed: tb, oracle: oracle, rng: rand.New(rand.NewPCG(o.Seed, 3)), log: f.log}
@@ -69,6 +77,10 @@
 	clients.wg.Wait()
 	awaitJobs(clients, oracle, o.RecoveryTimeout)
 	oracle.checkExecutions(tb.backends)
+	clients.checks.checkReplicas(tb.backends)
+	if clients.checks != nil {
+		f.log("keys: %d requests got 401, %d of the limited organisation 429", clients.checks.unknown, clients.checks.refused)
+	}
 	oracle.checkFloor()
 	report.Violations, report.Sent, report.Served, report.Jobs = oracle.violations, oracle.sent, oracle.served, len(oracle.jobs)
 	return report, nil
--- a/bench/soak/testbed.go
+++ b/bench/soak/testbed.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -32,8 +34,10 @@
 	// store is the proxy to the metadata store.
 	store     *proxy
 	process   *harness.Process
-	paused    bool
 	startedAt time.Time
+	// paused is set while the process is paused or stopping, and starts counts its starts.
+	paused atomic.Bool
+	starts atomic.Int32
 }
 
 // backend is a replica behind its proxy.
@@ -50,11 +54,17 @@
 
 // testbed holds the servers and processes of a run.
 type testbed struct {
-	options       Options
-	store         *platformtest.Store
-	storeServer   *http.Server
-	nodes         []*nodeProcess
-	backends      []*backend
+	options     Options
+	store       *platformtest.Store
+	storeServer *http.Server
+	nodes       []*nodeProcess
+	backends    []*backend
+	// keys are those of the organisations in the configuration, or nil.
+	keys *keyring
+	// storeAway is set while calls to the store fail.
+	storeAway atomic.Bool
+
+	configMu      sync.Mutex
 	configVersion int
 	// extraRoutes numbers the extra route of each configuration.
 	extraRoutes int
@@ -64,6 +74,9 @@
 
 func newTestbed(o Options, dataCentres ...string) (*testbed, error) {
 	tb := &testbed{options: o, store: platformtest.NewStore(), dataCentres: dataCentres}
+	if o.Organisations {
+		tb.keys = newKeyring()
+	}
 	tb.store.Rows.Seed(o.Seed)
 	tb.store.Objects.Seed(o.Seed)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -129,9 +142,19 @@
 // configure writes the next configuration: the default routes and one extra route
 // with a new name.
 func (tb *testbed) configure() error {
+	tb.configMu.Lock()
+	defer tb.configMu.Unlock()
 	tb.configVersion += 2
 	tb.extraRoutes++
-	return tb.store.Configure(tb.configVersion, platformtest.DefaultRoutes+","+platformtest.SafeRoute(fmt.Sprintf("extra%d", tb.extraRoutes)))
+	routes := platformtest.DefaultRoutes + "," + platformtest.SafeRoute(fmt.Sprintf("extra%d", tb.extraRoutes))
+	return tb.store.ConfigureOrganisations(tb.configVersion, routes, tb.keys.list())
+}
+
+// version returns the version of the configuration.
+func (tb *testbed) version() int {
+	tb.configMu.Lock()
+	defer tb.configMu.Unlock()
+	return tb.configVersion
 }
 
 func (tb *testbed) addNodes(store string) error {
@@ -163,7 +186,9 @@
 func (tb *testbed) startNode(n *nodeProcess) error {
 	var err error
 	n.process, err = harness.StartProcessWithEnv(tb.options.Dir, n.name, []string{platformtest.SettingsVariable + "=" + n.settingsFile}, tb.options.Binary, "platform")
-	n.paused, n.startedAt = false, time.Now()
+	n.startedAt = time.Now()
+	n.starts.Add(1)
+	n.paused.Store(false)
 	return err
 }
 
