Cut a node off from the store while keys are taken away

Runs with organisations now cut one node off for 9 s, in some it is killed and started meanwhile. Counts of refusals are shown.

--- a/bench/soak/keycheck.go
+++ b/bench/soak/keycheck.go
@@ -35,13 +35,12 @@
 
 	mu    sync.Mutex
 	asked map[string]askedRequest
-	// refused counts the requests of the limited organisation that got 429, and unknown
-	// the barred ones that got 401.
-	refused, unknown int
+	// counts are what the run had of each kind.
+	counts map[string]int
 }
 
 func newKeyChecks(o *oracle) *keyChecks {
-	return &keyChecks{oracle: o, asked: make(map[string]askedRequest)}
+	return &keyChecks{oracle: o, asked: make(map[string]askedRequest), counts: make(map[string]int)}
 }
 
 // ask records a request before it is sent.
@@ -65,11 +64,11 @@
 	switch response.Status {
 	case http.StatusUnauthorized:
 		if request.barred {
-			k.unknown++
+			k.counts["barred requests that got 401"]++
 		}
 	case http.StatusTooManyRequests:
 		if request.org == limitedOrg {
-			k.refused++
+			k.counts["requests over the limit that got 429"]++
 		}
 	}
 	k.mu.Unlock()
@@ -83,10 +82,11 @@
 	}
 }
 
-// checkReplicas checks at the end of a run what the replicas received.
-func (k *keyChecks) checkReplicas(backends []*backend) {
+// checkReplicas checks at the end of a run what the replicas received, and returns the
+// counts of the run.
+func (k *keyChecks) checkReplicas(backends []*backend) map[string]int {
 	if k == nil {
-		return
+		return nil
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -115,9 +115,12 @@
 	for _, at := range limited {
 		times = append(times, at)
 	}
-	if n := mostInWindow(times, usageWindow); float64(n) > allowedUsage {
+	n := mostInWindow(times, usageWindow)
+	k.counts["most requests with a limit in 5 s"] = n
+	if float64(n) > allowedUsage {
 		k.oracle.addViolation("%d requests of %s ran within %s, %.0f are allowed", n, limitedOrg, usageWindow, allowedUsage)
 	}
+	return k.counts
 }
 
 // mostInWindow returns the largest number of times within any window of a length.
--- a/bench/soak/run.go
+++ b/bench/soak/run.go
@@ -17,7 +17,7 @@
 	// Sent counts the online requests, Served those with a 2xx response, and Jobs
 	// the accepted jobs.
 	Sent, Served, Jobs int
-	// Counts are further counts of a run with planned work.
+	// Counts are further counts of a run with planned work, or with organisations.
 	Counts map[string]int
 }
 
@@ -59,6 +59,13 @@
 		phase := &failurePhase{testbed: tb, oracle: oracle, rng: rand.New(rand.NewPCG(o.Seed, 5)), log: f.log}
 		phase.run()
 	}
+	if o.Organisations {
+		time.Sleep(contactTime)
+		phase := &cutPhase{testbed: tb, rng: rand.New(rand.NewPCG(o.Seed, 6)), log: f.log}
+		if err := phase.run(); err != nil {
+			return report, err
+		}
+	}
 	if o.Notices {
 		time.Sleep(contactTime)
 		phase := &noticePhase{testbed: tb, oracle: oracle, rng: rand.New(rand.NewPCG(o.Seed, 3)), log: f.log}
@@ -77,10 +84,7 @@
 	clients.wg.Wait()
 	awaitJobs(clients, oracle, o.RecoveryTimeout)
 	oracle.checkExecutions(tb.backends)
-	clients.checks.checkReplicas(tb.backends)
-	if clients.checks != nil {
-		f.log("keys: %d requests got 401, %d of the limited organisation 429", clients.checks.unknown, clients.checks.refused)
-	}
+	report.Counts = clients.checks.checkReplicas(tb.backends)
 	oracle.checkFloor()
 	report.Violations, report.Sent, report.Served, report.Jobs = oracle.violations, oracle.sent, oracle.served, len(oracle.jobs)
 	return report, nil
