--- a/bench/soak/keycallers.go
+++ b/bench/soak/keycallers.go
@@ -16,7 +16,7 @@
 	limitedCallers = 3
 	limitedPause   = 30 * time.Millisecond
 	// barredPause is the time between two requests without a valid key.
-	barredPause = 50 * time.Millisecond
+	barredPause = 10 * time.Millisecond
 	// rotateInterval is the time between two keys that are taken away.
 	rotateInterval = 1500 * time.Millisecond
 )
--- a/bench/soak/keyring.go
+++ b/bench/soak/keyring.go
@@ -16,6 +16,9 @@
 	// limitedRate and limitedBurst limit one organisation, in requests a second and in
 	// requests. Its callers ask for several times as much.
 	limitedRate, limitedBurst = 4, 10
+	// All but one in recentShare barred keys are among the recentKeys that were taken away
+	// last: those that a node which is cut off may not know of.
+	recentShare, recentKeys = 4, 8
 	// organisation of the jobs, and the one with a limit.
 	jobsOrg, limitedOrg = "org-a", "org-limited"
 )
@@ -101,12 +104,16 @@
 	return old, nil
 }
 
-// randomTaken returns a key that was taken away; ok is false if there is none.
+// randomTaken returns a key that was taken away, mostly a recent one; ok is false if there is none.
 func (k *keyring) randomTaken(rng *rand.Rand) (old takenKey, ok bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if len(k.taken) == 0 {
 		return takenKey{}, false
 	}
-	return k.taken[rng.IntN(len(k.taken))], true
+	from := 0
+	if rng.IntN(recentShare) > 0 {
+		from = max(0, len(k.taken)-recentKeys)
+	}
+	return k.taken[from+rng.IntN(len(k.taken)-from)], true
 }
