--- a/bench/soak/keycheck.go
+++ b/bench/soak/keycheck.go
@@ -11,7 +11,7 @@
 
 const (
 	// revokeTime is the time after which a key that was taken away runs nothing, at nodes
-	// that could learn it. See the operator's revoke-ms.
+	// that could learn it, as the operator's settings promise.
 	revokeTime = 5 * time.Second
 	// usageWindow is the time over which the requests of a limited organisation are
 	// counted, and allowedUsage how many may run in it: a tenth and 20 more than its limit.
