Revert "Give silent runs of an item more time each time"

It is the last change of what decides when an item leaves a silent replica: with up to 6 s for each run, an item that meets a few silent connections in a row is at no replica for as long as was seen. That is suspected, not shown.

--- a/internal/jobs/executor.go
+++ b/internal/jobs/executor.go
@@ -19,6 +19,11 @@
 )
 
 const (
+	// itemStallTimeout is the time without a complete event after which an item's stream is
+	// cancelled, so that the item resumes at another replica. Events normally
+	// arrive every 30 ms, but an engine under memory pressure may preempt a
+	// request and process its prompt again.
+	itemStallTimeout = 1500 * time.Millisecond
 	// maxEmptyRuns is the number of runs in a row that resume an item and end with the
 	// connection before their first event. Either they were cut, or the item is complete
 	// and its end was lost. It then begins anew.
@@ -107,10 +112,9 @@
 	if !ok { // another request is the trial
 		return outcomeDeclined
 	}
-	timeout := task.silence.timeout(task.elsewhere)
 	run := &itemRun{
 		task: task, observed: observed, stopWatch: e.Quarantine.Watch(task.parts, cancel),
-		stallTimeout: timeout, watchdog: time.AfterFunc(timeout, func() { cancel(errItemStalled) }),
+		watchdog: time.AfterFunc(itemStallTimeout, func() { cancel(errItemStalled) }),
 	}
 	defer run.end()
 	start, from, fresh := time.Now(), task.lastEvent, task.output.events == 0
@@ -128,7 +132,6 @@
 			e.Log.Info("replica failed; ejecting it", "item", task.item.ID, "replica", target.Info().ID, "error", err, "avoid_ms", wait.Milliseconds())
 		}
 	}
-	task.silence.recordEnd(target.Info().ID, outcome, errors.Is(context.Cause(runCtx), errItemStalled), task.newEvents)
 	task.crashed = fresh && task.mayHaveCrashed(outcome, err)
 	e.Log.Info("item run ended", "job", task.job.entry.ID, "item", task.item.ID, "replica", target.Info().ID,
 		"outcome", outcome.String(), "from_event", from, "last_event", task.lastEvent, "ms", time.Since(start).Milliseconds(), "error", err)
--- a/internal/jobs/itemrun.go
+++ b/internal/jobs/itemrun.go
@@ -18,9 +18,8 @@
 	observed *quarantine.Run
 	// stopWatch ends the watch that cancels the run when a part is quarantined.
 	stopWatch func()
-	// watchdog cancels the run when no event has arrived for stallTimeout.
-	watchdog     *time.Timer
-	stallTimeout time.Duration
+	// watchdog cancels the run when no event has arrived for the stall timeout.
+	watchdog *time.Timer
 	// target is the replica, and software what it ran when the item was sent to it.
 	target   *replica.Replica
 	software replica.Software
@@ -106,12 +105,9 @@
 		run.target.ObserveSuccess(run.sent)
 	}
 	run.task.begun.Store(true)
-	if run.task.silence.recordProgress(run.task.newEvents) {
-		run.stallTimeout = itemStallTimeout
-	}
 	run.observed.RecordEvent(time.Now())
 	response.RecordProgress()
 	if run.watchdog.Stop() {
-		run.watchdog.Reset(run.stallTimeout)
+		run.watchdog.Reset(itemStallTimeout)
 	}
 }
--- a/internal/jobs/itemtask.go
+++ b/internal/jobs/itemtask.go
@@ -36,10 +36,6 @@
 	newEvents  int
 	progressAt time.Time
 	emptyRuns  int
-	// silence is what the last runs show. elsewhere is set if the present
-	// run ends after the shortest stall timeout.
-	silence   itemSilence
-	elsewhere bool
 	// crashes is the number of runs in a row that may have crashed their replica, see
 	// suspect.go. crashed is set if the present run may have, and begun once it has
 	// received an event.
--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -288,7 +288,6 @@
 		task.dropOutput()
 		task.runTime = 0
 	}
-	task.elsewhere = r.goesElsewhere(task, route, target, task.started)
 	r.wg.Add(1)
 	go func() {
 		defer r.wg.Done()
