Blame no request for a replica that had failed before

Three crashes at different moments quarantine a part for a minute, and with it all its items. Change: a run at a replica that is on probation when it begins is no suspect of its crash, unless it is a trial.

--- a/internal/quarantine/run.go
+++ b/internal/quarantine/run.go
@@ -32,6 +32,9 @@
 	parts   []Part
 	replica *replica.Replica
 	trial   []Part
+	// failing is set if the last runs at the replica had failed before this one: what
+	// makes it fail is not this request.
+	failing bool
 	began   time.Time // of the response, with its first event
 	proved  bool
 }
@@ -42,14 +45,15 @@
 	if len(parts) == 0 {
 		return nil, true
 	}
-	trial, ok := s.list.admit(parts, time.Now())
+	now := time.Now()
+	trial, ok := s.list.admit(parts, now)
 	if !ok {
 		return nil, false
 	}
 	if len(trial) > 0 {
 		s.Log.Info("trial of quarantined parts", "parts", trial, "replica", target.Info().ID)
 	}
-	return &Run{service: s, parts: parts, replica: target, trial: trial}, true
+	return &Run{service: s, parts: parts, replica: target, trial: trial, failing: target.OnProbation(now)}, true
 }
 
 // RecordEvent records that an event of the response has arrived.
@@ -103,9 +107,10 @@
 }
 
 // suspect reports the run if its replica has crashed. Replicas that were leaving
-// were expected to end.
+// were expected to end, and those that had failed before may fail again. A trial is
+// reported all the same.
 func (r *Run) suspect() {
-	if r.replica.Leaving() {
+	if r.replica.Leaving() || r.failing && len(r.trial) == 0 {
 		return
 	}
 	suspect := report{Service: r.replica.Info().Service, Replica: r.replica.Info().ID, Parts: slices.Clone(r.parts)}
--- a/internal/replica/standing.go
+++ b/internal/replica/standing.go
@@ -36,8 +36,11 @@
 	return Standing{}
 }
 
+// OnProbation reports whether the last runs of all nodes at the replica have failed.
+func (r *Replica) OnProbation(now time.Time) bool { return r.presentStanding(now).OnProbation }
+
 // avoided reports whether the replica gets requests without a hub only if all replicas
 // are avoided.
 func (r *Replica) avoided(now time.Time) bool {
-	return r.Ejected(now) || r.presentStanding(now).OnProbation
+	return r.Ejected(now) || r.OnProbation(now)
 }
