--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Builds the stand-ins of cases 6 to 10: one program, target/review/cases2, which holds the
+# project's own stand-ins of the store and the replicas. The system itself is built by the
+# deploy file.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+exec go build -ldflags=-linkmode=external -o target/review/cases2 ./review/_cases2
