--- a/review/_cases2/platform/readers.go
+++ b/review/_cases2/platform/readers.go
@@ -22,8 +22,10 @@
 const (
 	readersNodes    = 3
 	readersReplicas = 18
-	readersJobs     = 4
-	readersItems    = 200
+	// readersDesk is the number of replicas of the plain service, with eight slots each.
+	readersDesk  = 6
+	readersJobs  = 4
+	readersItems = 200
 	// readersEvents makes the text of an item 11 KB, as on the site's sheet.
 	readersEvents = 172
 	// readersCrowd is the number of clients that read results at a node, each once, and
@@ -53,7 +55,7 @@
 	if _, err := w.addReplicas(w.models, readersReplicas, readersEvents, 2*time.Millisecond); err != nil {
 		return false, err
 	}
-	desk, err := w.addReplicas(w.plain, 3, 0, 0)
+	desk, err := w.addReplicas(w.plain, readersDesk, 0, 0)
 	if err != nil {
 		return false, err
 	}
@@ -238,7 +240,9 @@
 			_, err = io.Copy(io.Discard, resp.Body)
 		}
 		if err == nil {
-			served.Add(1)
+			if resp.StatusCode == http.StatusOK {
+				served.Add(1)
+			}
 			continue
 		}
 		if _, passedOn := ran.Load(id); passedOn && i > 0 {
