--- a/review/_cases2/platform/moved.go
+++ b/review/_cases2/platform/moved.go
@@ -29,7 +29,8 @@
 // movedStore checks LOST of batch jobs: the settings files change, and say that the
 // platform's store has another address.
 func movedStore(w *world, trouble bool) (bool, error) {
-	if _, err := w.addReplicas(w.models, movedReplicas, movedEvents, movedEventGap); err != nil {
+	models, err := w.addReplicas(w.models, movedReplicas, movedEvents, movedEventGap)
+	if err != nil {
 		return false, err
 	}
 	if _, err := w.addReplicas(w.plain, 3, 0, 0); err != nil {
@@ -61,6 +62,16 @@
 		w.note("the store serves at the new address only")
 	}
 	time.Sleep(finishTime)
+	runs, whole := 0, 0
+	for _, r := range models {
+		for _, q := range r.ReceivedRequests() {
+			runs++
+			if q.Whole {
+				whole++
+			}
+		}
+	}
+	w.note("replicas have run items %d times, %d of these to the end", runs, whole)
 	for i, end := 0, time.Now().Add(readFor); time.Now().Before(end); i++ {
 		if w.wholeJob(w.nodes[i%len(w.nodes)], job) {
 			return true, nil
