Refuse answers whose status line is none

Callers got, as the answer of a replica, what followed a head with status 000, 099 or 101: the next bytes on the connection, or a response inside the body. They also got answers with status 600 and 999, with HTTP/0.9, 2.0 and 3.7, and responses that an interim response had as its body.

Cause: http.ReadResponse takes any three digits for a status and any version, and the node took each status below 200 for an interim response whose body is empty.

Now httphead.Check refuses versions other than HTTP/1, status codes outside 100 to 599, the switch to another protocol, which no request asks for, and interim responses with a body. The exchange fails like one whose connection broke: the connection is closed, the request counts as run, and it is sent again only where its route allows that.

An answer with status 000 and a length alone was already handled, as its body is no head.

--- a/internal/replica/exchange.go
+++ b/internal/replica/exchange.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"gentiantide.example/gentiantide/internal/httphead"
 )
 
 const (
@@ -142,6 +144,9 @@
 	defer c.head.unlimit()
 	for range maxInterimResponses + 1 {
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		if err == nil {
+			err = httphead.Check(resp)
+		}
 		if err != nil {
 			return nil, err
 		}
