Refuse broken heads from the store, engines and plain services

httpsend, through which the nodes call the platform's store and objects and, in `run`, engines and plain services, returned broken heads as answers: status 000, 099, 600 and 999, HTTP/2.0, 101, names with a blank, and an answer that an interim response had as its body. What a plain service answers is passed on to the caller; a 412 of the store decides about a transaction.

The transport of net/http accepts such heads, and nothing checked them.

Now each head, also of interim responses, passes httphead.Check. A broken one is an error that says that the request may have been sent, and its connection is closed: the transport keeps one whose answer has no body before it returns.

An answer with neither a length nor chunks, cut or not, is refused as before (TestIncompleteResponse). Not seen by the check, as the transport drops the field before: a Transfer-Encoding in a response of HTTP/1.0 that has a length, too.

--- a/internal/httphead/check.go
+++ b/internal/httphead/check.go
@@ -23,12 +23,19 @@
 	if err := checkStatus(resp.StatusCode); err != nil {
 		return err
 	}
-	length := resp.Header.Get("Content-Length")
-	hasBody := length != "" && length != "0" || len(resp.TransferEncoding) > 0
-	if resp.StatusCode < http.StatusOK && hasBody {
+	if resp.StatusCode < http.StatusOK && len(resp.TransferEncoding) > 0 {
 		return errInterimBody
 	}
-	return nil
+	return checkHeader(resp.StatusCode, resp.Header)
+}
+
+// CheckInterim returns an error for the status and the header of an interim response
+// that net/http has skipped although it is none of HTTP/1.
+func CheckInterim(status int, header http.Header) error {
+	if err := checkStatus(status); err != nil {
+		return err
+	}
+	return checkHeader(status, header)
 }
 
 // checkStatus refuses codes that are no status, and the switch to another protocol,
@@ -39,3 +46,21 @@
 	}
 	return nil
 }
+
+func checkHeader(status int, header http.Header) error {
+	for name, values := range header {
+		if !isToken(name) {
+			return fmt.Errorf("malformed header name %q", name)
+		}
+		for _, value := range values {
+			if !isFieldValue(value) {
+				return fmt.Errorf("malformed value %q of header %s", value, name)
+			}
+		}
+	}
+	length := header.Get("Content-Length")
+	if status < http.StatusOK && length != "" && length != "0" {
+		return errInterimBody
+	}
+	return nil
+}
--- a/internal/httpsend/conntracker.go
+++ b/internal/httpsend/conntracker.go
@@ -1,10 +1,20 @@
 package httpsend
 
 import (
+	"errors"
+	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"sync"
+
+	"gentiantide.example/gentiantide/internal/httphead"
 )
 
+// maxInterimResponses limits the interim (1xx) responses before a response.
+const maxInterimResponses = 5
+
+var errInterimResponses = errors.New("more than 5 interim responses")
+
 // connTracker records the connections that the transport uses for one request,
 // to tell whether any byte of the request may have been sent.
 type connTracker struct {
@@ -14,10 +24,22 @@
 	conn         *trackedConn
 	writesBefore int64 // writes begun on conn before this request
 	untracked    bool  // the transport used a connection that is not a trackedConn
+	interim      int   // interim responses received
 }
 
 func (t *connTracker) clientTrace() *httptrace.ClientTrace {
-	return &httptrace.ClientTrace{GotConn: t.gotConn}
+	return &httptrace.ClientTrace{GotConn: t.gotConn, Got1xxResponse: t.gotInterim}
+}
+
+// gotInterim checks an interim response. An error ends the request. It also counts them,
+// as the transport has no limit on them if they are observed.
+func (t *connTracker) gotInterim(status int, header textproto.MIMEHeader) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.interim++; t.interim > maxInterimResponses {
+		return errInterimResponses
+	}
+	return httphead.CheckInterim(status, http.Header(header))
 }
 
 // gotConn records the connection that the transport obtained. When a reused
