Read the heads of replicas' answers as HTTP defines them

A replica's answer reached callers although a line of its head was no field: a name with a blank was passed on; "Content-Length : 5" and "Transfer-Encoding : chunked" were overlooked, so that the caller got the bytes after the body, or the chunks as text; folded lines were joined. HTTP/1.0 answers in chunks were passed on with the chunk sizes in the body. A trailer that is none ended a body as complete.

Cause: the head was read by http.ReadResponse, which accepts all of these, drops the fields about framing before anybody can check them, and leaves what it does not know in the header.

Now internal/httphead reads the head: the status line, field names that are tokens, values without control bytes, no folded lines, and one framing that fits the version (RFC 9112). Interim heads, late answers to other requests and trailers pass the same reader. It bounds what it reads, which replaces headReader. Chunks are still decoded by net/http.

--- a/internal/httphead/doc.go
+++ b/internal/httphead/doc.go
@@ -1,3 +1,5 @@
-// Package httphead refuses heads of HTTP/1 responses that RFC 9112 does not allow and
-// that net/http accepts.
+// Package httphead reads the heads of HTTP/1 responses and refuses those that RFC 9112
+// does not allow. The reader of net/http accepts many of them: status 000, blanks in
+// field names, folded lines, chunks in a response of HTTP/1.0. Check finds what it can in
+// a head that net/http has read.
 package httphead
--- /dev/null
+++ b/internal/httphead/parser.go
@@ -0,0 +1,73 @@
+package httphead
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+)
+
+const (
+	statusDigits = 3
+	// maxQuoted is how many bytes of a malformed line an error quotes.
+	maxQuoted = 80
+)
+
+// parser parses a head line by line.
+type parser struct {
+	head    Head
+	started bool // the status line was parsed
+}
+
+// add parses the next line, without its line end. It reports whether the head is whole.
+func (p *parser) add(line []byte) (whole bool, err error) {
+	switch {
+	case !p.started:
+		p.started, p.head.Header = true, make(http.Header)
+		return false, p.head.parseStatusLine(line)
+	case len(line) == 0:
+		return true, nil
+	}
+	name, value, err := parseField(line)
+	if err != nil {
+		return false, err
+	}
+	key := http.CanonicalHeaderKey(string(name))
+	p.head.Header[key] = append(p.head.Header[key], string(value))
+	return false, nil
+}
+
+// parseStatusLine parses "HTTP/1.1 200" with an optional reason phrase.
+func (h *Head) parseStatusLine(line []byte) error {
+	rest, ok := bytes.CutPrefix(line, []byte("HTTP/1."))
+	if !ok || len(rest) < len("1 200") || !isDigit(rest[0]) || rest[1] != ' ' {
+		return malformed("status line", line)
+	}
+	h.Minor = int(rest[0] - '0')
+	code, reason := rest[2:2+statusDigits], rest[2+statusDigits:]
+	h.Status = 0
+	for _, c := range code {
+		if !isDigit(c) {
+			return malformed("status line", line)
+		}
+		h.Status = 10*h.Status + int(c-'0')
+	}
+	if len(reason) > 0 && reason[0] != ' ' || !isFieldValue(reason) {
+		return malformed("status line", line)
+	}
+	return checkStatus(h.Status)
+}
+
+// parseField parses "name: value". A line that continues the one before is refused: it
+// begins with a blank, as no name does.
+func parseField(line []byte) (name, value []byte, err error) {
+	name, value, ok := bytes.Cut(line, []byte(":"))
+	value = bytes.Trim(value, " \t")
+	if !ok || !isToken(name) || !isFieldValue(value) {
+		return nil, nil, malformed("header line", line)
+	}
+	return name, value, nil
+}
+
+func malformed(what string, line []byte) error {
+	return fmt.Errorf("malformed %s %q", what, line[:min(len(line), maxQuoted)])
+}
--- a/internal/replica/conn.go
+++ b/internal/replica/conn.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"errors"
-	"io"
 	"net"
 	"slices"
 	"sync/atomic"
@@ -26,7 +25,6 @@
 // conn is one connection to a replica. It carries one request at a time.
 type conn struct {
 	net.Conn
-	head   *headReader // limits what reader reads
 	reader *bufio.Reader
 	writer *bufio.Writer
 	// idleSince is when the connection was returned to the pool.
@@ -42,11 +40,9 @@
 }
 
 func newConn(raw net.Conn) *conn {
-	head := &headReader{r: raw}
 	return &conn{
 		Conn:        raw,
-		head:        head,
-		reader:      bufio.NewReaderSize(head, connBuffer),
+		reader:      bufio.NewReaderSize(raw, connBuffer),
 		writer:      bufio.NewWriterSize(raw, connBuffer),
 		idleTimeout: defaultIdleTimeout,
 	}
@@ -100,16 +96,3 @@
 	})
 	return err == nil && reusable
 }
-
-// drain discards the rest of a response body and closes it. It fails if the body is
-// longer than maxStaleResponseBytes.
-func drain(body io.ReadCloser) error {
-	n, err := io.Copy(io.Discard, io.LimitReader(body, maxStaleResponseBytes+1))
-	if err == nil && n > maxStaleResponseBytes {
-		err = errStaleResponseLength
-	}
-	if closeErr := body.Close(); err == nil {
-		err = closeErr
-	}
-	return err
-}
--- a/internal/replica/exchange.go
+++ b/internal/replica/exchange.go
@@ -45,7 +45,7 @@
 
 	replica   *Replica
 	conn      *conn
-	body      io.ReadCloser
+	body      io.Reader
 	stop      func() bool  // ends the watch of the context, see conn.watch
 	sendDone  <-chan error // result of sending the request body, see conn.send
 	bodyRead  int          // bytes of the body that were read
@@ -73,7 +73,7 @@
 		c.abort()
 		return nil, &Failure{Sent: true, Err: err}
 	}
-	resp, named, err := c.receive(req)
+	resp, err := c.receive(req)
 	if err != nil {
 		stop()
 		c.abort()
@@ -85,12 +85,8 @@
 	c.updateIdleTimeout(resp.Header)
 	r.lastRead.Set(time.Now())
 	r.openResponses.Add(1)
-	return &Response{
-		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
-		Framed:  resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0,
-		replica: r, conn: c, body: resp.Body, stop: stop, sendDone: sendDone, keepAlive: named && !resp.Close,
-		events: isEventStream(resp.Header),
-	}, nil
+	resp.replica, resp.conn, resp.stop, resp.sendDone, resp.events = r, c, stop, sendDone, isEventStream(resp.Header)
+	return resp, nil
 }
 
 // send writes the request. A body above maxInlineBody is written concurrently with
@@ -113,45 +109,49 @@
 	return sendDone, nil
 }
 
-// receive reads the head of the response to the request, and reports whether the
-// response names it. It discards late responses to earlier requests. On a reused
-// connection, a response that does not name its request may be a second copy of an
-// earlier one.
-func (c *conn) receive(req *Request) (resp *http.Response, named bool, err error) {
+// receive reads the head of the response to the request. It discards late responses to
+// earlier requests. On a reused connection, a response that does not name its request
+// may be a second copy of an earlier one.
+func (c *conn) receive(req *Request) (*Response, error) {
 	for range maxStaleResponses + 1 {
-		if resp, err = c.readHead(req.Method); err != nil {
-			return nil, false, err
+		resp, err := c.readHead(req.Method)
+		if err != nil {
+			return nil, err
 		}
 		switch match := req.match(resp.Header); {
 		case match == MatchOwn:
-			return resp, true, nil
+			return resp, nil
 		case match == MatchUnknown && c.used:
-			return nil, false, errUnnamedResponse
+			return nil, errUnnamedResponse
 		case match == MatchUnknown:
-			return resp, false, nil
+			resp.keepAlive = false
+			return resp, nil
 		}
-		if err := drain(resp.Body); err != nil {
-			return nil, false, err
+		if err := drain(resp.body); err != nil {
+			return nil, err
 		}
 	}
-	return nil, false, errStaleResponses
+	return nil, errStaleResponses
 }
 
-// readHead reads the head of the next final response and skips interim (1xx)
-// ones.
-func (c *conn) readHead(method string) (*http.Response, error) {
-	c.head.limit()
-	defer c.head.unlimit()
+// readHead reads the head of the next final response and skips interim (1xx) ones.
+func (c *conn) readHead(method string) (*Response, error) {
+	heads := httphead.NewReader(c.reader, maxHeadBytes)
 	for range maxInterimResponses + 1 {
-		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-		if err == nil {
-			err = httphead.Check(resp)
+		head, err := heads.Head()
+		if err != nil {
+			return nil, err
 		}
+		framing, length, err := head.Body(method)
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode >= http.StatusOK {
-			return resp, nil
+		if !head.Interim() {
+			return &Response{
+				Status: head.Status, Header: head.Header, Length: length,
+				Framed: length >= 0 || framing == httphead.FramingChunks,
+				body:   newBody(c.reader, framing, length), keepAlive: head.KeepsAlive() && framing != httphead.FramingClose,
+			}, nil
 		}
 	}
 	return nil, errInterimResponses
