Take an answer for cut if its connection is reset under the upload

A replica answered a long upload at once with a 200 that had neither a length nor chunks, sent a part of the body and reset the connection. The caller got that part as the whole answer.

Cause: a long request is written while its answer is read, and the kernel reports a reset only once. If the write gets the error, the read sees an end, which is also the end of a body without a length or chunks.

Now the end of such a body counts only if the request was written whole. This holds for plain answers, streams and items alike.

--- a/internal/replica/body.go
+++ b/internal/replica/body.go
@@ -33,14 +33,15 @@
 
 // newBody returns a reader of a body, which ends with io.EOF only if the body is
 // complete.
-func newBody(r *bufio.Reader, framing httphead.Framing, length int64) io.Reader {
+func newBody(c *conn, framing httphead.Framing, length int64) io.Reader {
+	r := c.reader
 	switch {
 	case framing == httphead.FramingChunks:
 		return &chunkedBody{r: r, chunks: httputil.NewChunkedReader(r)}
 	case framing == httphead.FramingLength && length > 0:
 		return &lengthBody{r: r, left: length}
 	case framing == httphead.FramingClose:
-		return r
+		return &closeBody{r: r, upload: c.upload}
 	default:
 		return http.NoBody
 	}
@@ -88,6 +89,23 @@
 	return n, b.err
 }
 
+// closeBody reads a body that ends with its connection.
+type closeBody struct {
+	r      io.Reader
+	upload *upload
+}
+
+// Read implements io.Reader.
+func (b *closeBody) Read(p []byte) (int, error) {
+	n, err := b.r.Read(p)
+	if errors.Is(err, io.EOF) {
+		if uploadErr := b.upload.checkEnd(); uploadErr != nil {
+			err = uploadErr
+		}
+	}
+	return n, err
+}
+
 // drain discards the rest of a response body. It fails if the body is longer than
 // maxStaleResponseBytes.
 func drain(body io.Reader) error {
--- a/internal/replica/conn.go
+++ b/internal/replica/conn.go
@@ -27,6 +27,8 @@
 	net.Conn
 	reader *bufio.Reader
 	writer *bufio.Writer
+	// upload writes the body of the present request, or is nil.
+	upload *upload
 	// idleSince is when the connection was returned to the pool.
 	idleSince time.Time
 	// idleTimeout is the idle timeout of the replica.
--- a/internal/replica/exchange.go
+++ b/internal/replica/exchange.go
@@ -46,12 +46,11 @@
 	replica   *Replica
 	conn      *conn
 	body      io.Reader
-	stop      func() bool  // ends the watch of the context, see conn.watch
-	sendDone  <-chan error // result of sending the request body, see conn.send
-	bodyRead  int          // bytes of the body that were read
-	complete  bool         // the whole body was read
-	events    bool         // the body is a stream of events, see RecordProgress
-	keepAlive bool         // the connection may be used again
+	stop      func() bool // ends the watch of the context, see conn.watch
+	bodyRead  int         // bytes of the body that were read
+	complete  bool        // the whole body was read
+	events    bool        // the body is a stream of events, see RecordProgress
+	keepAlive bool        // the connection may be used again
 }
 
 // Send sends a request and returns the response once its headers were read. When
@@ -67,8 +66,7 @@
 		}
 	}
 	stop := c.watch(ctx)
-	sendDone, err := c.send(req)
-	if err != nil {
+	if err := c.send(req); err != nil {
 		stop()
 		c.abort()
 		return nil, &Failure{Sent: true, Err: err}
@@ -85,28 +83,27 @@
 	c.updateIdleTimeout(resp.Header)
 	r.lastRead.Set(time.Now())
 	r.openResponses.Add(1)
-	resp.replica, resp.conn, resp.stop, resp.sendDone, resp.events = r, c, stop, sendDone, isEventStream(resp.Header)
+	resp.replica, resp.conn, resp.stop, resp.events = r, c, stop, isEventStream(resp.Header)
 	return resp, nil
 }
 
 // send writes the request. A body above maxInlineBody is written concurrently with
-// reading the response; the returned channel then receives the result of the
-// write. Otherwise the channel is nil.
-func (c *conn) send(req *Request) (<-chan error, error) {
+// reading the response.
+func (c *conn) send(req *Request) error {
 	c.carried = append(c.carried, xxhash.Sum64String(req.ID))
+	c.upload = nil
 	if err := req.writeHead(c.writer); err != nil {
-		return nil, err
+		return err
 	}
-	if len(req.Body) <= maxInlineBody {
+	writeBody := func() error {
 		_, _ = c.writer.Write(req.Body)
-		return nil, c.writer.Flush()
+		return c.writer.Flush() // a bufio.Writer keeps its first error
 	}
-	sendDone := make(chan error, 1)
-	go func() {
-		_, _ = c.writer.Write(req.Body)
-		sendDone <- c.writer.Flush()
-	}()
-	return sendDone, nil
+	if len(req.Body) <= maxInlineBody {
+		return writeBody()
+	}
+	c.upload = startUpload(writeBody)
+	return nil
 }
 
 // receive reads the head of the response to the request. It discards late responses to
@@ -150,7 +147,7 @@
 			return &Response{
 				Status: head.Status, Header: head.Header, Length: length,
 				Framed: length >= 0 || framing == httphead.FramingChunks,
-				body:   newBody(c.reader, framing, length), keepAlive: head.KeepsAlive() && framing != httphead.FramingClose,
+				body:   newBody(c, framing, length), keepAlive: head.KeepsAlive() && framing != httphead.FramingClose,
 			}, nil
 		}
 	}
@@ -218,16 +215,7 @@
 func (resp *Response) Close() {
 	resp.replica.openResponses.Add(-1)
 	intact := resp.stop()
-	sent := true
-	if resp.sendDone != nil {
-		select {
-		case err := <-resp.sendDone:
-			sent = err == nil
-		default:
-			sent = false // the replica would read the rest of the body as another request
-		}
-	}
-	if !intact || !sent || !resp.complete || !resp.keepAlive || resp.conn.reader.Buffered() > 0 {
+	if !intact || !resp.conn.upload.sent() || !resp.complete || !resp.keepAlive || resp.conn.reader.Buffered() > 0 {
 		resp.conn.abort()
 		return
 	}
