--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -147,6 +147,10 @@
 	if a.err != nil {
 		return
 	}
+	if a.info.Foreign { // what else comes on the connection may be as broken
+		a.release()
+		return
+	}
 	buf := make([]byte, 512)
 	for range 4 { // an error response is short; once it is read, the connection can be reused
 		if _, err := a.response.Read(buf); err != nil {
--- a/internal/jobs/executor.go
+++ b/internal/jobs/executor.go
@@ -198,12 +198,13 @@
 
 // classifyResponse returns the outcome for a response that carries no events.
 func (e *Executor) classifyResponse(target *replica.Replica, response *replica.Response, info forward.ResponseInfo) (runOutcome, error) {
+	if info.Foreign { // its connection is not reused, as the body is not read
+		return outcomeBroken, fmt.Errorf("response with status %d is not of a replica", response.Status)
+	}
 	_, _ = io.Copy(io.Discard, io.LimitReader(response, readBufferSize)) // a body read whole lets the connection be reused
 	switch {
 	case info.Misdirected:
 		return outcomeNotRun, errors.New("address now belongs to another replica")
-	case info.Foreign:
-		return outcomeBroken, fmt.Errorf("response with status %d is not of a replica", response.Status)
 	case info.NotRun:
 		return outcomeNotRun, nil
 	case response.Status == http.StatusUnprocessableEntity:
