Close the connection of a stream that held foreign bytes

A stream that held bytes of something else was broken off or resumed, but if it had come whole its connection was used again. The next request on it got what the same replica sent next: a stream that was resumed there lost one of its attempts and was broken off.

Cause: a connection returned to the pool if the body was read to its end, whatever the reader made of it.

Now a stream or an item's run that ends with an error marks its response as broken, and the connection is closed.

It sends the bytes in a stream that cannot be resumed, in one that can, and in an item's.

--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -100,6 +100,9 @@
 	}
 	s.resumed = s.hasLastEvent
 	err := s.copy(a, standby)
+	if err != nil {
+		a.response.MarkBroken()
+	}
 	if errors.Is(err, errNotRecorded) {
 		a.release()
 		r.h.Log.Info("stream ended before its first event", "request", r.reqInfo.ID, "replica", a.replica.Info().ID, "software", string(a.software.Version), "error", err)
--- a/internal/jobs/executor.go
+++ b/internal/jobs/executor.go
@@ -176,6 +176,9 @@
 		return e.classifyResponse(target, response, responseInfo)
 	}
 	err = run.readEvents(response)
+	if err != nil {
+		response.MarkBroken()
+	}
 	if errors.Is(err, errOtherSoftware) {
 		task.dropOutput() // the events of this run may be of either version
 		return outcomeDeclined, err
--- a/internal/replica/exchange.go
+++ b/internal/replica/exchange.go
@@ -209,6 +209,10 @@
 	return n, err
 }
 
+// MarkBroken records that the body is not what the replica should have sent. Its
+// connection is not used again, even if the body was read whole.
+func (resp *Response) MarkBroken() { resp.keepAlive = false }
+
 // Close releases the response. The connection returns to the pool if the request
 // was sent completely, the whole body was read and the replica keeps the connection
 // open; otherwise it is closed.
