Refuse events that callers read otherwise than the node

Bytes of something else in a stream reached callers as events: lines without a field, names with a control byte, and lines with a carriage return, at which readers of the specification end them. Behind it a caller found the end of an event, or another ID, that the node had not seen; an item's text got what the node took for data.

Cause: a line was foreign only if its name held a blank or a slash.

Now a line without a colon must be a field of the specification, a name holds no control bytes, and no line holds a carriage return. Unknown fields, comments and any data stay allowed.

--- a/internal/sse/event.go
+++ b/internal/sse/event.go
@@ -26,13 +26,14 @@
 // such events to keep a connection open; they are no progress of a stream.
 func (e *Event) IsComment() bool { return !e.HasID && !e.HasData }
 
-// parseEvent reads the id and data fields of an event. Other fields are ignored, and
-// lines whose field name is none are foreign.
+// parseEvent reads the id and data fields of an event. Other fields are ignored. Lines
+// whose field name is none are foreign, and so are lines with a carriage return, at which
+// some readers end them.
 func parseEvent(raw []byte) Event {
 	e := Event{Raw: raw}
 	for line := range bytes.Lines(raw) {
 		line = bytes.TrimRight(line, "\r\n")
-		name, value, _ := bytes.Cut(line, []byte(":"))
+		name, value, hasColon := bytes.Cut(line, []byte(":"))
 		value = bytes.TrimPrefix(value, []byte(" "))
 		switch string(name) {
 		case "id":
@@ -46,8 +47,24 @@
 			e.Data = append(e.Data, value...)
 			e.HasData = true
 		default:
-			e.Foreign = e.Foreign || bytes.ContainsAny(name, " \t/")
+			e.Foreign = e.Foreign || !isFieldName(name, hasColon)
 		}
+		e.Foreign = e.Foreign || bytes.IndexByte(line, '\r') >= 0
 	}
 	return e
 }
+
+// isFieldName reports whether the text before the colon of a line can name a field other
+// than id and data. It is empty in comments and in the line that ends an event. Fields
+// without a value need no colon, but only those of the specification are used without.
+func isFieldName(name []byte, hasColon bool) bool {
+	if !hasColon {
+		return len(name) == 0 || string(name) == "event" || string(name) == "retry"
+	}
+	for _, c := range name {
+		if c <= ' ' || c == '/' || c == 0x7f {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/sse/splitter_test.go
+++ b/internal/sse/splitter_test.go
@@ -74,3 +74,18 @@
 		g.Expect(e.IsComment()).To(gomega.Equal(comment), "%q", raw)
 	}
 }
+
+// Guards against bytes of something else that pass for an event, and against a check that
+// refuses events of the specification.
+func TestIsForeign(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for raw, foreign := range map[string]bool{
+		"id: 1\ndata: x\n\n": false, "id\ndata\nevent\nretry\n\n": false, ": any \x00 text/\n\n": false, "\n\n": false, "\r\n": false,
+		"event: a\r\nretry: 5\r\nid:7\r\ndata:\r\n\r\n": false, "x-version: 3\ndata: a: b / c\n\n": false, "\xef\xbb\xbfid: 1\n\n": false,
+		"data: \x00\x01\n\n": false, "garbage\n\n": true, "data x\n\n": true, "da ta: x\n\n": true, "da\x01ta: x\n\n": true, "a/b: x\n\n": true,
+		"da\x7fta: x\n\n": true, "data: x\rid: 2\n\n": true, ": x\rid: 2\n\n": true, "\rdata: x\n\n": true,
+	} {
+		e := parseEvent([]byte(raw))
+		g.Expect(e.Foreign).To(gomega.Equal(foreign), "%q", raw)
+	}
+}
