Refuse broken answers of the table service and the fleet list of run

In `run`, an answer that lacked its rows, or held others than were asked for, passed for an empty table, for a row without a key at version 0, or for rows of the scan; `null` was an empty fleet, in which no VM takes work.

Cause: as with the store of the users' platform, missing fields had the zero value of their type.

Now the row must be the one asked for, rows of a scan must lie in its range, and a list must be there; the call fails as while the service is unavailable, and callers repeat it.

In TestResponseToError the answer `{"versions":[]}` to a read was expected to be a row, which was the fault: it must be ErrUnavailable now, and five further answers and a sound row are checked.

--- a/internal/infra/httpfleet/fleet.go
+++ b/internal/infra/httpfleet/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"strings"
@@ -22,6 +23,10 @@
 	maxResponseBytes = 8 << 20
 )
 
+// errNoList is the error of a response that holds null: it must not pass for an empty
+// fleet.
+var errNoList = errors.New("response holds no list")
+
 // Fleet is an HTTP client that implements infra.FleetList. It sends conditional
 // requests with the entity tag of the last response: at the design scale the
 // list is 330 KB and seldom changes, but each node reads it every second.
@@ -66,7 +71,11 @@
 		return nil, fmt.Errorf("fleet list: %w", err)
 	}
 	var vms []infra.VM
-	if err := json.Unmarshal(reply.Body, &vms); err != nil {
+	err = json.Unmarshal(reply.Body, &vms)
+	if err == nil && vms == nil {
+		err = errNoList
+	}
+	if err != nil {
 		return nil, fmt.Errorf("fleet list: %w: malformed response: %w", infra.ErrUnavailable, err)
 	}
 	f.mu.Lock()
--- a/internal/infra/httptable/table.go
+++ b/internal/infra/httptable/table.go
@@ -49,6 +49,9 @@
 	if err := t.read(ctx, "/v1/row?"+url.Values{"key": {key}}.Encode(), &row); err != nil {
 		return infra.Row{}, fmt.Errorf("table get %q: %w", key, err)
 	}
+	if row.Key != key || row.Version == 0 {
+		return infra.Row{}, fmt.Errorf("table get %q: %w: response holds another row", key, infra.ErrUnavailable)
+	}
 	return infra.Row(row), nil
 }
 
@@ -59,8 +62,14 @@
 	if err := t.read(ctx, "/v1/rows?"+query.Encode(), &response); err != nil {
 		return nil, fmt.Errorf("table scan %q: %w", prefix, err)
 	}
+	if response.Rows == nil { // must not pass for an empty table
+		return nil, fmt.Errorf("table scan %q: %w: response lacks rows", prefix, infra.ErrUnavailable)
+	}
 	rows := make([]infra.Row, len(response.Rows))
 	for i, row := range response.Rows {
+		if !strings.HasPrefix(row.Key, prefix) || row.Key <= after || row.Version == 0 {
+			return nil, fmt.Errorf("table scan %q: %w: response holds other rows", prefix, infra.ErrUnavailable)
+		}
 		rows[i] = infra.Row(row)
 	}
 	return rows, nil
--- a/internal/infra/httptable/table_test.go
+++ b/internal/infra/httptable/table_test.go
@@ -40,7 +40,13 @@
 		{409, `{"error":{"code":"conflict"}}`, infra.ErrUnavailable, infra.ErrConflict},
 		{400, `{"error":{"code":"bad_request"}}`, nil, nil},
 		{200, `{`, infra.ErrUnavailable, infra.ErrOutcomeUnknown},
-		{200, `{"versions":[]}`, nil, infra.ErrOutcomeUnknown},
+		{200, `{"versions":[]}`, infra.ErrUnavailable, infra.ErrOutcomeUnknown},
+		{200, `{"versions":[3]}`, infra.ErrUnavailable, nil},
+		{200, `{}`, infra.ErrUnavailable, infra.ErrOutcomeUnknown},
+		{200, `null`, infra.ErrUnavailable, infra.ErrOutcomeUnknown},
+		{200, `{"key":"other","version":3}`, infra.ErrUnavailable, infra.ErrOutcomeUnknown},
+		{200, `{"key":"k","version":0}`, infra.ErrUnavailable, infra.ErrOutcomeUnknown},
+		{200, `{"key":"k","version":3}`, nil, infra.ErrOutcomeUnknown},
 	} {
 		g := gomega.NewWithT(t)
 		table := newTableWithResponse(t, c.status, c.body)
@@ -52,3 +58,17 @@
 		}
 	}
 }
+
+// Guards against a broken response that passes for an empty table, or for rows of it.
+func TestBrokenScan(t *testing.T) {
+	for body, whole := range map[string]bool{
+		`{"rows":[]}`: true, `{"rows":[{"key":"a/2","version":1}]}`: true,
+		`{}`: false, `null`: false, `{"rows":null}`: false, `[]`: false, `{"versions":[1]}`: false,
+		`{"rows":[{"key":"b/2","version":1}]}`: false, `{"rows":[{"key":"a/1","version":1}]}`: false, `{"rows":[{"key":"a/2"}]}`: false,
+	} {
+		g := gomega.NewWithT(t)
+		rows, err := newTableWithResponse(t, http.StatusOK, body).Scan(t.Context(), "a/", "a/1", 10)
+		g.Expect(err == nil).To(gomega.Equal(whole), "%s: %v", body, rows)
+		g.Expect(errors.Is(err, infra.ErrUnavailable)).To(gomega.Equal(!whole), "%s: %v", body, err)
+	}
+}
