Refuse frames between nodes that are no answer

A call to another node succeeded on a frame of any type that bore its number, as a hello or a request, and on frames and bodies with bytes after their value; a frame that was a map or nil left it to wait for its deadline, and a body of nil left what the caller's variable held. Calls without a result, as the hand-over of a job, take such a frame for the acknowledgement.

Cause: the decoder reads what it finds and leaves the rest at zero.

Now a frame is an array with all its fields (more are allowed, for later versions), a message is one value, a link takes responses and errors only, and closes its connection otherwise: its calls fail as when the connection is lost, and the next one opens another. A body of nil fails its call.

--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
+	"github.com/vmihailenco/msgpack/v5/msgpcode"
 
 	"gentiantide.example/gentiantide/internal/wire"
 )
@@ -45,6 +46,11 @@
 	Body []byte
 }
 
+// frameFields is the number of fields of a frame. Later versions may add some.
+const frameFields = 4
+
+var errFrameFields = errors.Errorf("frame has fewer than %d fields", frameFields)
+
 // encodeFrame returns the length prefix and the encoded frame. A frame above
 // MaxFrameBytes is an error.
 func encodeFrame(f *frame) ([]byte, error) {
@@ -76,6 +82,9 @@
 	if _, err := io.ReadFull(r, body); err != nil {
 		return nil, err
 	}
+	if size == 0 || !msgpcode.IsFixedArray(body[0]) || body[0]&msgpcode.FixedArrayMask < frameFields {
+		return nil, errFrameFields
+	}
 	f := new(frame)
 	if err := wire.Unmarshal(body, f); err != nil {
 		return nil, errors.Wrap(err, "decode frame")
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -3,11 +3,14 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"gentiantide.example/gentiantide/internal/core"
 	"gentiantide.example/gentiantide/internal/netopt"
 )
@@ -181,8 +184,14 @@
 func (l *link) readResponses(conn net.Conn, reader *bufio.Reader) {
 	for {
 		f, err := readFrame(reader, MaxFrameBytes)
+		if err == nil && f.Type != frameResponse && f.Type != frameError {
+			err = errors.Errorf("frame of type %d is no response", f.Type)
+		}
 		if err != nil {
 			_ = conn.Close()
+			if !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
+				l.transport.log.Info("connection to peer ended", "peer", l.node, "error", err)
+			}
 			return
 		}
 		l.mu.Lock()
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
+	"github.com/vmihailenco/msgpack/v5/msgpcode"
 
 	"gentiantide.example/gentiantide/internal/contain"
 	"gentiantide.example/gentiantide/internal/core"
@@ -146,6 +147,9 @@
 	if err != nil || resp == nil {
 		return err
 	}
+	if len(response) == 1 && response[0] == msgpcode.Nil { // would leave resp as it is
+		return errors.Errorf("response to request of kind %s is nil", kind)
+	}
 	return errors.Wrapf(wire.Unmarshal(response, resp), "decode response to request of kind %s", kind)
 }
 
--- a/internal/wire/check.go
+++ b/internal/wire/check.go
@@ -21,6 +21,7 @@
 	errElements  = errors.Errorf("message has more than %d elements, or claims more than it holds", MaxElements)
 	errDepth     = errors.Errorf("message is nested more than %d levels deep", MaxDepth)
 	errCode      = errors.New("message has an unknown type code")
+	errTrailing  = errors.New("message has bytes after its value")
 )
 
 // Unmarshal decodes one value. It returns an error for data that Check refuses.
@@ -31,14 +32,17 @@
 	return msgpack.Unmarshal(data, out)
 }
 
-// Check returns an error if the first value of the data is malformed, too large or
-// nested too deeply to be decoded. It allocates nothing.
+// Check returns an error if the data is not one value, or one that is malformed, too
+// large or nested too deeply to be decoded. It allocates nothing.
 func Check(data []byte) error {
 	var open [MaxDepth + 1]int // values that are missing at each level
 	open[0] = 1
 	elements, depth := 0, 0
 	for {
 		for open[depth] == 0 {
+			if depth == 0 && len(data) > 0 {
+				return errTrailing
+			}
 			if depth == 0 {
 				return nil
 			}
