Refuse broken answers for the objects of a job

An answer of the store for a job's object that held nil, no items or a part of them passed for its items: a caller was told by 404 that an accepted item does not exist, and a node that took the job over ran only what it had got. An empty answer for the object of a long text was listed as the text of a succeeded item.

Cause: what an object holds was not compared with the row that refers to it.

Now the items must be as many as the row counts, and a text longer than what a row holds, as no shorter one is stored in an object. The read fails as while the store is unavailable: callers get 503, a claim and a hand-over are repeated.

Tests: TestBrokenItemsAreNotMissing and TestBrokenTextIsNoResult failed before.

--- a/internal/jobs/handover.go
+++ b/internal/jobs/handover.go
@@ -232,7 +232,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
 	defer cancel()
-	items, err := r.store.items(ctx, message.Record.Object)
+	items, err := r.store.itemsOf(ctx, &message.Record)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/jobs/orphanclaimer.go
+++ b/internal/jobs/orphanclaimer.go
@@ -146,7 +146,7 @@
 func (c *orphanClaimer) resumeJob(ctx context.Context, entry Entry, former string) {
 	r := c.runner
 	for {
-		items, err := r.store.items(ctx, entry.Object)
+		items, err := r.store.itemsOf(ctx, &entry.Record)
 		var results []Result
 		if err == nil {
 			results, _, err = r.store.results(ctx, entry.ID, 0)
--- a/internal/jobs/reader.go
+++ b/internal/jobs/reader.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 
 	"gentiantide.example/gentiantide/internal/infra"
 )
@@ -64,6 +65,9 @@
 	if err != nil {
 		return errors.Join(infra.ErrUnavailable, err)
 	}
+	if len(data) <= maxInlineText { // a text of this length is kept in its row
+		return fmt.Errorf("%w: object %q holds %d bytes, which are no text", infra.ErrUnavailable, result.Object, len(data))
+	}
 	result.Text = string(data)
 	return nil
 }
@@ -77,7 +81,7 @@
 	}
 	items, ok := r.jobItems.get(entry.Object)
 	if !ok {
-		items, err = r.store.items(ctx, entry.Object)
+		items, err = r.store.itemsOf(ctx, &entry.Record)
 		if err != nil {
 			// The row refers to the object, so the object exists even if the store
 			// does not return it now.
--- a/internal/jobs/store.go
+++ b/internal/jobs/store.go
@@ -69,7 +69,17 @@
 	return out, nil
 }
 
-// items reads the items of a job from its object.
+// itemsOf reads all items of a job. An object that holds another number of them is not
+// what was stored: the others would be lost.
+func (s *store) itemsOf(ctx context.Context, record *Record) ([]Item, error) {
+	items, err := s.items(ctx, record.Object)
+	if err == nil && len(items) != record.Total {
+		err = fmt.Errorf("%w: object %q holds %d items of %d", infra.ErrUnavailable, record.Object, len(items), record.Total)
+	}
+	return items, err
+}
+
+// items reads the items in an object.
 func (s *store) items(ctx context.Context, object string) ([]Item, error) {
 	data, err := s.objects.Get(ctx, object)
 	if err != nil {
