Reset the connections of HTTP/1.0 callers whose response is broken off

A stream or a large response without a length that was broken off reached a caller of HTTP/1.0 as a whole one: such callers know no chunks, and the node closed the connection as after a whole response.

Cause: an aborted response ends with a close, which is the end of a body without a length.

Now a response that is not whole ends with a reset if the request was of HTTP/1.0. Callers of HTTP/1.1 miss the last chunk, as before.

Tests: TestBrokenStreamIsNotWholeForCallersOfHTTP10 failed before (status 200 with two events). TestLargeResponseThatIsCutIsNotWhole left these callers out and now holds them, too.

--- a/internal/callerconn/handler.go
+++ b/internal/callerconn/handler.go
@@ -49,10 +49,10 @@
 	switch {
 	case aborted:
 		c.blame(causeAborted)
-		panic(http.ErrAbortHandler)
+		c.abort(in)
 	case err != nil && response.begun:
 		c.blame(causePanic)
-		panic(http.ErrAbortHandler)
+		c.abort(in)
 	case err != nil:
 		h := w.Header()
 		clear(h)
@@ -64,6 +64,15 @@
 	c.answer(in.ContentLength != 0, response.status >= http.StatusBadRequest && w.Header().Get("Connection") == "close")
 }
 
+// abort ends a connection whose response is not whole. Callers of HTTP/1.0 know no chunks:
+// only a reset tells them that the end of the connection is not that of the response.
+func (c *conn) abort(in *http.Request) {
+	if resetter, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok && !in.ProtoAtLeast(1, 1) {
+		_ = resetter.SetLinger(0) // fails only if the connection is closed
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // call runs the handler of one request. aborted is set if the handler gave the
 // response up, err if it panicked.
 func (s *Server) call(w http.ResponseWriter, in *http.Request) (aborted bool, err error) {
