Pass on the length of a response to HEAD as the replica named it

Callers of HEAD on a route without streams got "Content-Length: 0" instead of the length of the replica, or instead of none.

Cause: the length was that of the buffered body, which HEAD does not have.

Test: TestLengthOfResponseToHead failed before.

--- a/internal/forward/buffered.go
+++ b/internal/forward/buffered.go
@@ -72,6 +72,9 @@
 	status int
 	header http.Header
 	body   []byte
+	// length is the length that the replica named, or -1. A response to HEAD has no body
+	// of it.
+	length int64
 	// unread is the attempt with the unread part of a body above maxBufferedBody,
 	// else nil.
 	unread *attempt
@@ -93,7 +96,7 @@
 		body.Grow(int(min(a.response.Length, maxBufferedBody)) + bytes.MinRead)
 	}
 	n, err := body.ReadFrom(io.LimitReader(a.response, maxBufferedBody))
-	response := &bufferedResponse{status: a.response.Status, header: a.response.Header, body: body.Bytes()}
+	response := &bufferedResponse{status: a.response.Status, header: a.response.Header, body: body.Bytes(), length: a.response.Length}
 	if err == nil && n == maxBufferedBody && !r.claimsNotRun(response.status) && response.status < http.StatusInternalServerError {
 		response.unread = a
 		return response
@@ -139,8 +142,8 @@
 	r.firstByte = time.Since(r.arrived)
 	r.h.Codec.CallerHeader(r.w.Header(), response.header)
 	length := int64(len(response.body))
-	if response.unread != nil {
-		length = response.unread.response.Length
+	if response.unread != nil || r.in.Method == http.MethodHead {
+		length = response.length
 	}
 	if length >= 0 {
 		// A caller that knows no chunks notices by it that the rest is missing.
