Known red: a test that crashes the race detector's runtime on x86-64

Makefile describes the same crash on arm64.

Traced: the stack is that of the runtime, in watch.sleep with a time of 0 or less and in the ticker of Service.Run.

The test is untouched.

--- a/Makefile
+++ b/Makefile
@@ -15,6 +15,9 @@
 NO_RACE := gentiantide.example/gentiantide/internal/streamversion
 endif
 
+# This test crashes it on x86-64, too: KNOWN-RED.txt lists it, and it is run without.
+NO_RACE_TEST := ^TestStreamNeverGoesOnAtAnotherVersion$$
+
 # Tests that measure the memory of processes under a crowd of clients. They run one at a
 # time, apart from the other tests and without the race detector, which takes memory of
 # its own.
@@ -25,6 +28,7 @@
 test:
 	go test -race -count=1 $${SKIP:+-skip "$$SKIP"} $$(go list $(PACKAGES) | grep -vxF $(addprefix -e ,$(CROWD) $(NO_RACE)))
 	$(if $(NO_RACE),go test -count=1 $${SKIP:+-skip "$$SKIP"} $(NO_RACE))
+	go test -count=1 -run '$(NO_RACE_TEST)' ./internal/streamversion
 
 crowd:
 	go test -count=1 -p 1 -parallel 1 $${SKIP:+-skip "$$SKIP"} $(CROWD)
