--- a/internal/httpsend/conntracker.go
+++ b/internal/httpsend/conntracker.go
@@ -39,7 +39,7 @@
 	if t.interim++; t.interim > maxInterimResponses {
 		return errInterimResponses
 	}
-	return httphead.CheckInterim(status, http.Header(header))
+	return httphead.CheckHead(status, http.Header(header))
 }
 
 // gotConn records the connection that the transport obtained. When a reused
