Find a part that quarantined requests have in common

Cause: a request that crashes three replicas is quarantined by itself, and its crashes were then taken out of the tally. Each request with the part was decided on before the next one came, so no part was ever in three crashes.

Change: the tally keeps its crashes, and the quarantined parts explain them when they are looked at. Those of a blamed request count once for each part of its own prompt, and not for the runs beside it. Two quarantined requests convict a part that was never harmless; one that was needs three, as two deadly requests may share a sound part (TestSoundPartOfTwoDeadlyRequestsIsNotQuarantined). A lift clears the part of the crashes so far, which were dropped before.

--- /dev/null
+++ b/internal/quarantine/attribution.go
@@ -0,0 +1,131 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+)
+
+// attribution counts the crashes of a tally for the parts that may have caused them.
+//
+// A request that crashes replicas, and is sent again to others, is in all their crashes
+// with each part of its prompt. So the crashes of a request that is blamed by itself
+// count once for its parts: only different requests show that a part is the cause. Runs
+// that were at these replicas beside it are victims, and no evidence against their
+// parts.
+type attribution struct {
+	tally *crashTally
+	// quarantined reports whether a part is quarantined.
+	quarantined func(Part) bool
+	found       map[Part]*candidate
+	// blamed are the requests that are quarantined or in a series of crashes.
+	blamed map[Part]bool
+}
+
+// candidates returns the parts that two crashes or more have in common, in the order
+// of their number of crashes.
+func (t *crashTally) candidates(quarantined func(Part) bool) []*candidate {
+	a := &attribution{tally: t, quarantined: quarantined, found: make(map[Part]*candidate), blamed: make(map[Part]bool)}
+	crashes := slices.DeleteFunc(slices.Clone(t.crashes), a.explained)
+	a.countRequests(crashes)
+	a.countPromptParts(crashes)
+	var out []*candidate
+	for _, c := range a.found {
+		if c.crashes > 1 {
+			out = append(out, c)
+		}
+	}
+	slices.SortFunc(out, func(a, b *candidate) int {
+		return cmp.Or(cmp.Compare(b.crashes, a.crashes), cmp.Compare(b.depth, a.depth), cmp.Compare(a.part, b.part))
+	})
+	return out
+}
+
+// explained reports whether a quarantined part of prompts was in the crash. No other part
+// is held responsible for it.
+func (a *attribution) explained(c *crash) bool {
+	return slices.ContainsFunc(c.suspects, func(run []Part) bool {
+		return slices.ContainsFunc(run, func(p Part) bool { return !p.isRequest() && a.quarantined(p) })
+	})
+}
+
+func (a *attribution) candidate(part Part, index int) *candidate {
+	c := a.found[part]
+	if c == nil {
+		c = &candidate{part: part, first: index, last: -1, harmless: a.tally.harmless[part], carriers: make(map[Part]bool)}
+		a.found[part] = c
+	}
+	return c
+}
+
+// countRequests counts the crashes for requests. Those of a quarantined request count
+// for no other one.
+func (a *attribution) countRequests(crashes []*crash) {
+	for i, c := range crashes {
+		convicted := c.requests(a.quarantined)
+		for _, request := range convicted {
+			a.blamed[request] = true
+		}
+		if len(convicted) > 0 {
+			continue
+		}
+		for _, request := range c.requests(nil) {
+			found := a.candidate(request, i)
+			found.observe(i, 0, c.at, false)
+			a.blamed[request] = found.series() >= minCrashes
+		}
+	}
+}
+
+// countPromptParts counts the crashes for the parts of prompts.
+func (a *attribution) countPromptParts(crashes []*crash) {
+	index, seen := 0, make(map[Part]bool)
+	for _, c := range crashes {
+		culprits := c.requests(func(request Part) bool { return a.blamed[request] })
+		again := len(culprits) > 0
+		for _, request := range culprits {
+			again = again && seen[request]
+			seen[request] = true
+		}
+		if again { // the crashes of a request take one index together
+			continue
+		}
+		for _, run := range c.suspects {
+			if request := requestOf(run); len(culprits) == 0 || a.blamed[request] {
+				a.countRun(run, request, index, c)
+			}
+		}
+		index++
+	}
+}
+
+// countRun counts a crash for the parts of the prompt of one run. A part that has proved
+// harmless needs a different request for each crash, too.
+func (a *attribution) countRun(run []Part, request Part, index int, c *crash) {
+	for depth, part := range run {
+		if part.isRequest() {
+			continue
+		}
+		found := a.candidate(part, index)
+		if found.carriers[request] && (found.harmless || a.blamed[request]) {
+			continue
+		}
+		convicted := request != "" && a.quarantined(request)
+		if request != "" {
+			found.carriers[request] = true
+		}
+		if convicted {
+			found.convicted++
+		}
+		found.observe(index, depth, c.at, convicted)
+	}
+}
+
+// requestOf returns the part of a run that identifies its request, or "" for an item.
+func requestOf(run []Part) Part {
+	for _, part := range run {
+		if part.isRequest() {
+			return part
+		}
+	}
+	return ""
+}
--- a/internal/quarantine/crashtally.go
+++ b/internal/quarantine/crashtally.go
@@ -1,7 +1,6 @@
 package quarantine
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -12,6 +11,9 @@
 	// minCrashes is the number of crashes, at different moments and without a
 	// harmless run in between, for which a part is quarantined.
 	minCrashes = 3
+	// minConvictions is the number of different quarantined requests for which a part
+	// that they share is quarantined, too, if no run with it ever proved harmless.
+	minConvictions = 2
 	// certainCrashes is the number from which further conditions do not apply: that
 	// any run has proved harmless since, as none does in an outage of all replicas,
 	// and that the part explains minShare of the crashes.
@@ -59,21 +61,6 @@
 	suspects [][]Part
 }
 
-// candidate is a part that crashes have in common.
-type candidate struct {
-	part Part
-	// depth is the position of the part in the prompts.
-	depth int
-	// first and last are the indices of the first and the last of its crashes, and
-	// crashes is their number.
-	first, last, crashes int
-	// harmless is set if a run with the part has proved harmless at some time.
-	harmless bool
-	// moments are the times of its crashes, each momentLength or more after the one
-	// before.
-	moments []time.Time
-}
-
 // add adds a run that was at a replica when it crashed.
 func (t *crashTally) add(replica core.ReplicaID, suspect []Part, now time.Time) {
 	t.expire(now)
@@ -88,51 +75,24 @@
 	t.crashes = append(t.crashes, &crash{replica: replica, at: now, suspects: [][]Part{suspect}})
 }
 
-func (t *crashTally) expire(now time.Time) {
-	first := max(0, len(t.crashes)-maxCrashes+1)
-	for first < len(t.crashes) && now.Sub(t.crashes[first].at) > crashRetention {
-		first++
-	}
-	t.crashes = slices.Delete(t.crashes, 0, first)
-}
-
-// candidates returns the parts that two crashes or more have in common, in the order
-// of their number of crashes.
-func (t *crashTally) candidates() []*candidate {
-	found := make(map[Part]*candidate)
-	for i, c := range t.crashes {
-		for _, suspect := range c.suspects {
-			for depth, part := range suspect {
-				if found[part] == nil {
-					found[part] = &candidate{part: part, first: i, last: -1, harmless: t.harmless[part]}
-				}
-				found[part].observe(i, depth, c.at)
-			}
-		}
-	}
-	var out []*candidate
-	for _, c := range found {
-		if c.crashes > 1 {
-			out = append(out, c)
+// requests returns the requests among the suspects of the crash that match, each once.
+// A nil function matches all.
+func (c *crash) requests(match func(Part) bool) []Part {
+	var out []Part
+	for _, run := range c.suspects {
+		if request := requestOf(run); request != "" && (match == nil || match(request)) && !slices.Contains(out, request) {
+			out = append(out, request)
 		}
 	}
-	slices.SortFunc(out, func(a, b *candidate) int {
-		return cmp.Or(cmp.Compare(b.crashes, a.crashes), cmp.Compare(b.depth, a.depth), cmp.Compare(a.part, b.part))
-	})
 	return out
 }
 
-// observe counts the crash with an index for the candidate.
-func (c *candidate) observe(index, depth int, at time.Time) {
-	c.depth = max(c.depth, depth)
-	if c.last == index {
-		return
-	}
-	c.last = index
-	c.crashes++
-	if n := len(c.moments); n == 0 || at.Sub(c.moments[n-1]) >= momentLength {
-		c.moments = append(c.moments, at)
+func (t *crashTally) expire(now time.Time) {
+	first := max(0, len(t.crashes)-maxCrashes+1)
+	for first < len(t.crashes) && now.Sub(t.crashes[first].at) > crashRetention {
+		first++
 	}
+	t.crashes = slices.Delete(t.crashes, 0, first)
 }
 
 // suspects returns the candidates that may be held responsible: each request that
@@ -151,18 +111,6 @@
 	return out
 }
 
-// series returns how many crashes of the candidate are no coincidence. Of those in the
-// same moment one counts, as replicas fail together with a rack or a switch. Each crash
-// counts of a request that has never proved harmless: it may be at several replicas at
-// once, and no other request is in its crashes by chance for long without proving
-// harmless.
-func (c *candidate) series() int {
-	if c.part.isRequest() && !c.harmless {
-		return c.crashes
-	}
-	return len(c.moments)
-}
-
 // mostLikely returns the part of prompts that most likely causes the crashes, or nil if
 // there is none. Parts that have proved harmless are considered if no other part is in
 // a series of crashes: what has been harmless may crash replicas of another version.
@@ -188,23 +136,6 @@
 	return likely
 }
 
-// convincing reports whether the crashes suffice for a decision. anyProof is when the
-// latest run with any part began that proved harmless. A request need not explain a
-// share of all crashes: many may crash replicas at the same time.
-func (c *candidate) convincing(anyProof time.Time) bool {
-	share := float64(c.crashes) / float64(c.last-c.first+1)
-	return c.series() >= certainCrashes ||
-		c.series() >= minCrashes && (c.part.isRequest() || share >= minShare) && anyProof.After(c.moments[0])
-}
-
-// dueAt returns when the candidate can be decided on.
-func (c *candidate) dueAt() time.Time {
-	if len(c.moments) >= manyCrashes {
-		return c.moments[0].Add(shortObservationTime)
-	}
-	return c.moments[0].Add(observationTime)
-}
-
 // acquit removes a part from the crashes up to the time at which a run with it began
 // that proved harmless, and remembers this for later crashes.
 func (t *crashTally) acquit(part Part, at time.Time) {
@@ -223,11 +154,3 @@
 		}
 	}
 }
-
-// explain removes the crashes that a part has caused, so that the other parts that
-// were at the replicas at these times are not held responsible.
-func (t *crashTally) explain(part Part) {
-	t.crashes = slices.DeleteFunc(t.crashes, func(c *crash) bool {
-		return slices.ContainsFunc(c.suspects, func(suspect []Part) bool { return slices.Contains(suspect, part) })
-	})
-}
--- a/internal/quarantine/crashtally_test.go
+++ b/internal/quarantine/crashtally_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -21,14 +22,19 @@
 }
 
 // responsible returns the part that the tally holds responsible, or "" if there is
-// none. Other runs have proved harmless all the while.
-func responsible(t *crashTally, now time.Time) Part {
-	if c := mostLikely(t.candidates()); c != nil && c.convincing(now) {
+// none, while some parts are quarantined. Other runs have proved harmless all the while.
+func responsible(t *crashTally, now time.Time, quarantined ...Part) Part {
+	if c := mostLikely(t.candidates(oneOf(quarantined))); c != nil && c.convincing(now) {
 		return c.part
 	}
 	return ""
 }
 
+// oneOf returns a function that reports whether a part is one of some.
+func oneOf(parts []Part) func(Part) bool {
+	return func(p Part) bool { return slices.Contains(parts, p) }
+}
+
 // own returns a part that no other request has.
 func own(i int) Part { return Part(fmt.Sprintf("own-%d", i)) }
 
@@ -74,9 +80,8 @@
 		now = now.Add(110 * time.Millisecond)
 	}
 	g.Expect(responsible(tally, now)).To(gomega.Equal(Part("bad")))
-	tally.explain("bad")
-	g.Expect(responsible(tally, now)).To(gomega.Equal(Part("")))
-	g.Expect(tally.candidates()).To(gomega.BeEmpty())
+	g.Expect(responsible(tally, now, "bad")).To(gomega.Equal(Part("")))
+	g.Expect(tally.candidates(oneOf([]Part{"bad"}))).To(gomega.BeEmpty())
 }
 
 // Guards against quarantining a popular part that is by chance in some of many
@@ -102,8 +107,7 @@
 		return []Part{own(50 + i), Part([]string{"bad", "worse"}[i%2]), own(i)}
 	})
 	found := []Part{responsible(tally, now)}
-	tally.explain(found[0])
-	found = append(found, responsible(tally, now))
+	found = append(found, responsible(tally, now, found...))
 	g.Expect(found).To(gomega.ConsistOf(Part("bad"), Part("worse")))
 }
 
--- a/internal/quarantine/evaluate.go
+++ b/internal/quarantine/evaluate.go
@@ -86,7 +86,7 @@
 func (s *Service) candidates() []*candidate {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.tally.candidates()
+	return s.tally.candidates(s.quarantined)
 }
 
 // askWitnesses asks all nodes for harmless runs with the parts and acquits these
@@ -170,21 +170,20 @@
 	s.decide(Entry{
 		Part: chosen.part, Round: round, Crashes: chosen.crashes, Until: now.Add(roundDuration(round)), By: s.Messenger.Self(),
 	}, reason)
-	return true
+	return s.quarantined(chosen.part) // otherwise it would be chosen again
 }
 
-// chooseSuspect returns the suspect to quarantine and takes its crashes out of the
-// tally. If there is none, it reports whether to look again. Further crashes may have
+// chooseSuspect returns the suspect to quarantine, which then explains its crashes. If
+// there is none, it reports whether to look again. Further crashes may have
 // made a suspect of a part that the witnesses were not asked about; it may be harmless.
 func (s *Service) chooseSuspect(asked []Part, anyProof, now time.Time) (chosen *candidate, again bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, c := range suspects(s.tally.candidates()) {
+	for _, c := range suspects(s.tally.candidates(s.quarantined)) {
 		switch {
 		case now.Before(c.dueAt()), !slices.Contains(asked, c.part):
 			again = true
 		case c.convincing(anyProof):
-			s.tally.explain(c.part)
 			return c, true
 		}
 	}
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"slices"
 	"sync"
 	"time"
 
@@ -133,6 +132,9 @@
 	message := "part quarantined"
 	if e.Lifted {
 		message = "quarantine of a part lifted"
+		s.mu.Lock()
+		s.tally.acquit(e.Part, now) // the crashes so far are no reason to quarantine it again
+		s.mu.Unlock()
 	}
 	s.Log.Warn(message, "part", e.Part, "round", e.Round, "crashes", e.Crashes,
 		"remaining_ms", e.Until.Sub(now).Milliseconds(), "by", e.By, "reason", reason)
@@ -211,7 +213,7 @@
 }
 
 // record adds a suspect to the tally. A trial that crashed a replica renews the
-// quarantine at once. A crash by a part that is quarantined already is explained.
+// quarantine at once.
 func (s *Service) record(suspect *report) {
 	now := time.Now()
 	s.Adopt(suspect.Trials, "reported with a crash")
@@ -222,9 +224,6 @@
 			s.decide(Entry{Part: e.Part, Round: round, Crashes: 1, Until: now.Add(roundDuration(round)), By: s.Messenger.Self()}, "the trial crashed a replica")
 		}
 	}
-	if slices.ContainsFunc(suspect.Parts, s.quarantined) {
-		return
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.tally.add(suspect.Replica, suspect.Parts, now)
@@ -237,7 +236,7 @@
 
 func (s *Service) quarantined(part Part) bool {
 	e, ok := s.list.get(part)
-	return ok && e.active()
+	return ok && e.active() && !e.forgotten(time.Now())
 }
 
 // handleWitness says when runs with the parts last proved harmless at this node.
--- a/internal/quarantine/service_test.go
+++ b/internal/quarantine/service_test.go
@@ -90,9 +90,19 @@
 
 // crash reports the crash of a further replica from a node, and lets 200 ms pass.
 func (f *testFleet) crash(at core.NodeID, parts ...Part) {
+	f.reportCrash(at, parts...)
+	time.Sleep(200 * time.Millisecond)
+}
+
+// reportCrash reports the crash of a further replica from a node.
+func (f *testFleet) reportCrash(at core.NodeID, parts ...Part) {
 	f.crashes++
 	f.services[at].sendReport(&report{Service: "m", Replica: core.ReplicaID(fmt.Sprintf("i-%d", f.crashes)), Parts: parts})
-	time.Sleep(200 * time.Millisecond)
+}
+
+// node returns the ID of the n-th node, counted on from the first after the last.
+func (f *testFleet) node(n int) core.NodeID {
+	return core.NodeID(fmt.Sprintf("n%d", n%len(f.services)))
 }
 
 // harmless lets a run with the parts prove harmless at a node.
