Remember crashes in the store, whichever nodes are lost

Cause: only the decision of a hub was stored. The crashes were counted in the memory of one process, and what had proved harmless in that of the nodes that had seen it.

Change: crashes, their runs and what is known as harmless are shared state of the nodes in a row of their table, which they read with each renewal. Other hubs and the reporting node keep copies of reports until it is written, and a node that finds itself first hub evaluates what nobody has.

--- a/internal/nodes/directory.go
+++ b/internal/nodes/directory.go
@@ -79,7 +79,7 @@
 	changes chan struct{}
 	// renewNow makes Run renew the lease before its time.
 	renewNow chan struct{}
-	shared   SharedState // may be nil
+	shared   []sharedRow
 }
 
 // NewDirectory returns a directory for the node with the given record.
@@ -235,7 +235,8 @@
 	if err != nil {
 		return err
 	}
-	sharedState := takeSharedState(&set)
+	read := time.Now()
+	sharedRows := takeSharedRows(&set)
 	record := d.self
 	record.Stopping = d.stopping.Load()
 	record.Until = set.Clock + leaseRenewals*renewInterval(len(set.Rows))
@@ -274,7 +275,7 @@
 	}
 	d.version = version
 	view.Alive[record.Owner()] = record
-	d.reconcile(ctx, sharedState, set.Clock) // before the view, with which a starting node becomes ready
+	d.reconcile(ctx, sharedRows, set.Clock+time.Since(read)) // before the view, with which a starting node becomes ready
 	d.view.Store(view)
 	d.notify()
 	return nil
--- a/internal/nodes/sharedstate_test.go
+++ b/internal/nodes/sharedstate_test.go
@@ -33,9 +33,9 @@
 	ctx := t.Context()
 	rows := infratest.NewRows()
 	a, b := newTestDirectory(rows, "a", "1"), newTestDirectory(rows, "b", "1")
-	a.Share(wordSet{"x": true})
+	a.Share("words", wordSet{"x": true})
 	inB := wordSet{"y": true}
-	b.Share(inB)
+	b.Share("words", inB)
 	// b has read the table before a stored its state.
 	clock, _ := rows.Clock()
 	g.Expect(a.renew(ctx)).To(gomega.Succeed())
@@ -49,7 +49,7 @@
 
 	inC := wordSet{}
 	c := newTestDirectory(rows, "c", "1")
-	c.Share(inC)
+	c.Share("words", inC)
 	g.Expect(c.renew(ctx)).To(gomega.Succeed())
 	g.Expect(inC).To(gomega.Equal(wordSet{"x": true, "y": true}))
 	set, err := rows.Range(ctx, infra.RowRange{Table: Table})
--- a/internal/platformnode/bootstrap.go
+++ b/internal/platformnode/bootstrap.go
@@ -54,6 +54,11 @@
 	out := copyPage(rows, request.After)
 	if request.After == "" {
 		out.Nodes, out.Quarantine = append(n.nodes.View().Records(), n.nodes.Self()), n.quarantine.Notices()
+		crashes, err := n.quarantine.CrashCopy()
+		if err != nil {
+			return nil, err
+		}
+		out.Crashes = crashes
 	}
 	encoded, err := msgpack.Marshal(out)
 	if err == nil && len(encoded) > maxCopyBytes {
@@ -95,6 +100,11 @@
 		return
 	}
 	n.quarantine.Adopt(got.Quarantine, "received at the start from "+address)
+	if len(got.Crashes) > 0 {
+		if err := n.quarantine.AdoptCrashes(got.Crashes); err != nil {
+			n.log.Warn("crashes known to a peer cannot be decoded", "address", address, "error", err)
+		}
+	}
 	if n.nodes.Preload(got.Nodes) {
 		n.log.Info("nodes preloaded from peer", "nodes", len(got.Nodes), "address", address)
 	}
@@ -119,6 +129,9 @@
 			all.Tables[table] = append(all.Tables[table], rows...)
 		}
 		all.Nodes, all.Quarantine = append(all.Nodes, page.Nodes...), append(all.Quarantine, page.Quarantine...)
+		if len(page.Crashes) > 0 {
+			all.Crashes = page.Crashes
+		}
 		if page.Next <= request.After {
 			return all, nil
 		}
--- a/internal/platformnode/node.go
+++ b/internal/platformnode/node.go
@@ -132,7 +132,8 @@
 		Messenger: n.peers, View: n.nodes.View, Persist: n.nodes.RenewSoon, Log: log, Scope: scope,
 		Hubs: func(service core.DeploymentID) []core.NodeID { return n.placer.Hubs(service) },
 	})
-	n.nodes.Share(n.quarantine)
+	n.nodes.Share("shared", n.quarantine)
+	n.nodes.Share("crashes", n.quarantine.Crashes())
 	n.placer = placement.New(placement.Options{
 		Transport: n.peers, Registry: n.registry, Nodes: n.nodes, Log: log,
 		Preempt: func(r *replica.Replica) bool { return n.jobs.Preempt(r) },
--- a/internal/platformnode/tablecopy.go
+++ b/internal/platformnode/tablecopy.go
@@ -34,6 +34,8 @@
 	// Quarantine are the quarantined parts that the peer knows. Only the first page has
 	// them.
 	Quarantine []quarantine.Notice `msgpack:"q,omitempty"`
+	// Crashes are the crashes that the peer knows. Only the first page has them.
+	Crashes []byte `msgpack:"c,omitempty"`
 }
 
 // copyPosition identifies a row across all tables. Pages follow its order.
--- a/internal/quarantine/attribution.go
+++ b/internal/quarantine/attribution.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 )
 
 // attribution counts the crashes of a tally for the parts that may have caused them.
@@ -21,11 +22,22 @@
 	blamed map[Part]bool
 }
 
+// openCrash is a crash without the parts that are cleared of it.
+type openCrash struct {
+	at   time.Time
+	runs [][]Part
+}
+
 // candidates returns the parts that two crashes or more have in common, in the order
 // of their number of crashes.
 func (t *crashTally) candidates(quarantined func(Part) bool) []*candidate {
 	a := &attribution{tally: t, quarantined: quarantined, found: make(map[Part]*candidate), blamed: make(map[Part]bool)}
-	crashes := slices.DeleteFunc(slices.Clone(t.crashes), a.explained)
+	crashes := make([]openCrash, 0, len(t.crashes))
+	for _, c := range t.crashes {
+		if open := (openCrash{at: c.at, runs: c.suspects()}); !a.explained(open) {
+			crashes = append(crashes, open)
+		}
+	}
 	a.countRequests(crashes)
 	a.countPromptParts(crashes)
 	var out []*candidate
@@ -42,8 +54,8 @@
 
 // explained reports whether a quarantined part of prompts was in the crash. No other part
 // is held responsible for it.
-func (a *attribution) explained(c *crash) bool {
-	return slices.ContainsFunc(c.suspects, func(run []Part) bool {
+func (a *attribution) explained(c openCrash) bool {
+	return slices.ContainsFunc(c.runs, func(run []Part) bool {
 		return slices.ContainsFunc(run, func(p Part) bool { return !p.isRequest() && a.quarantined(p) })
 	})
 }
@@ -59,7 +71,7 @@
 
 // countRequests counts the crashes for requests. Those of a quarantined request count
 // for no other one.
-func (a *attribution) countRequests(crashes []*crash) {
+func (a *attribution) countRequests(crashes []openCrash) {
 	for i, c := range crashes {
 		convicted := c.requests(a.quarantined)
 		for _, request := range convicted {
@@ -77,7 +89,7 @@
 }
 
 // countPromptParts counts the crashes for the parts of prompts.
-func (a *attribution) countPromptParts(crashes []*crash) {
+func (a *attribution) countPromptParts(crashes []openCrash) {
 	index, seen := 0, make(map[Part]bool)
 	for _, c := range crashes {
 		culprits := c.requests(func(request Part) bool { return a.blamed[request] })
@@ -89,7 +101,7 @@
 		if again { // the crashes of a request take one index together
 			continue
 		}
-		for _, run := range c.suspects {
+		for _, run := range c.runs {
 			if request := requestOf(run); len(culprits) == 0 || a.blamed[request] {
 				a.countRun(run, request, index, c)
 			}
@@ -100,7 +112,7 @@
 
 // countRun counts a crash for the parts of the prompt of one run. A part that has proved
 // harmless needs a different request for each crash, too.
-func (a *attribution) countRun(run []Part, request Part, index int, c *crash) {
+func (a *attribution) countRun(run []Part, request Part, index int, c openCrash) {
 	for depth, part := range run {
 		if part.isRequest() {
 			continue
@@ -120,6 +132,18 @@
 	}
 }
 
+// requests returns the requests among the suspects of the crash that match, each once.
+// A nil function matches all.
+func (c openCrash) requests(match func(Part) bool) []Part {
+	var out []Part
+	for _, run := range c.runs {
+		if request := requestOf(run); request != "" && (match == nil || match(request)) && !slices.Contains(out, request) {
+			out = append(out, request)
+		}
+	}
+	return out
+}
+
 // requestOf returns the part of a run that identifies its request, or "" for an item.
 func requestOf(run []Part) Part {
 	for _, part := range run {
--- a/internal/quarantine/crashtally.go
+++ b/internal/quarantine/crashtally.go
@@ -34,19 +34,21 @@
 	// momentLength is the time within which crashes count as one. Replicas that fail
 	// together, with a rack or a switch, were not crashed by a request.
 	momentLength = 100 * time.Millisecond
-	// sameCrashTime is the time within which reports about a replica belong to the
-	// same crash.
-	sameCrashTime = time.Second
+	// sameCrashTime is the time within which reports about a process of a replica belong
+	// to the same crash, and sameStoredTime that for crashes in the store, whose times
+	// depend on how fast it answers.
+	sameCrashTime  = time.Second
+	sameStoredTime = 3 * time.Second
 	// crashRetention is how long a crash counts.
 	crashRetention = 10 * time.Minute
-	// maxCrashes, maxSuspects and maxHarmless bound the memory of the tally: crashes, runs
+	// maxCrashes, maxRuns and maxHarmless bound the memory of the tally: crashes, runs
 	// for each of them, and harmless parts. The nodes name the latter for each decision.
 	maxCrashes  = 256
-	maxSuspects = 16
+	maxRuns     = 16
 	maxHarmless = 4096
 )
 
-// crashTally finds the parts that crashing requests have in common.
+// crashTally finds the parts that crashing requests of a service have in common.
 type crashTally struct {
 	crashes []*crash // in the order of time
 	// harmless are the parts with which a run has proved harmless at some time, before
@@ -54,39 +56,29 @@
 	harmless map[Part]bool
 }
 
-// crash is one crash of a replica with the runs that may have caused it.
-type crash struct {
-	replica  core.ReplicaID
-	at       time.Time
-	suspects [][]Part
-}
-
-// add adds a run that was at a replica when it crashed.
-func (t *crashTally) add(replica core.ReplicaID, suspect []Part, now time.Time) {
+// add adds a run that was at a process of a replica when it crashed.
+func (t *crashTally) add(replica core.ReplicaID, started int64, run []Part, now time.Time) {
 	t.expire(now)
 	for _, c := range t.crashes {
-		if c.replica == replica && now.Sub(c.at) < sameCrashTime {
-			if len(c.suspects) < maxSuspects {
-				c.suspects = append(c.suspects, suspect)
-			}
+		if c.of(replica, started, now, sameCrashTime) {
+			c.addRun(run)
 			return
 		}
 	}
-	t.crashes = append(t.crashes, &crash{replica: replica, at: now, suspects: [][]Part{suspect}})
+	t.insert(&crash{replica: replica, started: started, at: now, runs: [][]Part{run}})
 }
 
-// requests returns the requests among the suspects of the crash that match, each once.
-// A nil function matches all.
-func (c *crash) requests(match func(Part) bool) []Part {
-	var out []Part
-	for _, run := range c.suspects {
-		if request := requestOf(run); request != "" && (match == nil || match(request)) && !slices.Contains(out, request) {
-			out = append(out, request)
+func (t *crashTally) insert(c *crash) {
+	i, _ := slices.BinarySearchFunc(t.crashes, c, func(a, b *crash) int {
+		if a.at.After(b.at) {
+			return 1
 		}
-	}
-	return out
+		return -1 // after those of the same time
+	})
+	t.crashes = slices.Insert(t.crashes, i, c)
 }
 
+// expire removes old crashes, and makes room for one.
 func (t *crashTally) expire(now time.Time) {
 	first := max(0, len(t.crashes)-maxCrashes+1)
 	for first < len(t.crashes) && now.Sub(t.crashes[first].at) > crashRetention {
@@ -95,62 +87,46 @@
 	t.crashes = slices.Delete(t.crashes, 0, first)
 }
 
-// suspects returns the candidates that may be held responsible: each request that
-// crashed enough replicas, however many others crash replicas at the same time, and
-// then the most likely part of prompts.
-func suspects(candidates []*candidate) []*candidate {
-	var out []*candidate
-	for _, c := range candidates {
-		if c.part.isRequest() && c.series() >= minCrashes {
-			out = append(out, c)
+// acquit clears a part of the crashes up to the time at which a run with it began that
+// proved harmless, and remembers this for later crashes. It reports whether it cleared
+// the part of a crash.
+func (t *crashTally) acquit(part Part, at time.Time) (cleared bool) {
+	t.markHarmless(part)
+	for _, c := range t.crashes {
+		if !c.at.After(at) && c.clear(part) {
+			cleared = true
 		}
 	}
-	if likely := mostLikely(candidates); likely != nil && likely.series() >= minCrashes {
-		out = append(out, likely)
-	}
-	return out
+	return cleared
 }
 
-// mostLikely returns the part of prompts that most likely causes the crashes, or nil if
-// there is none. Parts that have proved harmless are considered if no other part is in
-// a series of crashes: what has been harmless may crash replicas of another version.
-func mostLikely(candidates []*candidate) *candidate {
-	candidates = slices.DeleteFunc(slices.Clone(candidates), func(c *candidate) bool { return c.part.isRequest() })
-	unproved := slices.DeleteFunc(slices.Clone(candidates), func(c *candidate) bool { return c.harmless })
-	if likely := mostSpecific(unproved); likely != nil && likely.series() >= minCrashes {
-		return likely
+func (t *crashTally) markHarmless(part Part) {
+	if t.harmless == nil || len(t.harmless) >= maxHarmless {
+		t.harmless = make(map[Part]bool)
 	}
-	return mostSpecific(candidates)
+	t.harmless[part] = true
 }
 
-// mostSpecific returns the last part of prompts among those that explain almost as many
-// crashes as the first candidate, or nil if there is no candidate.
-func mostSpecific(candidates []*candidate) *candidate {
-	var likely *candidate
-	for _, c := range candidates {
-		enough := likely == nil || float64(c.crashes) >= specificShare*float64(candidates[0].crashes)
-		if enough && (likely == nil || c.depth > likely.depth) {
-			likely = c
-		}
+// runs returns all runs of the crashes.
+func (t *crashTally) runs() [][]Part {
+	var out [][]Part
+	for _, c := range t.crashes {
+		out = append(out, c.runs...)
 	}
-	return likely
+	return out
 }
 
-// acquit removes a part from the crashes up to the time at which a run with it began
-// that proved harmless, and remembers this for later crashes.
-func (t *crashTally) acquit(part Part, at time.Time) {
-	if t.harmless == nil || len(t.harmless) >= maxHarmless {
-		t.harmless = make(map[Part]bool)
-	}
-	t.harmless[part] = true
-	for _, c := range t.crashes {
-		if c.at.After(at) {
-			continue
-		}
-		for i, suspect := range c.suspects {
-			if slices.Contains(suspect, part) {
-				c.suspects[i] = slices.DeleteFunc(slices.Clone(suspect), func(p Part) bool { return p == part })
+// partsOf returns the parts of runs, each once.
+func partsOf(runs [][]Part) []Part {
+	seen := make(map[Part]bool)
+	var out []Part
+	for _, run := range runs {
+		for _, part := range run {
+			if !seen[part] {
+				seen[part] = true
+				out = append(out, part)
 			}
 		}
 	}
+	return out
 }
--- a/internal/quarantine/evaluate.go
+++ b/internal/quarantine/evaluate.go
@@ -17,28 +17,29 @@
 	maxWitnessParts = 64
 )
 
-// evaluate decides on the candidates of the tally until no report has come since the
-// last decision. It runs in one goroutine at most.
-func (s *Service) evaluate() {
-	for s.beginEvaluation() {
-		s.evaluateCandidates()
+// evaluate decides on the candidates of a service's tally until it has not changed since
+// the last decision. It runs in one goroutine at most for each service.
+func (s *Service) evaluate(service core.DeploymentID) {
+	for s.beginEvaluation(service) {
+		s.evaluateCandidates(service)
 	}
 }
 
-// beginEvaluation reports whether there are reports that have not been evaluated.
-func (s *Service) beginEvaluation() bool {
+// beginEvaluation reports whether the tally has changed since the last evaluation.
+func (s *Service) beginEvaluation(service core.DeploymentID) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.evaluating, s.changed = s.changed, false
-	return s.evaluating
+	t := s.tallyOf(service)
+	t.evaluating, t.changed = t.changed, false
+	return t.evaluating
 }
 
 // evaluateCandidates decides on the suspects, one after the other, until the crashes do
 // not suffice for a decision.
-func (s *Service) evaluateCandidates() {
+func (s *Service) evaluateCandidates(service core.DeploymentID) {
 	defer contain.Recover(s.Log, "evaluation of crashes", string(s.Messenger.Self()))
 	for {
-		candidates := s.candidates()
+		candidates := s.candidates(service)
 		asked := suspects(candidates)
 		if len(asked) == 0 {
 			return
@@ -48,7 +49,8 @@
 			continue
 		}
 		parts := questionParts(asked, candidates)
-		if !s.decideOnSuspects(parts, s.askWitnesses(parts)) {
+		anyProof, _ := s.askWitnesses(service, parts)
+		if !s.decideOnSuspects(service, parts, anyProof) {
 			return
 		}
 	}
@@ -83,25 +85,28 @@
 	return first
 }
 
-func (s *Service) candidates() []*candidate {
+func (s *Service) candidates(service core.DeploymentID) []*candidate {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.tally.candidates(s.quarantined)
+	return s.tallyOf(service).candidates(s.quarantined)
 }
 
-// askWitnesses asks all nodes for harmless runs with the parts and acquits these
-// parts. It returns when the latest harmless run with any part began.
-func (s *Service) askWitnesses(parts []Part) (anyProof time.Time) {
+// askWitnesses asks all nodes for harmless runs with the parts and clears these parts of
+// the crashes of a service before. It returns when the latest harmless run with any part
+// began, and whether any part was not known to be harmless.
+func (s *Service) askWitnesses(service core.DeploymentID, parts []Part) (anyProof time.Time, news bool) {
 	for question := range slices.Chunk(parts, maxWitnessParts) {
-		if at := s.ask(&witnessRequest{Parts: question}); at.After(anyProof) {
+		at, more := s.ask(service, &witnessRequest{Parts: question})
+		if at.After(anyProof) {
 			anyProof = at
 		}
+		news = news || more
 	}
-	return anyProof
+	return anyProof, news
 }
 
 // ask is askWitnesses for the parts of one question.
-func (s *Service) ask(request *witnessRequest) (anyProof time.Time) {
+func (s *Service) ask(service core.DeploymentID, request *witnessRequest) (anyProof time.Time, news bool) {
 	ids := []core.NodeID{s.Messenger.Self()}
 	for _, record := range s.View().Alive {
 		if record.ID != s.Messenger.Self() {
@@ -123,9 +128,11 @@
 		if at := now.Add(-answer.Any); answer.Any >= 0 && at.After(anyProof) {
 			anyProof = at
 		}
-		s.acquit(request.Parts, answer.Ages, now)
+		if s.acquit(service, request.Parts, timesOf(answer.Ages, now)) {
+			news = true
+		}
 	}
-	return anyProof
+	return anyProof, news
 }
 
 // askWitness asks one node and sends its answer, or nil if it gives none.
@@ -141,22 +148,23 @@
 	answer = &got
 }
 
-func (s *Service) acquit(parts []Part, ages []time.Duration, now time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for i, part := range parts {
-		if ages[i] >= 0 {
-			s.tally.acquit(part, now.Add(-ages[i]))
+// timesOf returns the times that are some ages ago. A negative age is none.
+func timesOf(ages []time.Duration, now time.Time) []time.Time {
+	out := make([]time.Time, len(ages))
+	for i, age := range ages {
+		if age >= 0 {
+			out[i] = now.Add(-age)
 		}
 	}
+	return out
 }
 
 // decideOnSuspects quarantines the first suspect that is convincing, after the
 // witnesses have spoken. It reports whether the candidates must be looked at again: a
 // part was quarantined, a suspect is not due yet, or one was not among the asked parts.
-func (s *Service) decideOnSuspects(asked []Part, anyProof time.Time) bool {
+func (s *Service) decideOnSuspects(service core.DeploymentID, asked []Part, anyProof time.Time) bool {
 	now := time.Now()
-	chosen, again := s.chooseSuspect(asked, anyProof, now)
+	chosen, again := s.chooseSuspect(service, asked, anyProof, now)
 	if chosen == nil {
 		return again
 	}
@@ -176,10 +184,10 @@
 // chooseSuspect returns the suspect to quarantine, which then explains its crashes. If
 // there is none, it reports whether to look again. Further crashes may have
 // made a suspect of a part that the witnesses were not asked about; it may be harmless.
-func (s *Service) chooseSuspect(asked []Part, anyProof, now time.Time) (chosen *candidate, again bool) {
+func (s *Service) chooseSuspect(service core.DeploymentID, asked []Part, anyProof, now time.Time) (chosen *candidate, again bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, c := range suspects(s.tally.candidates(s.quarantined)) {
+	for _, c := range suspects(s.tallyOf(service).candidates(s.quarantined)) {
 		switch {
 		case now.Before(c.dueAt()), !slices.Contains(asked, c.part):
 			again = true
--- a/internal/quarantine/fuzz_test.go
+++ b/internal/quarantine/fuzz_test.go
@@ -16,6 +16,7 @@
 		&report{Service: "m", Replica: "i", Parts: []Part{"f", "bad"}, Trials: []Notice{{Part: "bad", Round: 1, Remaining: time.Second}}},
 		&witnessRequest{Parts: []Part{"f"}}, []Notice{{Part: "bad", Round: 3, Lifted: true}},
 		[]storedEntry{{Part: "bad", Round: 1, Until: time.Minute}},
+		&evidence{Parts: []Part{"f", "bad"}, Harmless: []int{0}, Crashes: []crashEvidence{{Service: "m", Replica: "i", At: 59 * time.Second, Runs: [][]int{{0, 1}}, Cleared: []int{0}}}},
 	} {
 		data, err := msgpack.Marshal(seed)
 		if err != nil {
@@ -32,10 +33,13 @@
 				_, _ = handler(context.Background(), "n1", data)
 			}
 			_, _ = s.Reconcile(data, time.Minute)
+			update, _ := s.Crashes().Reconcile(data, time.Minute)
+			_, _ = s.Crashes().Reconcile(update, time.Minute)
 			_, _ = s.Blocked([]Part{"bad"})
 			if n := len(s.Entries()); n > maxEntries {
 				t.Errorf("%d entries", n)
 			}
+			time.Sleep(decisionTime) // until the work that the messages have started is done
 		})
 	})
 }
--- a/internal/quarantine/messages.go
+++ b/internal/quarantine/messages.go
@@ -20,7 +20,11 @@
 type report struct {
 	Service core.DeploymentID `msgpack:"s"`
 	Replica core.ReplicaID    `msgpack:"r"`
-	Parts   []Part            `msgpack:"p"`
+	// Started tells the processes of the replica apart, as in its registration.
+	Started int64  `msgpack:"i,omitempty"`
+	Parts   []Part `msgpack:"p"`
+	// Copy is set if another hub has taken the report and decides.
+	Copy bool `msgpack:"y,omitempty"`
 	// Trials are the entries of the parts of which the run was the trial.
 	Trials []Notice `msgpack:"t,omitempty"`
 }
--- a/internal/quarantine/run.go
+++ b/internal/quarantine/run.go
@@ -113,7 +113,8 @@
 	if r.replica.Leaving() || r.failing && len(r.trial) == 0 {
 		return
 	}
-	suspect := report{Service: r.replica.Info().Service, Replica: r.replica.Info().ID, Parts: slices.Clone(r.parts)}
+	info := r.replica.Info()
+	suspect := report{Service: info.Service, Replica: info.ID, Started: info.Started, Parts: slices.Clone(r.parts)}
 	for _, part := range r.trial {
 		if e, ok := r.service.list.get(part); ok {
 			suspect.Trials = append(suspect.Trials, newNotice(&e, time.Now()))
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -48,17 +48,19 @@
 	proofs   *proofs
 	counters *counters
 
-	mu    sync.Mutex
-	tally crashTally
-	// evaluating is set while a goroutine evaluates the tally, and changed if a report
-	// has come since it began.
-	evaluating, changed bool
+	mu      sync.Mutex
+	tallies map[core.DeploymentID]*serviceTally
+	// storedHarmless are the parts that are known as harmless in the store.
+	storedHarmless map[Part]bool
 }
 
 // New returns a service whose handlers are registered. The caller starts the
 // transport afterwards.
 func New(o Options) *Service {
-	s := &Service{Options: o, list: newList(o.Messenger.Self()), proofs: newProofs(), counters: newCounters(o.Scope)}
+	s := &Service{
+		Options: o, list: newList(o.Messenger.Self()), proofs: newProofs(), counters: newCounters(o.Scope),
+		tallies: make(map[core.DeploymentID]*serviceTally), storedHarmless: make(map[Part]bool),
+	}
 	o.Messenger.Handle(kindReport, s.handleReport)
 	o.Messenger.Handle(kindWitness, s.handleWitness)
 	o.Messenger.Handle(kindEntries, s.handleEntries)
@@ -132,9 +134,7 @@
 	message := "part quarantined"
 	if e.Lifted {
 		message = "quarantine of a part lifted"
-		s.mu.Lock()
-		s.tally.acquit(e.Part, now) // the crashes so far are no reason to quarantine it again
-		s.mu.Unlock()
+		s.acquit("", []Part{e.Part}, []time.Time{now}) // the crashes so far are no reason to quarantine it again
 	}
 	s.Log.Warn(message, "part", e.Part, "round", e.Round, "crashes", e.Crashes,
 		"remaining_ms", e.Until.Sub(now).Milliseconds(), "by", e.By, "reason", reason)
@@ -186,21 +186,31 @@
 	}
 }
 
-// sendReport reports a suspect to the first hub that answers, or to this node's own
-// tally if none does.
+// sendReport reports a suspect to the first hub that answers, or to this node's own tally
+// if none does. The other hubs and this node keep a copy: the first one may be lost before
+// it has decided, and before the crash is in the store.
 func (s *Service) sendReport(suspect *report) {
 	s.counters.suspects.Inc(1)
 	s.Log.Info("run was at a replica when it crashed", "replica", suspect.Replica, "parts", suspect.Parts, "trial", len(suspect.Trials) > 0)
+	self, kept := s.Messenger.Self(), false
 	for _, hub := range s.Hubs(suspect.Service) {
+		if hub == self {
+			s.record(suspect)
+			suspect.Copy, kept = true, true
+			continue
+		}
 		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 		err := s.Messenger.Call(ctx, hub, kindReport, suspect, nil)
 		cancel()
-		if err == nil {
-			return
+		if err != nil {
+			s.Log.Info("hub did not take the report of a crash", "node", hub, "replica", suspect.Replica, "error", err)
+			continue
 		}
-		s.Log.Info("hub did not take the report of a crash", "node", hub, "replica", suspect.Replica, "error", err)
+		suspect.Copy = true
+	}
+	if !kept {
+		s.record(suspect)
 	}
-	s.record(suspect)
 }
 
 func (s *Service) handleReport(_ context.Context, _ core.NodeID, body []byte) ([]byte, error) {
@@ -212,26 +222,36 @@
 	return nil, nil
 }
 
-// record adds a suspect to the tally. A trial that crashed a replica renews the
-// quarantine at once.
+// record adds a suspect to the tally. Unless it is a copy, a trial that crashed a replica
+// renews the quarantine at once, the tally is evaluated, and it is soon stored.
 func (s *Service) record(suspect *report) {
 	now := time.Now()
 	s.Adopt(suspect.Trials, "reported with a crash")
-	for i := range suspect.Trials {
-		trial := &suspect.Trials[i]
+	if !suspect.Copy {
+		s.renewAfterTrial(suspect.Trials, now)
+	}
+	s.mu.Lock()
+	t := s.tallyOf(suspect.Service)
+	t.add(suspect.Replica, suspect.Started, suspect.Parts, now)
+	t.changed = true
+	if !suspect.Copy {
+		s.evaluateIfChanged(suspect.Service)
+		s.gatherSoon(suspect.Service, suspect.Parts)
+	}
+	s.mu.Unlock()
+	if !suspect.Copy {
+		s.Persist()
+	}
+}
+
+func (s *Service) renewAfterTrial(trials []Notice, now time.Time) {
+	for i := range trials {
+		trial := &trials[i]
 		if e, ok := s.list.get(trial.Part); ok && e.Round == trial.Round {
 			round := e.Round + 1
 			s.decide(Entry{Part: e.Part, Round: round, Crashes: 1, Until: now.Add(roundDuration(round)), By: s.Messenger.Self()}, "the trial crashed a replica")
 		}
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.tally.add(suspect.Replica, suspect.Parts, now)
-	s.changed = true
-	if !s.evaluating {
-		s.evaluating = true
-		go s.evaluate()
-	}
 }
 
 func (s *Service) quarantined(part Part) bool {
--- a/internal/quarantine/service_test.go
+++ b/internal/quarantine/service_test.go
@@ -29,8 +29,10 @@
 	*gomega.WithT
 	services map[core.NodeID]*Service
 	view     nodes.View
+	store    fakeStore
 	mu       sync.Mutex
-	down     map[core.NodeID]bool
+	down     map[core.NodeID]bool // no other node reaches them
+	excluded map[core.NodeID]bool // found to be down
 	crashes  int
 }
 
@@ -48,6 +50,7 @@
 func (m *fakeMessenger) Call(ctx context.Context, to core.NodeID, kind string, req, resp any) error {
 	m.fleet.mu.Lock()
 	unreachable := to != m.self && (m.fleet.down[to] || m.fleet.down[m.self])
+	target := m.fleet.services[to]
 	m.fleet.mu.Unlock()
 	if unreachable {
 		<-ctx.Done()
@@ -57,7 +60,7 @@
 	if err != nil {
 		return err
 	}
-	out, err := m.fleet.services[to].Messenger.(*fakeMessenger).handlers[kind](ctx, m.self, body)
+	out, err := target.Messenger.(*fakeMessenger).handlers[kind](ctx, m.self, body)
 	if err != nil || resp == nil {
 		return err
 	}
@@ -68,26 +71,43 @@
 // hubs.
 func newTestFleet(t *testing.T, n int) *testFleet {
 	f := &testFleet{
-		WithT: gomega.NewWithT(t), services: make(map[core.NodeID]*Service), down: make(map[core.NodeID]bool),
+		WithT: gomega.NewWithT(t), services: make(map[core.NodeID]*Service), down: make(map[core.NodeID]bool), excluded: make(map[core.NodeID]bool),
 		view: nodes.View{Alive: make(map[string]nodes.Record)},
 	}
-	var hubs []core.NodeID
 	for i := range n {
 		id := core.NodeID(fmt.Sprintf("n%d", i))
-		if len(hubs) < 2 {
-			hubs = append(hubs, id)
-		}
 		record := nodes.Record{ID: id, Lifetime: "1"}
 		f.view.Alive[record.Owner()] = record
-		f.services[id] = New(Options{
-			Messenger: &fakeMessenger{fleet: f, self: id, handlers: make(map[string]peer.Handler)},
-			Hubs:      func(core.DeploymentID) []core.NodeID { return hubs }, View: func() *nodes.View { return &f.view },
-			Persist: func() {}, Log: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
-		})
+		f.start(id)
 	}
 	return f
 }
 
+// start starts a node, in place of a former process of it.
+func (f *testFleet) start(id core.NodeID) {
+	s := New(Options{
+		Messenger: &fakeMessenger{fleet: f, self: id, handlers: make(map[string]peer.Handler)},
+		Hubs:      func(core.DeploymentID) []core.NodeID { return f.hubs() }, View: func() *nodes.View { return &f.view },
+		Persist: func() { go f.renew(id) }, Log: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
+	})
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.services[id] = s
+}
+
+// hubs returns the first two nodes that nobody has found to be down.
+func (f *testFleet) hubs() []core.NodeID {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []core.NodeID
+	for i := 0; i < len(f.view.Alive) && len(out) < 2; i++ {
+		if id := f.node(i); !f.excluded[id] {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
 // crash reports the crash of a further replica from a node, and lets 200 ms pass.
 func (f *testFleet) crash(at core.NodeID, parts ...Part) {
 	f.reportCrash(at, parts...)
@@ -97,21 +117,28 @@
 // reportCrash reports the crash of a further replica from a node.
 func (f *testFleet) reportCrash(at core.NodeID, parts ...Part) {
 	f.crashes++
-	f.services[at].sendReport(&report{Service: "m", Replica: core.ReplicaID(fmt.Sprintf("i-%d", f.crashes)), Parts: parts})
+	f.service(at).sendReport(&report{Service: "m", Replica: core.ReplicaID(fmt.Sprintf("i-%d", f.crashes)), Parts: parts})
 }
 
 // node returns the ID of the n-th node, counted on from the first after the last.
 func (f *testFleet) node(n int) core.NodeID {
-	return core.NodeID(fmt.Sprintf("n%d", n%len(f.services)))
+	return core.NodeID(fmt.Sprintf("n%d", n%len(f.view.Alive)))
+}
+
+// service returns the present process of a node.
+func (f *testFleet) service(id core.NodeID) *Service {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.services[id]
 }
 
 // harmless lets a run with the parts prove harmless at a node.
 func (f *testFleet) harmless(at core.NodeID, parts ...Part) {
-	f.services[at].proofs.add(parts, time.Now())
+	f.service(at).proofs.add(parts, time.Now())
 }
 
 func (f *testFleet) blocked(at core.NodeID, part Part) bool {
-	_, blocked := f.services[at].Blocked([]Part{"f", part})
+	_, blocked := f.service(at).Blocked([]Part{"f", part})
 	return blocked
 }
 
@@ -367,13 +394,13 @@
 	f := newTestFleet(t, 1)
 	s := f.services["n0"]
 	s.mu.Lock()
-	now := crashSeries(&s.tally, time.Now().Add(-2*observationTime), 5, 100*time.Millisecond, func(i int) []Part { return []Part{"bad", own(i)} })
+	now := crashSeries(&s.tallyOf("m").crashTally, time.Now().Add(-2*observationTime), 5, 100*time.Millisecond, func(i int) []Part { return []Part{"bad", own(i)} })
 	s.mu.Unlock()
 	now = now.Add(observationTime)
-	chosen, again := s.chooseSuspect([]Part{"other"}, now, now)
+	chosen, again := s.chooseSuspect("m", []Part{"other"}, now, now)
 	g.Expect(chosen).To(gomega.BeNil())
 	g.Expect(again).To(gomega.BeTrue())
-	chosen, _ = s.chooseSuspect([]Part{"bad"}, now, now)
+	chosen, _ = s.chooseSuspect("m", []Part{"bad"}, now, now)
 	g.Expect(chosen.part).To(gomega.Equal(Part("bad")))
 }
 
