Pick none of the requests that are in the same crashes

What callers could see: a sound request that was sent on from replica to replica beside one that crashes them was refused for a minute in its place, and the deadly one went on.

Cause: of several requests in the same three crashes, the one whose digest came first was quarantined.

Evidence: TestSoundRequestsSentOnWithADeadlyOneAreNotQuarantined and TestProofsOfOthersLeaveTheDeadlyRequest fail on the commit before (a sound request is quarantined).

Change: a request is not decided on while another one, no less suspect, is in all of its crashes. They differ as soon as one comes again or proves harmless, which each renewal of a lease tells the hub.

--- a/internal/quarantine/attribution.go
+++ b/internal/quarantine/attribution.go
@@ -39,6 +39,7 @@
 		}
 	}
 	a.countRequests(crashes)
+	a.markRivals()
 	a.countPromptParts(crashes)
 	var out []*candidate
 	for _, c := range a.found {
@@ -83,11 +84,26 @@
 		for _, request := range c.requests(nil) {
 			found := a.candidate(request, i)
 			found.observe(i, 0, c.at, false)
+			found.in = append(found.in, i)
 			a.blamed[request] = found.series() >= minCrashes
 		}
 	}
 }
 
+// markRivals marks the requests that are in a series of crashes which may as well be those
+// of another request: sound requests are sent on with a deadly one from replica to replica,
+// while few are left. They differ when one of them comes again.
+func (a *attribution) markRivals() {
+	for request, c := range a.found {
+		if !a.blamed[request] {
+			continue
+		}
+		for _, other := range a.found {
+			c.rival = c.rival || other.mayExplain(c)
+		}
+	}
+}
+
 // countPromptParts counts the crashes for the parts of prompts.
 func (a *attribution) countPromptParts(crashes []openCrash) {
 	index, seen := 0, make(map[Part]bool)
--- a/internal/quarantine/evaluate.go
+++ b/internal/quarantine/evaluate.go
@@ -191,6 +191,7 @@
 		switch {
 		case now.Before(c.dueAt()), !slices.Contains(asked, c.part):
 			again = true
+		case c.rival:
 		case c.convincing(anyProof):
 			return c, true
 		}
