Report the last crashes before a node ends

What callers could see: a crash that a stopping node saw was forgotten if a hub had just been lost, so that a deadly request had one more crash.

Cause: reports run in the background and nobody waited for them. A hub that does not answer takes 200 ms, in which the process ended.

Evidence: TestStoppingNodeReportsItsLastCrashes fails without the wait (no hub knows the crash).

Change: the stop waits for reports in progress, 500 ms at most, after the last requests and items and before the node leaves the fleet.

--- a/internal/platformnode/stop.go
+++ b/internal/platformnode/stop.go
@@ -23,6 +23,9 @@
 	lastAnswers = 200 * time.Millisecond
 	// leaveTimeout bounds the write that ends the node's lease.
 	leaveTimeout = time.Second
+	// crashReportTimeout bounds the last reports of crashes. Hubs that do not answer take
+	// 200 ms each.
+	crashReportTimeout = 500 * time.Millisecond
 )
 
 // stop drains the node. It reports that the node is not ready, goes on serving
@@ -54,6 +57,7 @@
 	}
 	<-passedOn
 	n.jobs.Stop(jobsCtx)
+	n.stopQuarantine()
 	n.placer.Stop(context.Background()) // other nodes used this hub until now
 	n.quota.Stop(context.Background())
 	n.leaveFleet()
@@ -69,3 +73,10 @@
 		n.log.Warn("node lease could not be ended and will lapse", "error", err)
 	}
 }
+
+// stopQuarantine reports the crashes of the last runs, which other nodes remember.
+func (n *Node) stopQuarantine() {
+	ctx, cancel := context.WithTimeout(context.Background(), crashReportTimeout)
+	defer cancel()
+	n.quarantine.Stop(ctx)
+}
--- a/internal/quarantine/memory_test.go
+++ b/internal/quarantine/memory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -124,6 +125,23 @@
 	})
 }
 
+// Guards against a crash that is forgotten because the node that saw it stops before a hub
+// has taken the report: the first hub is gone, and the second one is asked after its
+// timeout.
+func TestStoppingNodeReportsItsLastCrashes(t *testing.T) {
+	f := newTestFleet(t, 3)
+	f.setDown(true, "n0")
+	target := crashedReplica()
+	f.Expect(target.RefusesConnections(t.Context())).To(gomega.BeTrue())
+	run, ok := f.service("n2").Begin([]Part{"f", "bad"}, target)
+	f.Expect(ok).To(gomega.BeTrue())
+	run.RecordEnd(io.EOF, false)
+	f.service("n2").Stop(t.Context())
+	known, _ := f.service("n1").evidence(time.Now(), func(*crash) time.Duration { return 0 })
+	f.Expect(known.Crashes).To(gomega.HaveLen(1))
+	time.Sleep(2 * gatherDelay)
+}
+
 // Guards against a crash that counts twice because the store gives it another time, and
 // against nodes that write the same crashes again and again, or keep them for ever.
 func TestCrashesAreStoredOnce(t *testing.T) {
--- a/internal/quarantine/run.go
+++ b/internal/quarantine/run.go
@@ -23,6 +23,8 @@
 	// trialSettleTime is how long after a crash in a trial no other trial begins here.
 	// The renewed quarantine arrives within that time.
 	trialSettleTime = 2 * time.Second
+	// stopPollInterval is the time between two looks at the reports that a stop waits for.
+	stopPollInterval = 5 * time.Millisecond
 )
 
 // Run observes one run of a request or an item at a replica. A nil Run observes
@@ -120,6 +122,7 @@
 			suspect.Trials = append(suspect.Trials, newNotice(&e, time.Now()))
 		}
 	}
+	r.service.reporting.Add(1)
 	go r.service.verify(r.replica, &suspect, r.trial)
 	r.trial = nil
 }
@@ -128,14 +131,32 @@
 func (s *Service) verify(target *replica.Replica, suspect *report, trial []Part) {
 	defer contain.Recover(s.Log, "suspect of a crash", string(suspect.Replica))
 	defer s.list.release(trial)
+	if s.reportCrash(target, suspect) && len(trial) > 0 {
+		time.Sleep(trialSettleTime)
+	}
+}
+
+// reportCrash reports the suspect if the replica refuses connections.
+func (s *Service) reportCrash(target *replica.Replica, suspect *report) bool {
+	defer s.reporting.Add(-1)
 	ctx, cancel := context.WithTimeout(context.Background(), verifyTimeout)
 	defer cancel()
 	if !target.RefusesConnections(ctx) {
-		return
+		return false
 	}
 	s.sendReport(suspect)
-	if len(trial) > 0 {
-		time.Sleep(trialSettleTime)
+	return true
+}
+
+// Stop waits until the crashes that this node has seen are reported, or ctx ends.
+func (s *Service) Stop(ctx context.Context) {
+	for s.reporting.Load() > 0 {
+		select {
+		case <-ctx.Done():
+			s.Log.Warn("stopping before all crashes are reported")
+			return
+		case <-time.After(stopPollInterval):
+		}
 	}
 }
 
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -47,6 +48,8 @@
 	list     *list
 	proofs   *proofs
 	counters *counters
+	// reporting is the number of crashes that are being reported.
+	reporting atomic.Int32
 
 	mu      sync.Mutex
 	tallies map[core.DeploymentID]*serviceTally
