Soak: requests that crash engines beside sound ones, in trouble of both

What was missing: the soak's phase of crashes used a route with one attempt and new requests only, and the node that counts was seldom killed in time.

Change: a phase in which a request, or a part, crashes engines on a route with one or three attempts, beside sound ones with the same caller, first part and templates, while nodes are killed one, two or all at a time, frozen and cut off, and engines pause and crash. At most three may reach engines later than 3 s after the third or fifth crash, and no sound request is refused as quarantined. What both phases use is in crashableengines.go.

--- /dev/null
+++ b/bench/soak/crashableengines.go
@@ -0,0 +1,101 @@
+package soak
+
+import (
+	"fmt"
+	"time"
+
+	"gentiantide.example/gentiantide/platform/platformtest"
+)
+
+// engineRestartTime is how long an engine that has crashed is away.
+const engineRestartTime = time.Second
+
+// crashableEngines are the engines of a testbed, with others in place of those that have
+// crashed. Only their phase calls the methods, except crash.
+type crashableEngines struct {
+	testbed *testbed
+	// name begins the IDs of the engines that replace others.
+	name string
+	// behave responds to a request; it calls crash if the request crashes the engine.
+	behave  func(b *backend, r platformtest.ReceivedRequest) platformtest.Behaviour
+	crashed chan *backend
+	live    []*backend
+	// pending are the times at which engines replace crashed ones.
+	pending []time.Time
+	started int
+}
+
+func (e *crashableEngines) init() {
+	e.crashed = make(chan *backend, 1024)
+	for _, b := range e.testbed.backends {
+		if !b.gone {
+			e.adopt(b)
+		}
+	}
+}
+
+func (e *crashableEngines) adopt(b *backend) {
+	b.SetBehaviour(func(r platformtest.ReceivedRequest) platformtest.Behaviour { return e.behave(b, r) })
+	if b.service == "models" {
+		e.live = append(e.live, b)
+	}
+}
+
+// crash ends an engine: it resets its connections and refuses others.
+func (e *crashableEngines) crash(b *backend) platformtest.Behaviour {
+	b.proxy.close()
+	e.crashed <- b
+	return platformtest.Behaviour{Reset: true}
+}
+
+// replace starts the engines that are due and removes the registrations of crashed ones.
+func (e *crashableEngines) replace() error {
+	for range len(e.crashed) {
+		if err := e.remove(<-e.crashed); err != nil {
+			return err
+		}
+	}
+	for len(e.pending) > 0 && time.Now().After(e.pending[0]) {
+		e.pending = e.pending[1:]
+		if err := e.start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (e *crashableEngines) remove(b *backend) error {
+	for i, other := range e.live {
+		if other == b {
+			e.live = append(e.live[:i:i], e.live[i+1:]...)
+			b.gone = true
+			e.pending = append(e.pending, time.Now().Add(engineRestartTime))
+			return e.testbed.store.Remove("servers", b.ID)
+		}
+	}
+	return nil // it crashed at two requests
+}
+
+// replaceAll starts the engines that are still away.
+func (e *crashableEngines) replaceAll() error {
+	for i := range e.pending {
+		e.pending[i] = time.Time{}
+	}
+	if err := e.replace(); err != nil {
+		return err
+	}
+	for i := range e.pending {
+		e.pending[i] = time.Time{}
+	}
+	return e.replace()
+}
+
+func (e *crashableEngines) start() error {
+	e.started++
+	b, err := e.testbed.addBackend(fmt.Sprintf("%s-%d", e.name, e.started), "models", eventsPerStream)
+	if err != nil {
+		return err
+	}
+	e.adopt(b)
+	return nil
+}
--- a/bench/soak/crashes.go
+++ b/bench/soak/crashes.go
@@ -21,10 +21,8 @@
 	// contactTime after these.
 	countedCrashes = 5
 	lateRequests   = 3
-	// crashPhaseTime is how long requests with the part come, and engineRestartTime
-	// how long an engine that has crashed is away.
-	crashPhaseTime    = 7 * time.Second
-	engineRestartTime = time.Second
+	// crashPhaseTime is how long requests with the part come.
+	crashPhaseTime = 7 * time.Second
 )
 
 // crashPhase sends requests that crash engines while nodes are killed and restarted.
@@ -36,22 +34,18 @@
 	rng     *rand.Rand
 	log     func(format string, args ...any)
 
-	crashed chan *backend
+	engines crashableEngines
 	mu      sync.Mutex
 	reached map[string]time.Time // by request ID
 	sent    map[string]*nodeProcess
-	started int // engines that replaced crashed ones
 }
 
 // run makes the phase. The nodes are connected and other callers are active.
 func (p *crashPhase) run() error {
-	p.crashed = make(chan *backend, 1024)
 	p.reached, p.sent = make(map[string]time.Time), make(map[string]*nodeProcess)
-	for _, b := range p.testbed.backends {
-		p.makeFragile(b)
-	}
+	p.engines = crashableEngines{testbed: p.testbed, name: "restarted", behave: p.behave}
+	p.engines.init()
 	var requests sync.WaitGroup
-	var pending []time.Time // when the engines that have crashed are back
 	for end, i := time.Now().Add(crashPhaseTime), 0; time.Now().Before(end); i++ {
 		n := p.testbed.nodes[p.rng.IntN(len(p.testbed.nodes))]
 		id := fmt.Sprintf("%s-%d", crashingPart, i)
@@ -61,25 +55,13 @@
 			return err
 		}
 		time.Sleep(time.Duration(50+p.rng.IntN(150)) * time.Millisecond)
-		for range len(p.crashed) {
-			b := <-p.crashed
-			if err := p.testbed.store.Remove("servers", b.ID); err != nil {
-				return err
-			}
-			pending = append(pending, time.Now().Add(engineRestartTime))
-		}
-		for len(pending) > 0 && time.Now().After(pending[0]) {
-			pending = pending[1:]
-			if err := p.startEngine(); err != nil {
-				return err
-			}
+		if err := p.engines.replace(); err != nil {
+			return err
 		}
 	}
 	requests.Wait()
-	for range len(pending) + len(p.crashed) {
-		if err := p.startEngine(); err != nil {
-			return err
-		}
+	if err := p.engines.replaceAll(); err != nil {
+		return err
 	}
 	p.check()
 	return nil
@@ -117,30 +99,16 @@
 	}
 }
 
-// makeFragile makes an engine crash at requests with the part.
-func (p *crashPhase) makeFragile(b *backend) {
-	b.SetBehaviour(func(r platformtest.ReceivedRequest) platformtest.Behaviour {
-		if !r.HasPart(crashingPart) {
-			return platformtest.Behaviour{EventGap: eventGap}
-		}
-		p.mu.Lock()
-		p.reached[r.RequestID] = time.Now()
-		p.mu.Unlock()
-		p.log("%s crashes at %s", b.ID, r.RequestID)
-		b.proxy.close()
-		p.crashed <- b
-		return platformtest.Behaviour{Reset: true}
-	})
-}
-
-func (p *crashPhase) startEngine() error {
-	p.started++
-	b, err := p.testbed.addBackend(fmt.Sprintf("restarted-%d", p.started), "models", eventsPerStream)
-	if err != nil {
-		return err
+// behave lets an engine crash at requests with the part.
+func (p *crashPhase) behave(b *backend, r platformtest.ReceivedRequest) platformtest.Behaviour {
+	if !r.HasPart(crashingPart) {
+		return platformtest.Behaviour{EventGap: eventGap}
 	}
-	p.makeFragile(b)
-	return nil
+	p.mu.Lock()
+	p.reached[r.RequestID] = time.Now()
+	p.mu.Unlock()
+	p.log("%s crashes at %s", b.ID, r.RequestID)
+	return p.engines.crash(b)
 }
 
 // check counts the requests that connected nodes have sent too late.
--- a/bench/soak/options.go
+++ b/bench/soak/options.go
@@ -19,6 +19,9 @@
 	Notices bool
 	// Crashes adds a phase after the faults in which requests crash engines.
 	Crashes bool
+	// Blame adds a phase after the faults in which requests crash engines beside sound ones,
+	// while nodes and engines are in trouble.
+	Blame bool
 	// Failures adds a phase after the faults in which a replica fails all of its runs.
 	Failures bool
 	// Organisations makes the configuration name organisations, whose callers present keys.
@@ -34,7 +37,7 @@
 func DefaultOptions(binary, dir string, seed uint64) Options {
 	return Options{
 		Binary: binary, Dir: dir, Seed: seed, Nodes: 4, Engines: 4, PlainServices: 2,
-		FaultDuration: 12 * time.Second, PlannedDuration: 25 * time.Second, RecoveryTimeout: 60 * time.Second, Notices: true, Crashes: true, Failures: true,
+		FaultDuration: 12 * time.Second, PlannedDuration: 25 * time.Second, RecoveryTimeout: 60 * time.Second, Notices: true, Crashes: true, Blame: true, Failures: true,
 		Organisations: seed%2 == 1,
 	}
 }
--- a/bench/soak/run.go
+++ b/bench/soak/run.go
@@ -80,6 +80,13 @@
 			return report, err
 		}
 	}
+	if o.Blame {
+		time.Sleep(contactTime)
+		phase := &blamePhase{testbed: tb, clients: clients, oracle: oracle, rng: rand.New(rand.NewPCG(o.Seed, 7)), log: f.log}
+		if err := phase.run(); err != nil {
+			return report, err
+		}
+	}
 	stopClients()
 	clients.wg.Wait()
 	awaitJobs(clients, oracle, o.RecoveryTimeout)
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -37,6 +37,7 @@
 	for _, seed := range seeds {
 		options := DefaultOptions(binary, t.TempDir(), seed)
 		options.Nodes, options.FaultDuration = 3, ciFaultDuration
+		options.Blame = false // it has a test of its own
 		report, err := Run(options)
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 		g.Expect(report.Violations).To(gomega.BeEmpty(), "seed %d", seed)
--- a/bench/soak/testbed.go
+++ b/bench/soak/testbed.go
@@ -48,6 +48,8 @@
 	// dataCentre is the one in which the replica runs.
 	dataCentre string
 	draining   bool
+	// gone is set when the replica has crashed.
+	gone bool
 	// silentUntil is when the replica may fall silent again.
 	silentUntil time.Time
 }
@@ -127,7 +129,7 @@
 func (tb *testbed) readyEngines() []*backend {
 	var out []*backend
 	for _, b := range tb.backends {
-		if b.service == "models" && !b.draining {
+		if b.service == "models" && !b.draining && !b.gone {
 			out = append(out, b)
 		}
 	}
