Compare suspects of all kinds before one is blamed

What callers could see: a sound request that was in all crashes of one request with a deadly part, and in one of the next, was refused for a minute, as it was in more crashes than either. The part that explains them all was not looked at.

Cause: requests were compared with requests only. Besides, the evaluation went on without a pause while one suspect had a rival and another was not due.

Evidence: TestSoundRequestInCrashesOfADeadlyPartIsNotQuarantined fails on the commit before (the sound request is quarantined after the fourth crash).

Change: a request has a part of other requests as its rival, and a part a request that lacks it, if the one is in all crashes of the other. A request with a rival hides no evidence against others.

--- a/internal/quarantine/attribution.go
+++ b/internal/quarantine/attribution.go
@@ -18,10 +18,18 @@
 	// quarantined reports whether a part is quarantined.
 	quarantined func(Part) bool
 	found       map[Part]*candidate
+	// presences are the crashes of parts of prompts that no quarantined request explains.
+	presences map[Part]*presence
 	// blamed are the requests that are quarantined or in a series of crashes.
 	blamed map[Part]bool
 }
 
+// presence says in which crashes a part of prompts is, by index, and with which requests.
+type presence struct {
+	in       []int
+	requests map[Part]bool
+}
+
 // openCrash is a crash without the parts that are cleared of it.
 type openCrash struct {
 	at   time.Time
@@ -31,7 +39,9 @@
 // candidates returns the parts that two crashes or more have in common, in the order
 // of their number of crashes.
 func (t *crashTally) candidates(quarantined func(Part) bool) []*candidate {
-	a := &attribution{tally: t, quarantined: quarantined, found: make(map[Part]*candidate), blamed: make(map[Part]bool)}
+	a := &attribution{
+		tally: t, quarantined: quarantined, found: make(map[Part]*candidate), presences: make(map[Part]*presence), blamed: make(map[Part]bool),
+	}
 	crashes := make([]openCrash, 0, len(t.crashes))
 	for _, c := range t.crashes {
 		if open := (openCrash{at: c.at, runs: c.suspects()}); !a.explained(open) {
@@ -39,8 +49,9 @@
 		}
 	}
 	a.countRequests(crashes)
-	a.markRivals()
+	a.markRivalsOfRequests()
 	a.countPromptParts(crashes)
+	a.markRivalsOfParts()
 	var out []*candidate
 	for _, c := range a.found {
 		if c.crashes > 1 {
@@ -87,28 +98,73 @@
 			found.in = append(found.in, i)
 			a.blamed[request] = found.series() >= minCrashes
 		}
+		for _, run := range c.runs {
+			a.notePresence(run, i)
+		}
 	}
 }
 
-// markRivals marks the requests that are in a series of crashes which may as well be those
-// of another request: sound requests are sent on with a deadly one from replica to replica,
-// while few are left. They differ when one of them comes again.
-func (a *attribution) markRivals() {
+func (a *attribution) notePresence(run []Part, index int) {
+	request := requestOf(run)
+	for _, part := range run {
+		if part.isRequest() {
+			continue
+		}
+		p := a.presences[part]
+		if p == nil {
+			p = &presence{requests: make(map[Part]bool)}
+			a.presences[part] = p
+		}
+		p.requests[request] = true
+		if n := len(p.in); n == 0 || p.in[n-1] != index {
+			p.in = append(p.in, index)
+		}
+	}
+}
+
+// markRivalsOfRequests marks the requests in a series of crashes that may as well be those
+// of another request, or of a part that other requests have: sound requests are sent on
+// with a deadly one from replica to replica, while few are left. They differ when one of
+// them comes again.
+func (a *attribution) markRivalsOfRequests() {
 	for request, c := range a.found {
 		if !a.blamed[request] {
 			continue
 		}
-		for _, other := range a.found {
-			c.rival = c.rival || other.mayExplain(c)
+		for other, o := range a.found {
+			c.rival = c.rival || other != request && mayExplain(o.in, o.harmless, c.in, c.harmless)
+		}
+		for part, p := range a.presences {
+			c.rival = c.rival || !p.requests[request] && mayExplain(p.in, a.tally.harmless[part], c.in, c.harmless)
+		}
+	}
+}
+
+// markRivalsOfParts marks the parts of prompts in crashes that may as well be those of a
+// request without them.
+func (a *attribution) markRivalsOfParts() {
+	for part, p := range a.presences {
+		c := a.found[part]
+		if c == nil || c.convicted > 0 {
+			continue
+		}
+		for request, o := range a.found {
+			c.rival = c.rival || request.isRequest() && !p.requests[request] && mayExplain(o.in, o.harmless, p.in, c.harmless)
 		}
 	}
 }
 
+// mayExplain reports whether a suspect that is in some crashes may have caused all of
+// another one's, and is no less suspect by what has proved harmless.
+func mayExplain(in []int, harmless bool, others []int, othersHarmless bool) bool {
+	return (!harmless || othersHarmless) && !slices.ContainsFunc(others, func(i int) bool { return !slices.Contains(in, i) })
+}
+
 // countPromptParts counts the crashes for the parts of prompts.
 func (a *attribution) countPromptParts(crashes []openCrash) {
 	index, seen := 0, make(map[Part]bool)
 	for _, c := range crashes {
-		culprits := c.requests(func(request Part) bool { return a.blamed[request] })
+		culprits := c.requests(a.decidable)
 		again := len(culprits) > 0
 		for _, request := range culprits {
 			again = again && seen[request]
@@ -118,7 +174,7 @@
 			continue
 		}
 		for _, run := range c.runs {
-			if request := requestOf(run); len(culprits) == 0 || a.blamed[request] {
+			if request := requestOf(run); len(culprits) == 0 || a.decidable(request) {
 				a.countRun(run, request, index, c)
 			}
 		}
@@ -126,6 +182,12 @@
 	}
 }
 
+// decidable reports whether a request is quarantined, or would be.
+func (a *attribution) decidable(request Part) bool {
+	c := a.found[request]
+	return a.blamed[request] && (c == nil || !c.rival)
+}
+
 // countRun counts a crash for the parts of the prompt of one run. A part that has proved
 // harmless needs a different request for each crash, too.
 func (a *attribution) countRun(run []Part, request Part, index int, c openCrash) {
--- a/internal/quarantine/candidate.go
+++ b/internal/quarantine/candidate.go
@@ -1,9 +1,6 @@
 package quarantine
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // candidate is a part that crashes have in common.
 type candidate struct {
@@ -22,20 +19,12 @@
 	// number of those that are quarantined, and other that of the moments without them.
 	carriers         map[Part]bool
 	convicted, other int
-	// in are the indices of the crashes of a request, and rival is set if they are also
-	// those of another request, so that either may have caused them.
+	// in are the indices of the crashes of a request. rival is set if another suspect is in
+	// all crashes of the candidate, so that either may have caused them.
 	in    []int
 	rival bool
 }
 
-// mayExplain reports whether the request may have caused all crashes of another one.
-func (c *candidate) mayExplain(other *candidate) bool {
-	if c == other || c.harmless && !other.harmless {
-		return false
-	}
-	return !slices.ContainsFunc(other.in, func(i int) bool { return !slices.Contains(c.in, i) })
-}
-
 // observe counts the crash with an index for the candidate. convicted is set if the crash
 // is that of a quarantined request.
 func (c *candidate) observe(index, depth int, at time.Time, convicted bool) {
--- a/internal/quarantine/evaluate.go
+++ b/internal/quarantine/evaluate.go
@@ -50,7 +50,12 @@
 		}
 		parts := questionParts(asked, candidates)
 		anyProof, _ := s.askWitnesses(service, parts)
-		if !s.decideOnSuspects(service, parts, anyProof) {
+		decided, again := s.decideOnSuspects(service, parts, anyProof)
+		switch {
+		case decided:
+		case again:
+			time.Sleep(evaluationInterval)
+		default:
 			return
 		}
 	}
@@ -160,13 +165,13 @@
 }
 
 // decideOnSuspects quarantines the first suspect that is convincing, after the
-// witnesses have spoken. It reports whether the candidates must be looked at again: a
-// part was quarantined, a suspect is not due yet, or one was not among the asked parts.
-func (s *Service) decideOnSuspects(service core.DeploymentID, asked []Part, anyProof time.Time) bool {
+// witnesses have spoken. If there is none, it reports whether the candidates must be looked
+// at again: a suspect is not due yet, or one was not among the asked parts.
+func (s *Service) decideOnSuspects(service core.DeploymentID, asked []Part, anyProof time.Time) (decided, again bool) {
 	now := time.Now()
 	chosen, again := s.chooseSuspect(service, asked, anyProof, now)
 	if chosen == nil {
-		return again
+		return false, again
 	}
 	round, reason := 1, "requests with it crashed replicas"
 	if e, ok := s.list.get(chosen.part); ok {
@@ -178,7 +183,7 @@
 	s.decide(Entry{
 		Part: chosen.part, Round: round, Crashes: chosen.crashes, Until: now.Add(roundDuration(round)), By: s.Messenger.Self(),
 	}, reason)
-	return s.quarantined(chosen.part) // otherwise it would be chosen again
+	return s.quarantined(chosen.part), false // otherwise it would be chosen again
 }
 
 // chooseSuspect returns the suspect to quarantine, which then explains its crashes. If
--- a/internal/quarantine/rivals_test.go
+++ b/internal/quarantine/rivals_test.go
@@ -74,3 +74,40 @@
 		f.Expect(f.quarantinedRequests([]Part{sound})).To(gomega.BeZero())
 	})
 }
+
+// Guards against a sound request that is refused because it was in the crashes of several
+// requests, or items, with a deadly part, of which none was in as many.
+func TestSoundRequestInCrashesOfADeadlyPartIsNotQuarantined(t *testing.T) {
+	for _, online := range []bool{true, false} {
+		for _, gap := range []time.Duration{5 * time.Millisecond, 150 * time.Millisecond} {
+			synctest.Test(t, func(t *testing.T) {
+				f := newTestFleet(t, 4)
+				sound := RequestPart("h", "GET", "/sound", nil)
+				tainted := func(i int) []Part {
+					if !online {
+						return []Part{"f", "bad"}
+					}
+					return []Part{"f", "bad", RequestPart("h", "POST", fmt.Sprint(i), nil)}
+				}
+				defer f.soundRuns("f", "other")()
+				crashes := 0
+				for i := 0; i < 5 && !f.blocked("n0", "bad"); i++ {
+					for range 3 {
+						if crashes++; crashes <= 4 {
+							f.crashTogether(tainted(i), []Part{"f", "fine", sound})
+						} else {
+							f.crashTogether(tainted(i))
+						}
+						time.Sleep(gap)
+					}
+					time.Sleep(crashPause)
+					f.Expect(f.quarantinedRequests([]Part{sound})).To(gomega.BeZero())
+				}
+				f.Expect(f.blocked("n0", "bad")).To(gomega.BeTrue())
+				f.Expect(crashes).To(gomega.BeNumerically("<=", 9))
+				f.Expect(f.blocked("n0", "fine")).To(gomega.BeFalse())
+				f.Expect(f.blocked("n0", "f")).To(gomega.BeFalse())
+			})
+		}
+	}
+}
