--- a/internal/quarantine/doc.go
+++ b/internal/quarantine/doc.go
@@ -11,6 +11,10 @@
 // reach each other report to the hub that they reach, and learn the entries of the
 // others from the store.
 //
+// The crashes that are counted are in the store, too, with what is known as harmless: a
+// hub, or any other node, may be lost between them. Type crashState shares them,
+// attribution says which part they are held against.
+//
 // A quarantine ends with a trial: one request with the part is let through. If it
 // proves harmless, the part is released on all nodes. If it crashes a replica, the
 // part is quarantined for twice as long.
