Soak: a trouble while all engines have crashed no longer ends the run

The phase draws an engine for each trouble. While deadly requests had crashed all four engines within their restart time of one second, there was none to draw. The phase now disturbs no engine then.

The new test could only panic before: no engine is live in it.

The comment of the phase named stops of nodes and cuts of engines, which it doesn't make.

--- a/bench/soak/blame_test.go
+++ b/bench/soak/blame_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -22,3 +23,12 @@
 		g.Expect(report.Violations).To(gomega.BeEmpty(), "%s, seed %d", what, seed)
 	}
 }
+
+// Guards against a panic of the phase when an engine is to be disturbed while all have
+// crashed.
+func TestEnginesAreNotDisturbedWhileNoneIsLive(t *testing.T) {
+	g := gomega.NewWithT(t)
+	p := &blamePhase{rng: rand.New(rand.NewPCG(1, 1)), log: t.Logf, paused: make(map[*backend]time.Time)}
+	p.pauseEngine(p.engines.random(p.rng))
+	g.Expect(p.paused).To(gomega.BeEmpty())
+}
--- a/bench/soak/blamephase.go
+++ b/bench/soak/blamephase.go
@@ -41,9 +41,9 @@
 var blameKinds = []blameKind{{false, "/once/x"}, {false, "/resume/x"}, {true, "/once/x"}, {true, "/resume/x"}}
 
 // blamePhase sends requests that crash engines beside sound ones with the same callers and
-// parts, while nodes are killed, stopped and cut off, and engines pause, restart and are
-// cut off. From some time after the first crashes on, hardly any of the former may reach
-// an engine, and no sound one may be refused in their place.
+// parts, while nodes are killed, frozen and cut off, and engines pause and crash by
+// themselves. From some time after the first crashes on, hardly any of the former may
+// reach an engine, and no sound one may be refused in their place.
 type blamePhase struct {
 	testbed *testbed
 	clients *clients
@@ -202,10 +202,10 @@
 	}
 }
 
-// trouble disturbs nodes or an engine.
+// trouble disturbs nodes or an engine. At times no engine is live.
 func (p *blamePhase) trouble() error {
 	n := p.troubled[p.rng.IntN(len(p.troubled))]
-	b := p.engines.live[p.rng.IntN(max(1, len(p.engines.live)))]
+	engine := p.engines.random(p.rng)
 	switch p.rng.IntN(8) {
 	case 0, 1:
 		return p.kill(n)
@@ -220,14 +220,11 @@
 		n.store.setMode(modeBlackhole)
 		p.wg.Go(func() { time.Sleep(cut); n.store.setMode(modePass) })
 	case 5:
-		p.log("%s pauses", b.ID)
-		p.mu.Lock()
-		p.paused[b] = time.Now().Add(enginePause)
-		p.mu.Unlock()
+		p.pauseEngine(engine)
 	case 6:
 		if len(p.engines.live) > 2 {
-			p.log("%s crashes by itself", b.ID)
-			p.engines.crash(b)
+			p.log("%s crashes by itself", engine.ID)
+			p.engines.crash(engine)
 		}
 	case 7:
 		if time.Since(n.startedAt) < minSignalAge {
@@ -242,6 +239,17 @@
 	return nil
 }
 
+// pauseEngine lets an engine pause, if there is one.
+func (p *blamePhase) pauseEngine(b *backend) {
+	if b == nil {
+		return
+	}
+	p.log("%s pauses", b.ID)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.paused[b] = time.Now().Add(enginePause)
+}
+
 func (p *blamePhase) disturb(n *nodeProcess, until time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/bench/soak/crashableengines.go
+++ b/bench/soak/crashableengines.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"gentiantide.example/gentiantide/platform/platformtest"
@@ -41,6 +42,14 @@
 	}
 }
 
+// random returns one of the live engines, or nil if all have crashed.
+func (e *crashableEngines) random(rng *rand.Rand) *backend {
+	if len(e.live) == 0 {
+		return nil
+	}
+	return e.live[rng.IntN(len(e.live))]
+}
+
 // crash ends an engine: it resets its connections and refuses others.
 func (e *crashableEngines) crash(b *backend) platformtest.Behaviour {
 	b.proxy.close()
