Record the version of a stream's attempt that a standby has in flight

What callers saw: not seen with callers. A resumable stream whose replica falls silent is sent to another one, and the request goes over to that attempt while its exchange is still running. request.send read the error of the attempt to decide whether its version is recorded, while the exchange wrote it: a data race. If the exchange failed at that moment, the version of a run that may have begun was not recorded, so that a caller who takes the stream up could be given another version.

Cause: the error of an attempt stood for two things, of which only the first is known before the exchange: that the replica runs other software than the stream needs. This is now a field of its own that never changes.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -26,6 +26,9 @@
 	// registration when the request was sent.
 	started  int64
 	software replica.Software
+	// unsendable is set if the attempt fails without a request, as the replica runs other
+	// software than the stream needs.
+	unsendable bool
 	// resumes is set if the attempt goes on with a stream that another one began, after
 	// the event resumeAfter.
 	resumes     bool
@@ -48,7 +51,7 @@
 	a := &attempt{replica: target, run: run, started: info.Started, software: info.Software(), resumes: begunAt != nil, resumeAfter: resumeAfter}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	if begunAt != nil && a.software != *begunAt {
-		a.err = errOtherSoftware
+		a.unsendable, a.err = true, errOtherSoftware
 	}
 	return a
 }
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -138,7 +138,7 @@
 // send makes an attempt, or waits for the answer to one that a standby has begun.
 func (r *request) send(a *attempt) {
 	r.attempt = a
-	if r.recording != nil && a.err == nil {
+	if r.recording != nil && !a.unsendable {
 		r.recording.Send(a.software.Version)
 	}
 	if a.answered != nil {
