Hold back requests after which replicas go dark

A request after which the machine of its replica falls silent reached ten replicas in ten tries, seven of them later than 3 s after the third, and was never refused. Ten of 990 sound requests were lost with these replicas.

Cause: only a replica that refuses connections counted as crashed. At a machine without power connections stay open and bring nothing, and new ones are not established; the run ended at its deadline, and said nothing.

Why this fix works: a run without an answer is looked after once its replica has been silent for 500 ms. If no connection to the replica can be established either, it is avoided at once, and after another 1.6 s of failing attempts the nodes compare what they see. The run is a suspect if another node gets no answer as well, one in the data centre of the replica if there is any, none gets one, and other replicas of that data centre can be reached. So these are no evidence: a pause of up to 2 s, as attempts succeed again; a held-up process or a full queue of requests, as the machine still accepts connections; a cut of one link, as other nodes reach the replica; a cut or an outage of a data centre, as its other replicas are silent, too; a pause of this node, as there is a gap between its attempts. A run that was sent when the replica was known to be dark is no suspect, nor is one that was answered, not sent or not run. Dark replicas within a second count as one moment, as nodes notice them one after the other, and reports of a process that is dark are one crash for 10 s. The rest is as for crashes: hubs, the shared state, trials.

Evidence: TestRequestsAfterWhichReplicasAreDarkAreHeldBack, with real nodes, failed in all five cases before (a request or a part, one or three runs, streams and plain requests: no node refused any of 24 requests) and passed 4 of 4 runs with the race detector.

A replica that can go dark is in replicatest, for all tests.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -59,8 +59,7 @@
 // notRun reports whether the attempt certainly did not run the request.
 func (a *attempt) notRun() bool {
 	if a.err != nil {
-		var failure *replica.Failure
-		return errors.Is(a.err, errOtherSoftware) || errors.As(a.err, &failure) && !failure.Sent
+		return errors.Is(a.err, errOtherSoftware) || replica.NotSent(a.err)
 	}
 	return a.info.Misdirected || a.info.NotRun && !a.info.Foreign
 }
@@ -141,6 +140,9 @@
 	if a.response != nil {
 		a.response.Close()
 	}
+	if a.notRun() {
+		a.run.RecordNotRun()
+	}
 	a.run.End()
 	a.replica.End(core.ClassOnline)
 }
--- a/internal/jobs/executor.go
+++ b/internal/jobs/executor.go
@@ -119,6 +119,9 @@
 	defer run.end()
 	start, from, fresh := time.Now(), task.lastEvent, task.output.events == 0
 	outcome, err := e.sendItem(runCtx, run, target)
+	if outcome == outcomeNotRun || errors.Is(err, errOtherSoftware) && run.sent.IsZero() || replica.NotSent(err) {
+		observed.RecordNotRun()
+	}
 	switch {
 	case outcome != outcomeBroken && outcome != outcomeNotRun:
 	case errors.Is(context.Cause(runCtx), quarantine.ErrQuarantined):
--- a/internal/platformnode/node.go
+++ b/internal/platformnode/node.go
@@ -130,7 +130,8 @@
 	n.scope, n.metrics, n.metricsCloser = scope, handler, closer
 	n.quarantine = quarantine.New(quarantine.Options{
 		Messenger: n.peers, View: n.nodes.View, Persist: n.nodes.RenewSoon, Log: log, Scope: scope,
-		Hubs: func(service core.DeploymentID) []core.NodeID { return n.placer.Hubs(service) },
+		Hubs:     func(service core.DeploymentID) []core.NodeID { return n.placer.Hubs(service) },
+		Registry: n.registry, ReportSilent: func(r *replica.Replica) { n.placer.ReportStall(r) }, DataCentre: settings.DataCentre,
 	})
 	n.nodes.Share("shared", n.quarantine)
 	n.nodes.Share("crashes", n.quarantine.Crashes())
--- a/internal/quarantine/attribution.go
+++ b/internal/quarantine/attribution.go
@@ -32,8 +32,9 @@
 
 // openCrash is a crash without the parts that are cleared of it.
 type openCrash struct {
-	at   time.Time
-	runs [][]Part
+	at     time.Time
+	moment time.Duration
+	runs   [][]Part
 }
 
 // candidates returns the parts that two crashes or more have in common, in the order
@@ -44,7 +45,7 @@
 	}
 	crashes := make([]openCrash, 0, len(t.crashes))
 	for _, c := range t.crashes {
-		if open := (openCrash{at: c.at, runs: c.suspects()}); !a.explained(open) {
+		if open := (openCrash{at: c.at, moment: c.moment(), runs: c.suspects()}); !a.explained(open) {
 			crashes = append(crashes, open)
 		}
 	}
@@ -94,7 +95,7 @@
 		}
 		for _, request := range c.requests(nil) {
 			found := a.candidate(request, i)
-			found.observe(i, 0, c.at, false)
+			found.observe(i, 0, c, false)
 			found.in = append(found.in, i)
 			a.blamed[request] = found.series() >= minCrashes
 		}
@@ -206,7 +207,7 @@
 		if convicted {
 			found.convicted++
 		}
-		found.observe(index, depth, c.at, convicted)
+		found.observe(index, depth, c, convicted)
 	}
 }
 
--- a/internal/quarantine/candidate.go
+++ b/internal/quarantine/candidate.go
@@ -12,7 +12,7 @@
 	first, last, crashes int
 	// harmless is set if a run with the part has proved harmless at some time.
 	harmless bool
-	// moments are the times of its crashes, each momentLength or more after the one
+	// moments are the times of its crashes, without those in the same moment as the one
 	// before.
 	moments []time.Time
 	// carriers are the requests with the part that have been counted. convicted is the
@@ -27,15 +27,15 @@
 
 // observe counts the crash with an index for the candidate. convicted is set if the crash
 // is that of a quarantined request.
-func (c *candidate) observe(index, depth int, at time.Time, convicted bool) {
+func (c *candidate) observe(index, depth int, crash openCrash, convicted bool) {
 	c.depth = max(c.depth, depth)
 	if c.last == index {
 		return
 	}
 	c.last = index
 	c.crashes++
-	if n := len(c.moments); n == 0 || at.Sub(c.moments[n-1]) >= momentLength {
-		c.moments = append(c.moments, at)
+	if n := len(c.moments); n == 0 || crash.at.Sub(c.moments[n-1]) >= crash.moment {
+		c.moments = append(c.moments, crash.at)
 		if !convicted {
 			c.other++
 		}
--- a/internal/quarantine/crash.go
+++ b/internal/quarantine/crash.go
@@ -13,6 +13,8 @@
 	// started tells the processes of the replica apart, as in its registration.
 	started int64
 	at      time.Time
+	// silent is set if the replica fell silent, so that at may be late by some 100 ms.
+	silent bool
 	// stored is set if the crash is in the store. clock is then its time there, and
 	// storedFacts the number of runs and of cleared parts.
 	stored      bool
@@ -24,11 +26,22 @@
 	cleared []Part
 }
 
-// of reports whether the crash is that of a replica's process at a time, which is known
-// with a tolerance.
-func (c *crash) of(replica core.ReplicaID, started int64, at time.Time, tolerance time.Duration) bool {
-	otherProcess := c.started != 0 && started != 0 && c.started != started
-	return c.replica == replica && !otherProcess && c.at.Sub(at).Abs() < tolerance
+// of reports whether the crash is the same as another one, the time of which is known with
+// a tolerance.
+func (c *crash) of(other *crash, tolerance time.Duration) bool {
+	if c.silent || other.silent {
+		tolerance = sameSilentTime
+	}
+	otherProcess := c.started != 0 && other.started != 0 && c.started != other.started
+	return c.replica == other.replica && !otherProcess && c.at.Sub(other.at).Abs() < tolerance
+}
+
+// moment is the time within which other crashes count as one with it.
+func (c *crash) moment() time.Duration {
+	if c.silent {
+		return silentMomentLength
+	}
+	return momentLength
 }
 
 // addRun adds a run that may have caused the crash. It reports whether it was not known.
--- a/internal/quarantine/crashstate.go
+++ b/internal/quarantine/crashstate.go
@@ -113,15 +113,15 @@
 
 // merge returns the crash of the tally that another node knows, and whether it is new.
 func (t *crashTally) merge(from *crashEvidence, at, now time.Time) (c *crash, isNew bool) {
+	found := &crash{replica: from.Replica, started: from.Started, at: at, silent: from.Silent}
 	for _, c := range t.crashes {
-		if c.of(from.Replica, from.Started, at, sameStoredTime) {
+		if c.of(found, sameStoredTime) {
 			return c, false
 		}
 	}
 	t.expire(now)
-	c = &crash{replica: from.Replica, started: from.Started, at: at}
-	t.insert(c)
-	return c, true
+	t.insert(found)
+	return found, true
 }
 
 // contributeProofs clears the parts of crashes with which runs at this node have proved
@@ -177,7 +177,7 @@
 	var harmless []Part
 	for _, counted := range s.latestCrashes(now) {
 		c := counted.crash
-		from := crashEvidence{Service: counted.service, Replica: c.replica, Started: c.started, At: timeOf(c), Cleared: index.of(c.cleared)}
+		from := crashEvidence{Service: counted.service, Replica: c.replica, Started: c.started, Silent: c.silent, At: timeOf(c), Cleared: index.of(c.cleared)}
 		for _, run := range c.runs {
 			from.Runs = append(from.Runs, index.of(run))
 			for _, part := range run {
--- a/internal/quarantine/crashtally.go
+++ b/internal/quarantine/crashtally.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"gentiantide.example/gentiantide/internal/core"
 )
 
 const (
@@ -34,11 +32,17 @@
 	// momentLength is the time within which crashes count as one. Replicas that fail
 	// together, with a rack or a switch, were not crashed by a request.
 	momentLength = 100 * time.Millisecond
+	// silentMomentLength is the same for replicas that fell silent. Nodes notice that at
+	// different times.
+	silentMomentLength = time.Second
 	// sameCrashTime is the time within which reports about a process of a replica belong
 	// to the same crash, and sameStoredTime that for crashes in the store, whose times
 	// depend on how fast it answers.
 	sameCrashTime  = time.Second
 	sameStoredTime = 3 * time.Second
+	// sameSilentTime is the same for replicas that fell silent. What nodes send them
+	// later is lost as well, and a machine that returns refuses connections.
+	sameSilentTime = 10 * time.Second
 	// crashRetention is how long a crash counts.
 	crashRetention = 10 * time.Minute
 	// maxCrashes, maxRuns and maxHarmless bound the memory of the tally: crashes, runs
@@ -56,16 +60,18 @@
 	harmless map[Part]bool
 }
 
-// add adds a run that was at a process of a replica when it crashed.
-func (t *crashTally) add(replica core.ReplicaID, started int64, run []Part, now time.Time) {
+// add adds a crash with a run that may have caused it.
+func (t *crashTally) add(found *crash, now time.Time) {
 	t.expire(now)
 	for _, c := range t.crashes {
-		if c.of(replica, started, now, sameCrashTime) {
-			c.addRun(run)
+		if c.of(found, sameCrashTime) {
+			for _, run := range found.runs {
+				c.addRun(run)
+			}
 			return
 		}
 	}
-	t.insert(&crash{replica: replica, started: started, at: now, runs: [][]Part{run}})
+	t.insert(found)
 }
 
 func (t *crashTally) insert(c *crash) {
--- a/internal/quarantine/crashtally_test.go
+++ b/internal/quarantine/crashtally_test.go
@@ -15,7 +15,7 @@
 // each.
 func crashSeries(t *crashTally, from time.Time, n int, gap time.Duration, suspect func(i int) []Part) time.Time {
 	for i := range n {
-		t.add(core.ReplicaID(fmt.Sprintf("i-%d-%d", from.UnixNano(), i)), 0, suspect(i), from)
+		addCrash(t, core.ReplicaID(fmt.Sprintf("i-%d-%d", from.UnixNano(), i)), suspect(i), from)
 		from = from.Add(gap)
 	}
 	return from
@@ -47,8 +47,8 @@
 	now := time.Now()
 	for i := range 5 {
 		replica := core.ReplicaID(fmt.Sprintf("i-%d", i))
-		tally.add(replica, 0, []Part{"first", own(i), own(i + 50)}, now)
-		tally.add(replica, 0, []Part{"first", "bad", own(i + 100)}, now)
+		addCrash(tally, replica, []Part{"first", own(i), own(i + 50)}, now)
+		addCrash(tally, replica, []Part{"first", "bad", own(i + 100)}, now)
 		now = now.Add(200 * time.Millisecond)
 	}
 	now = crashSeries(tally, now, 1, 200*time.Millisecond, func(i int) []Part { return []Part{"first", own(10)} })
@@ -73,9 +73,9 @@
 	now := time.Now()
 	for i := range 8 {
 		replica := core.ReplicaID(fmt.Sprintf("i-%d", i))
-		tally.add(replica, 0, []Part{own(i), "bad", own(i + 100)}, now)
+		addCrash(tally, replica, []Part{own(i), "bad", own(i + 100)}, now)
 		if i%3 == 1 || i == 6 {
-			tally.add(replica, 0, []Part{"popular", own(i + 50), own(i + 200)}, now)
+			addCrash(tally, replica, []Part{"popular", own(i + 50), own(i + 200)}, now)
 		}
 		now = now.Add(110 * time.Millisecond)
 	}
@@ -140,13 +140,18 @@
 	now := crashSeries(tally, time.Now(), 3*maxCrashes, time.Millisecond, func(i int) []Part { return []Part{own(i)} })
 	g.Expect(len(tally.crashes)).To(gomega.BeNumerically("<=", maxCrashes))
 	for i := range 3 * maxRuns {
-		tally.add("i-busy", 0, []Part{own(i)}, now)
+		addCrash(tally, "i-busy", []Part{own(i)}, now)
 	}
 	g.Expect(tally.crashes[len(tally.crashes)-1].runs).To(gomega.HaveLen(maxRuns))
 	for i := range 3 * maxHarmless {
 		tally.acquit(own(i), now)
 	}
 	g.Expect(len(tally.harmless)).To(gomega.BeNumerically("<=", maxHarmless))
-	tally.add("i-late", 0, []Part{"late"}, now.Add(crashRetention+time.Second))
+	addCrash(tally, "i-late", []Part{"late"}, now.Add(crashRetention+time.Second))
 	g.Expect(tally.crashes).To(gomega.HaveLen(1))
 }
+
+// addCrash adds a crash of a replica with a run.
+func addCrash(t *crashTally, replica core.ReplicaID, run []Part, at time.Time) {
+	t.add(&crash{replica: replica, at: at, runs: [][]Part{run}}, at)
+}
--- a/internal/quarantine/doc.go
+++ b/internal/quarantine/doc.go
@@ -3,7 +3,10 @@
 // in common and refuses requests with it until the crashes have ended.
 //
 // Each node observes its runs at replicas. A run whose connection breaks before it
-// has proved harmless is a suspect if the replica then refuses connections. The
+// has proved harmless is a suspect if the replica then refuses connections. So is one
+// whose replica has gone dark with its machine: for longer than sound replicas pause, the
+// run has got no answer and no connection was established, neither from this node nor
+// from others, while other replicas of the data centre can be reached (silenceWatch). The
 // suspects of all nodes are reported to one node, the first hub of the service, which
 // looks for a part that was in several crashes and asks all nodes whether a run with
 // it has proved harmless since. If none has, the part is quarantined: the entry goes
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -23,6 +23,7 @@
 	Service core.DeploymentID `msgpack:"s"`
 	Replica core.ReplicaID    `msgpack:"r"`
 	Started int64             `msgpack:"i,omitempty"`
+	Silent  bool              `msgpack:"l,omitempty"`
 	At      time.Duration     `msgpack:"a"`
 	Runs    [][]int           `msgpack:"u"`
 	Cleared []int             `msgpack:"k,omitempty"`
--- a/internal/quarantine/memory_test.go
+++ b/internal/quarantine/memory_test.go
@@ -10,6 +10,7 @@
 	"github.com/onsi/gomega"
 
 	"gentiantide.example/gentiantide/internal/core"
+	"gentiantide.example/gentiantide/internal/replica"
 )
 
 const (
@@ -132,7 +133,7 @@
 	f := newTestFleet(t, 3)
 	f.setDown(true, "n0")
 	target := crashedReplica()
-	f.Expect(target.RefusesConnections(t.Context())).To(gomega.BeTrue())
+	f.Expect(target.Connect(t.Context())).To(gomega.Equal(replica.Refused))
 	run, ok := f.service("n2").Begin([]Part{"f", "bad"}, target)
 	f.Expect(ok).To(gomega.BeTrue())
 	run.RecordEnd(io.EOF, false)
--- a/internal/quarantine/messages.go
+++ b/internal/quarantine/messages.go
@@ -12,6 +12,8 @@
 	// kindWitness is a call from a hub to all nodes: it asks whether runs with some
 	// parts have proved harmless.
 	kindWitness = "quarantine.witness"
+	// kindReach is a call to a node: it asks whether a replica answers that node.
+	kindReach = "quarantine.reach"
 	// kindEntries is a call to all nodes that passes entries on.
 	kindEntries = "quarantine.entries"
 )
@@ -23,12 +25,28 @@
 	// Started tells the processes of the replica apart, as in its registration.
 	Started int64  `msgpack:"i,omitempty"`
 	Parts   []Part `msgpack:"p"`
+	// Silent is set if the replica fell silent, and Age is the time since it was noticed.
+	Silent bool          `msgpack:"l,omitempty"`
+	Age    time.Duration `msgpack:"a,omitempty"`
 	// Copy is set if another hub has taken the report and decides.
 	Copy bool `msgpack:"y,omitempty"`
 	// Trials are the entries of the parts of which the run was the trial.
 	Trials []Notice `msgpack:"t,omitempty"`
 }
 
+// reachRequest asks whether a process of a replica answers.
+type reachRequest struct {
+	Replica core.ReplicaID `msgpack:"r"`
+	Started int64          `msgpack:"i,omitempty"`
+}
+
+// reachResponse says whether the replica answers or gives no sign of life. Neither is set
+// if the node does not know the process.
+type reachResponse struct {
+	Answers bool `msgpack:"a,omitempty"`
+	Silent  bool `msgpack:"l,omitempty"`
+}
+
 // witnessRequest asks when runs with the parts last proved harmless.
 type witnessRequest struct {
 	Parts []Part `msgpack:"p"`
--- a/internal/quarantine/run.go
+++ b/internal/quarantine/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"slices"
+	"sync"
 	"syscall"
 	"time"
 
@@ -33,12 +34,26 @@
 	service *Service
 	parts   []Part
 	replica *replica.Replica
-	trial   []Part
+	// started tells the process of the replica apart, as in its registration.
+	started int64
+	sent    time.Time
+	// trial are the parts of which the run is the trial.
+	trial []Part
 	// failing is set if the last runs at the replica had failed before this one: what
 	// makes it fail is not this request.
 	failing bool
 	began   time.Time // of the response, with its first event
 	proved  bool
+
+	// silence looks after the run while the replica is silent, also after its end.
+	silence *time.Timer
+	mu      sync.Mutex
+	// settled is set once the silence of the replica says nothing about the run, and
+	// watched while a silenceWatch has it. ended is the end of the run.
+	settled, watched bool
+	ended            time.Time
+	// released is set once another run may be the trial, or another goroutine sees to it.
+	released bool
 }
 
 // Begin starts to observe a run. It reports false if the request must not be sent
@@ -55,7 +70,13 @@
 	if len(trial) > 0 {
 		s.Log.Info("trial of quarantined parts", "parts", trial, "replica", target.Info().ID)
 	}
-	return &Run{service: s, parts: parts, replica: target, trial: trial, failing: target.OnProbation(now)}, true
+	run = &Run{
+		service: s, parts: parts, replica: target, started: target.Info().Started, sent: now, trial: trial, failing: target.OnProbation(now),
+	}
+	run.mu.Lock()
+	defer run.mu.Unlock()
+	run.silence = time.AfterFunc(silenceTime, run.lookAfter)
+	return run, true
 }
 
 // RecordEvent records that an event of the response has arrived.
@@ -79,6 +100,16 @@
 		r.prove()
 	case err == nil && !framed || ConnectionBroken(err):
 		r.suspect()
+	case err == nil:
+		r.settle()
+	}
+}
+
+// RecordNotRun records that the run cannot have crashed the replica: the request was not
+// sent, or not run.
+func (r *Run) RecordNotRun() {
+	if r != nil {
+		r.settle()
 	}
 }
 
@@ -92,56 +123,93 @@
 	r.RecordEnd(err, framed)
 }
 
-// End ends the observation. The request is no trial any more.
+// End ends the observation. The request is no trial any more, unless its replica is
+// being watched.
 func (r *Run) End() {
-	if r != nil && len(r.trial) > 0 {
-		r.service.list.release(r.trial)
-		r.trial = nil
+	if r == nil {
+		return
+	}
+	r.mu.Lock()
+	r.ended = time.Now()
+	watched := r.watched
+	r.mu.Unlock()
+	if !watched {
+		r.releaseTrial()
+	}
+}
+
+// takeTrial returns the parts of which the run is the trial, unless they are released or
+// taken. The caller must release them.
+func (r *Run) takeTrial() []Part {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.released {
+		return nil
+	}
+	r.released = true
+	return r.trial
+}
+
+func (r *Run) releaseTrial() {
+	if trial := r.takeTrial(); len(trial) > 0 {
+		r.service.list.release(trial)
 	}
 }
 
 func (r *Run) prove() {
 	r.proved = true
+	r.settle()
 	r.service.proofs.add(r.parts, r.began)
 	for _, part := range r.trial {
 		r.service.lift(part, "the trial proved harmless")
 	}
 }
 
-// suspect reports the run if its replica has crashed. Replicas that were leaving
-// were expected to end, and those that had failed before may fail again. A trial is
-// reported all the same.
+// suspect reports the run if its replica refuses connections.
 func (r *Run) suspect() {
-	if r.replica.Leaving() || r.failing && len(r.trial) == 0 {
+	r.settle()
+	if !r.mayHaveCrashed() {
 		return
 	}
+	r.service.reporting.Add(1)
+	go r.service.verify(r, r.takeTrial())
+}
+
+// mayHaveCrashed reports whether a crash of the replica may be the fault of the run.
+// Replicas that were leaving were expected to end, and those that had failed before may
+// fail again. A trial counts all the same.
+func (r *Run) mayHaveCrashed() bool {
+	return !r.replica.Leaving() && (!r.failing || len(r.trial) > 0)
+}
+
+// report returns the report of the run as one that may have crashed its replica.
+func (r *Run) report() *report {
 	info := r.replica.Info()
-	suspect := report{Service: info.Service, Replica: info.ID, Started: info.Started, Parts: slices.Clone(r.parts)}
+	out := &report{Service: info.Service, Replica: info.ID, Started: r.started, Parts: slices.Clone(r.parts)}
 	for _, part := range r.trial {
 		if e, ok := r.service.list.get(part); ok {
-			suspect.Trials = append(suspect.Trials, newNotice(&e, time.Now()))
+			out.Trials = append(out.Trials, newNotice(&e, time.Now()))
 		}
 	}
-	r.service.reporting.Add(1)
-	go r.service.verify(r.replica, &suspect, r.trial)
-	r.trial = nil
+	return out
 }
 
-// verify reports the suspect if the replica refuses connections, and ends its trial.
-func (s *Service) verify(target *replica.Replica, suspect *report, trial []Part) {
-	defer contain.Recover(s.Log, "suspect of a crash", string(suspect.Replica))
+// verify reports a run if its replica refuses connections, and ends its trial.
+func (s *Service) verify(r *Run, trial []Part) {
+	defer contain.Recover(s.Log, "suspect of a crash", string(r.replica.Info().ID))
 	defer s.list.release(trial)
-	if s.reportCrash(target, suspect) && len(trial) > 0 {
+	if s.reportCrash(r) && len(trial) > 0 {
 		time.Sleep(trialSettleTime)
 	}
 }
 
-// reportCrash reports the suspect if the replica refuses connections.
-func (s *Service) reportCrash(target *replica.Replica, suspect *report) bool {
+// reportCrash reports a run if its replica refuses connections.
+func (s *Service) reportCrash(r *Run) bool {
 	defer s.reporting.Add(-1)
+	suspect := r.report()
 	ctx, cancel := context.WithTimeout(context.Background(), verifyTimeout)
 	defer cancel()
-	if !target.RefusesConnections(ctx) {
+	if r.replica.Connect(ctx) != replica.Refused {
 		return false
 	}
 	s.sendReport(suspect)
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -14,6 +14,7 @@
 	"gentiantide.example/gentiantide/internal/core"
 	"gentiantide.example/gentiantide/internal/nodes"
 	"gentiantide.example/gentiantide/internal/peer"
+	"gentiantide.example/gentiantide/internal/replica"
 	"gentiantide.example/gentiantide/internal/wire"
 )
 
@@ -38,8 +39,14 @@
 	// Persist is called after an entry of this node's own has changed, so that it is
 	// soon written to the store.
 	Persist func()
-	Log     *slog.Logger
-	Scope   tally.Scope
+	// Registry holds the replicas, and ReportSilent is called with one that has fallen
+	// silent.
+	Registry     *replica.Registry
+	ReportSilent func(*replica.Replica)
+	// DataCentre is that of this node.
+	DataCentre core.DataCentre
+	Log        *slog.Logger
+	Scope      tally.Scope
 }
 
 // Service is the quarantine of a node.
@@ -48,6 +55,7 @@
 	list     *list
 	proofs   *proofs
 	counters *counters
+	silences silences
 	// reporting is the number of crashes that are being reported.
 	reporting atomic.Int32
 
@@ -61,11 +69,12 @@
 // transport afterwards.
 func New(o Options) *Service {
 	s := &Service{
-		Options: o, list: newList(o.Messenger.Self()), proofs: newProofs(), counters: newCounters(o.Scope),
+		Options: o, list: newList(o.Messenger.Self()), proofs: newProofs(), counters: newCounters(o.Scope), silences: silences{watches: make(map[silenceKey]*silenceWatch)},
 		tallies: make(map[core.DeploymentID]*serviceTally), storedHarmless: make(map[Part]bool),
 	}
 	o.Messenger.Handle(kindReport, s.handleReport)
 	o.Messenger.Handle(kindWitness, s.handleWitness)
+	o.Messenger.Handle(kindReach, s.handleReach)
 	o.Messenger.Handle(kindEntries, s.handleEntries)
 	return s
 }
@@ -194,7 +203,7 @@
 // it has decided, and before the crash is in the store.
 func (s *Service) sendReport(suspect *report) {
 	s.counters.suspects.Inc(1)
-	s.Log.Info("run was at a replica when it crashed", "replica", suspect.Replica, "parts", suspect.Parts, "trial", len(suspect.Trials) > 0)
+	s.Log.Info("run was at a replica when it crashed", "replica", suspect.Replica, "silent", suspect.Silent, "parts", suspect.Parts, "trial", len(suspect.Trials) > 0)
 	self, kept := s.Messenger.Self(), false
 	for _, hub := range s.Hubs(suspect.Service) {
 		if hub == self {
@@ -235,7 +244,9 @@
 	}
 	s.mu.Lock()
 	t := s.tallyOf(suspect.Service)
-	t.add(suspect.Replica, suspect.Started, suspect.Parts, now)
+	t.add(&crash{
+		replica: suspect.Replica, started: suspect.Started, at: now.Add(-suspect.Age), silent: suspect.Silent, runs: [][]Part{suspect.Parts},
+	}, now)
 	t.changed = true
 	if !suspect.Copy {
 		s.evaluateIfChanged(suspect.Service)
--- a/internal/quarantine/service_test.go
+++ b/internal/quarantine/service_test.go
@@ -88,7 +88,7 @@
 	s := New(Options{
 		Messenger: &fakeMessenger{fleet: f, self: id, handlers: make(map[string]peer.Handler)},
 		Hubs:      func(core.DeploymentID) []core.NodeID { return f.hubs() }, View: func() *nodes.View { return &f.view },
-		Persist: func() { go f.renew(id) }, Log: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
+		Persist: func() { go f.renew(id) }, Registry: replica.NewRegistry(), Log: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
 	})
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/replica/failure.go
+++ b/internal/replica/failure.go
@@ -1,6 +1,9 @@
 package replica
 
-import "fmt"
+import (
+	"errors"
+	"fmt"
+)
 
 // Failure is the error of a request that got no response from a replica.
 type Failure struct {
@@ -23,3 +26,9 @@
 
 // Unwrap returns the underlying error.
 func (f *Failure) Unwrap() error { return f.Err }
+
+// NotSent reports whether an error says that the request has not been sent.
+func NotSent(err error) bool {
+	var failure *Failure
+	return errors.As(err, &failure) && !failure.Sent
+}
--- a/internal/replica/health.go
+++ b/internal/replica/health.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"syscall"
 	"time"
 
 	"gentiantide.example/gentiantide/internal/core"
@@ -127,14 +125,3 @@
 		}
 	}
 }
-
-// RefusesConnections reports whether the replica's machine refuses connections to
-// it: the replica has crashed or ended. A connection that opens goes to the pool.
-func (r *Replica) RefusesConnections(ctx context.Context) bool {
-	c, err := dial(ctx, r.Info().Address)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
-	}
-	r.pool.put(c, time.Now())
-	return false
-}
--- a/internal/replica/reach.go
+++ b/internal/replica/reach.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
-	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -42,7 +40,7 @@
 	var wait sync.WaitGroup
 	for _, r := range all[:reachSamples] {
 		wait.Go(func() {
-			if r.silent(ctx) {
+			if r.Connect(ctx) == Silent {
 				silent.Add(1)
 			}
 		})
@@ -63,18 +61,6 @@
 	return found
 }
 
-// silent reports whether the machine of a replica does not answer an attempt to connect.
-// A connection that opens goes to the pool.
-func (r *Replica) silent(ctx context.Context) bool {
-	c, err := dial(ctx, r.Info().Address)
-	if err == nil {
-		r.pool.put(c, time.Now())
-		return false
-	}
-	var timeout net.Error
-	return errors.As(err, &timeout) && timeout.Timeout()
-}
-
 // ProbeSoon probes unreachable replicas of a data centre at once, as a message has come
 // from there. The first that answers makes the probes of the others due.
 func (g *Registry) ProbeSoon(dc core.DataCentre) {
@@ -89,3 +75,27 @@
 		}
 	}
 }
+
+// ReachesOthers tries some other replicas of a replica's data centre. It returns how many
+// can be reached of those that it tried.
+func (g *Registry) ReachesOthers(ctx context.Context, r *Replica) (reached, tried int) {
+	var others []*Replica
+	for _, other := range g.All() {
+		if other != r && other.Info().DataCentre == r.Info().DataCentre {
+			others = append(others, other)
+		}
+	}
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	others = others[:min(len(others), reachSamples)]
+	var open atomic.Int32
+	var wait sync.WaitGroup
+	for _, other := range others {
+		wait.Go(func() {
+			if time.Since(other.LastHeard()) < stallTimeout || other.Connect(ctx) == Open {
+				open.Add(1)
+			}
+		})
+	}
+	wait.Wait()
+	return int(open.Load()), len(others)
+}
--- a/internal/replica/reach_test.go
+++ b/internal/replica/reach_test.go
@@ -3,36 +3,24 @@
 import (
 	"fmt"
 	"net"
-	"syscall"
 	"testing"
 	"time"
 
 	"github.com/onsi/gomega"
 
 	"gentiantide.example/gentiantide/internal/core"
+	"gentiantide.example/gentiantide/internal/replica/replicatest"
 )
 
-// silentAddress returns an address that answers no attempt to connect, as behind a cut:
-// the queue of its socket is full.
+// silentAddress returns an address that answers no attempt to connect, as behind a cut.
 func silentAddress(t *testing.T) string {
 	gm := gomega.NewWithT(t)
-	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
-	gm.Expect(err).NotTo(gomega.HaveOccurred())
-	t.Cleanup(func() { syscall.Close(fd) })
-	gm.Expect(syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}})).To(gomega.Succeed())
-	gm.Expect(syscall.Listen(fd, 0)).To(gomega.Succeed())
-	name, err := syscall.Getsockname(fd)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	gm.Expect(err).NotTo(gomega.HaveOccurred())
-	address := fmt.Sprintf("127.0.0.1:%d", name.(*syscall.SockaddrInet4).Port)
-	for range 3 {
-		c, err := net.DialTimeout("tcp", address, reachTimeout)
-		if err != nil {
-			return address
-		}
-		t.Cleanup(func() { c.Close() })
-	}
-	t.Fatal("the queue of the socket does not become full")
-	return ""
+	dark := &replicatest.DarkListener{TCPListener: listener.(*net.TCPListener)}
+	t.Cleanup(func() { dark.Close() })
+	gm.Expect(dark.GoDark()).To(gomega.Succeed())
+	return listener.Addr().String()
 }
 
 // Guards against requests that are lost one after the other in a data centre that is cut
--- /dev/null
+++ b/internal/replica/replicatest/doc.go
@@ -0,0 +1,2 @@
+// Package replicatest has faults of replicas for tests.
+package replicatest
