Apply a changed store address on SIGHUP, and name each setting that waits

The settings files named another address of the store, with SIGHUP. Nodes went on with the former one. When the store left it, an accepted job was answered 503 for ever, no configuration was followed and no job was accepted any more.

Cause: the file was read and nothing of it applied; the client of the store had the address of the start.

Why this fix works: on SIGHUP the client takes the new address for each further call; calls in progress end at the former one, and a write whose outcome is lost is resolved by a read, as after any lost call. The stop grace is applied, too. A bad file changes nothing, and the error names the line. SIGHUP is heard while the node stops. `gentiantide fleet` shows for each node the version of the file that it has read, and whether some of it waits.

--- a/internal/nodes/directory.go
+++ b/internal/nodes/directory.go
@@ -68,6 +68,7 @@
 	restored monotime.AtomicTime
 	failing  atomic.Bool
 	stopping atomic.Bool
+	settings atomic.Pointer[settingsState]
 	// mu is held by renew and Leave, so that no renewal undoes Leave.
 	mu   sync.Mutex
 	left bool
@@ -82,6 +83,12 @@
 	shared   []sharedRow
 }
 
+// settingsState is what a node says of its settings file, see Record.
+type settingsState struct {
+	version uint64
+	waits   bool
+}
+
 // NewDirectory returns a directory for the node with the given record.
 func NewDirectory(store infra.PartitionedTable, self Record, log *slog.Logger) *Directory {
 	d := &Directory{store: store, self: self, log: log, changes: make(chan struct{}, 1), renewNow: make(chan struct{}, 1)}
@@ -90,7 +97,13 @@
 }
 
 // Self returns this node's record.
-func (d *Directory) Self() Record { return d.self }
+func (d *Directory) Self() Record {
+	record := d.self
+	if s := d.settings.Load(); s != nil {
+		record.Settings, record.SettingsWait = s.version, s.waits
+	}
+	return record
+}
 
 // View returns the state as of the latest successful renewal.
 func (d *Directory) View() *View { return d.view.Load() }
@@ -202,6 +215,13 @@
 	d.RenewSoon()
 }
 
+// SetSettings sets the version of the settings file that this node has read, and whether
+// something of it waits for a restart. Other nodes learn it with the next renewal.
+func (d *Directory) SetSettings(version uint64, waits bool) {
+	d.settings.Store(&settingsState{version, waits})
+	d.RenewSoon()
+}
+
 // Leave ends this node's lease, so that other nodes take over its jobs at once.
 // If a later run of the process has written the row since, the row stays and
 // the error is infra.ErrConflict.
@@ -237,7 +257,7 @@
 	}
 	read := time.Now()
 	sharedRows := takeSharedRows(&set)
-	record := d.self
+	record := d.Self()
 	record.Stopping = d.stopping.Load()
 	record.Until = set.Clock + leaseRenewals*renewInterval(len(set.Rows))
 	value, err := msgpack.Marshal(&record)
--- a/internal/nodes/record.go
+++ b/internal/nodes/record.go
@@ -24,6 +24,10 @@
 	CPUCores float64 `msgpack:"processor,omitempty"`
 	// Stopping is set while the process stops. It still serves, and takes no jobs.
 	Stopping bool `msgpack:"stopping,omitempty"`
+	// Settings is the version of the settings file that the process has read last, and
+	// SettingsWait is set if something of it waits for a restart.
+	Settings     uint64 `msgpack:"settings,omitempty"`
+	SettingsWait bool   `msgpack:"settings_wait,omitempty"`
 	// Until is the time of the store's clock at which the node's lease ends.
 	Until time.Duration `msgpack:"until"`
 }
--- a/internal/platformnode/node.go
+++ b/internal/platformnode/node.go
@@ -50,6 +50,9 @@
 	// OutOfRotationDelay is the time that the load balancer needs to remove the
 	// node from rotation. It must not be changed after Run is called.
 	OutOfRotationDelay time.Duration
+	// SettingsFile is the path of the file that SIGHUP reloads. It must not be changed
+	// after Run is called.
+	SettingsFile string
 
 	settings *platform.Settings
 	log      *slog.Logger
@@ -74,7 +77,9 @@
 	keys       *forward.KeyGate
 	counters   *forward.Counters
 	// memory accounts for what is held for callers.
-	memory       *memaccount.Account
+	memory *memaccount.Account
+	// stopGrace is the setting in force, a time.Duration.
+	stopGrace    atomic.Int64
 	memoryReport *memreport.Report
 	configGauges *configGauges
 	// limitedReplicas is the number of replicas that name a limit.
@@ -94,7 +99,7 @@
 // New opens the node's listeners and creates its components. The node serves
 // nothing until Run is called.
 func New(settings *platform.Settings, log *slog.Logger) (*Node, error) {
-	n := &Node{OutOfRotationDelay: OutOfRotationDelay, settings: settings, log: log}
+	n := &Node{OutOfRotationDelay: OutOfRotationDelay, SettingsFile: os.Getenv(platform.SettingsVariable), settings: settings, log: log}
 	for _, l := range []struct {
 		listener *net.Listener
 		address  string
@@ -114,6 +119,7 @@
 func (n *Node) wire() {
 	settings, log := n.settings, n.log
 	n.store = platform.NewStore(settings.Store)
+	n.stopGrace.Store(int64(settings.StopGrace))
 	n.configs = platform.NewConfigHandler(log)
 	n.registry = replica.NewRegistry()
 	n.replicas = discovery.NewRegistryUpdater(n.registry, platform.DecodeReplica, log)
@@ -133,6 +139,7 @@
 		Hubs:     func(service core.DeploymentID) []core.NodeID { return n.placer.Hubs(service) },
 		Registry: n.registry, ReportSilent: func(r *replica.Replica) { n.placer.ReportStall(r) }, DataCentre: settings.DataCentre,
 	})
+	n.nodes.SetSettings(settings.Version, false)
 	n.nodes.Share("shared", n.quarantine)
 	n.nodes.Share("crashes", n.quarantine.Crashes())
 	n.placer = placement.New(placement.Options{
@@ -205,35 +212,13 @@
 	go n.versions.Run(ctx)
 	go n.quota.Run(ctx)
 	go n.monitor(ctx)
-	n.waitForStop(signals)
+	n.waitForStop(ctx, signals)
 	n.stop(callers)
 	cancel()
 	ready.Close()
 	return n.metricsCloser.Close()
 }
 
-// waitForStop returns when a stop signal arrives. SIGHUP reloads the settings file.
-func (n *Node) waitForStop(signals <-chan os.Signal) {
-	for s := range signals {
-		if s != syscall.SIGHUP {
-			n.log.Info("stop", "signal", s.String())
-			return
-		}
-		n.reload()
-	}
-}
-
-// reload reads the settings file and logs whether it differs. Settings are fixed
-// for the lifetime of a process, so changes are not applied.
-func (n *Node) reload() {
-	fresh, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
-	if err != nil {
-		n.log.Error("settings file cannot be loaded; keeping the current settings", "error", err)
-		return
-	}
-	n.log.Info("settings file read; changes are not applied", "same_store", fresh.Store == n.settings.Store, "same_callers", fresh.Callers == n.settings.Callers)
-}
-
 // Signals returns a channel with the signals that Run handles.
 func Signals() <-chan os.Signal {
 	signals := make(chan os.Signal, 8)
--- a/internal/platformnode/operators.go
+++ b/internal/platformnode/operators.go
@@ -12,6 +12,7 @@
 	"gentiantide.example/gentiantide/internal/httpapi/operators"
 	"gentiantide.example/gentiantide/internal/infra"
 	"gentiantide.example/gentiantide/internal/jobs"
+	"gentiantide.example/gentiantide/internal/nodes"
 	"gentiantide.example/gentiantide/internal/replica"
 )
 
@@ -74,12 +75,13 @@
 	for _, record := range view.Alive {
 		out.Nodes = append(out.Nodes, operators.FleetNode{
 			ID: string(record.ID), DataCentre: string(record.DataCentre), Address: record.Address, State: "live",
+			SettingsVersion: record.Settings, Reason: settingsReason(&record),
 		})
 	}
 	self := n.nodes.Self()
 	if _, leased := view.Alive[self.Owner()]; !leased {
 		out.Nodes = append(out.Nodes, operators.FleetNode{
-			ID: string(self.ID), DataCentre: string(self.DataCentre), Address: self.Address, State: "live", Reason: "it has no lease yet",
+			ID: string(self.ID), DataCentre: string(self.DataCentre), Address: self.Address, State: "live", Reason: "it has no lease yet", SettingsVersion: self.Settings,
 		})
 	}
 	reason := "its lease ran out"
@@ -88,7 +90,7 @@
 	}
 	for _, record := range view.Lapsed {
 		out.Nodes = append(out.Nodes, operators.FleetNode{
-			ID: string(record.ID), DataCentre: string(record.DataCentre), Address: record.Address, State: "unknown", Reason: reason,
+			ID: string(record.ID), DataCentre: string(record.DataCentre), Address: record.Address, State: "unknown", Reason: reason, SettingsVersion: record.Settings,
 		})
 	}
 	for _, r := range n.registry.All() {
@@ -112,6 +114,14 @@
 	return out
 }
 
+// settingsReason tells whether something of a node's settings waits for a restart.
+func settingsReason(record *nodes.Record) string {
+	if record.SettingsWait {
+		return "some of its settings wait for a restart"
+	}
+	return ""
+}
+
 // limitReason tells how many requests a replica takes, if it has named a limit.
 func limitReason(r *replica.Replica) string {
 	limit, ok := r.Limit()
--- a/internal/platformnode/stop.go
+++ b/internal/platformnode/stop.go
@@ -36,7 +36,7 @@
 	n.stopping.Store(true)
 	n.nodes.MarkStopping()
 	began := time.Now()
-	deadline := began.Add(max(n.OutOfRotationDelay, n.settings.StopGrace-exitMargin))
+	deadline := began.Add(max(n.OutOfRotationDelay, time.Duration(n.stopGrace.Load())-exitMargin))
 	n.forward.Stop.Begin(began.Add(lastLongRequest), deadline.Add(-lastAnswers))
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
