Send items after which replicas go dark again one at a time

What callers saw: not seen with callers. A job of six items with a part after which replicas go dark took 24 replicas down in 5 s, until the part was quarantined: each item was given up after 1.5 s of silence and sent to the next replica at once, all six at the same time.

Cause: items that may have crashed their replica are sent again later and one at a time, but only a broken connection counted as such.

Why this fix works: an item that is given up before its first event, while its replica cannot be connected to and others of its data centre can, counts as well. A replica that pauses for a second or is only held up can be connected to when the item is given up; at a cut of a data centre its other replicas cannot.

--- a/internal/jobs/executor.go
+++ b/internal/jobs/executor.go
@@ -135,7 +135,7 @@
 			e.Log.Info("replica failed; ejecting it", "item", task.item.ID, "replica", target.Info().ID, "error", err, "avoid_ms", wait.Milliseconds())
 		}
 	}
-	task.crashed = fresh && task.mayHaveCrashed(outcome, err)
+	task.crashed = fresh && (task.mayHaveCrashed(outcome, err) || task.mayHaveDarkened(outcome, err) && observed.ReplicaDark())
 	e.Log.Info("item run ended", "job", task.job.entry.ID, "item", task.item.ID, "replica", target.Info().ID,
 		"outcome", outcome.String(), "from_event", from, "last_event", task.lastEvent, "ms", time.Since(start).Milliseconds(), "error", err)
 	return outcome
--- a/internal/jobs/suspect.go
+++ b/internal/jobs/suspect.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/pkg/errors"
+
 	"gentiantide.example/gentiantide/internal/quarantine"
 )
 
@@ -27,6 +29,12 @@
 	return outcome == outcomeBroken && task.output.events == 0 && quarantine.ConnectionBroken(err)
 }
 
+// mayHaveDarkened reports whether a run of the item was given up before the item's first
+// event, as when its replica has gone dark.
+func (task *itemTask) mayHaveDarkened(outcome runOutcome, err error) bool {
+	return outcome == outcomeBroken && task.output.events == 0 && errors.Is(err, errItemStalled)
+}
+
 // suspectDelay returns the delay before a suspect is sent again.
 func (task *itemTask) suspectDelay() time.Duration {
 	delay := suspectDelay
--- a/internal/quarantine/run.go
+++ b/internal/quarantine/run.go
@@ -216,6 +216,12 @@
 	return true
 }
 
+// ReplicaDark reports whether the replica seems to have gone dark at the run, and not its
+// whole data centre. It is less sure than a report: no other node has been asked.
+func (r *Run) ReplicaDark() bool {
+	return r != nil && r.service.silences.dark(silenceKey{r.replica, r.started}) && r.service.Registry.HasReachable(r.replica)
+}
+
 // Stop waits until the crashes that this node has seen are reported, or ctx ends.
 func (s *Service) Stop(ctx context.Context) {
 	for s.reporting.Load() > 0 {
--- a/internal/quarantine/silences.go
+++ b/internal/quarantine/silences.go
@@ -85,6 +85,14 @@
 	r.mu.Unlock()
 }
 
+// dark reports whether a process of a replica is being watched and cannot be connected to.
+func (s *silences) dark(key silenceKey) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w := s.watches[key]
+	return w != nil && w.dark.Load()
+}
+
 // waiting reports whether any run still needs the watch. It ends the watch otherwise.
 func (s *silences) waiting(w *silenceWatch) bool {
 	heard := w.heard()
--- a/internal/quarantine/silencewatch.go
+++ b/internal/quarantine/silencewatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"gentiantide.example/gentiantide/internal/contain"
@@ -34,6 +35,8 @@
 	// since is the beginning of the first of the attempts to connect that failed, or
 	// zero, and looked that of the latest one. opened is the latest success.
 	since, looked, opened time.Time
+	// dark is set while since is.
+	dark atomic.Bool
 }
 
 // heard returns when the replica last showed that it lives.
@@ -45,6 +48,7 @@
 	defer w.service.silences.end(w)
 	for pause := darkInterval; w.service.silences.waiting(w); time.Sleep(pause) {
 		result := w.look()
+		w.dark.Store(!w.since.IsZero())
 		gone := result == replica.Refused || w.replaced()
 		switch {
 		case gone && !w.since.IsZero() && w.service.reachesNeighbours(target):
--- a/internal/replica/reach.go
+++ b/internal/replica/reach.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -76,6 +77,14 @@
 	}
 }
 
+// HasReachable reports whether any other replica of a replica's data centre counts as
+// reachable.
+func (g *Registry) HasReachable(r *Replica) bool {
+	return slices.ContainsFunc(g.All(), func(other *Replica) bool {
+		return other != r && other.Info().DataCentre == r.Info().DataCentre && !other.unreachable.Load()
+	})
+}
+
 // ReachesOthers tries some other replicas of a replica's data centre. It returns how many
 // can be reached of those that it tried.
 func (g *Registry) ReachesOthers(ctx context.Context, r *Replica) (reached, tried int) {
