Wait for the first read of the jobs before a job of a limited organisation is refused

Cause: a node is ready some ms before its copy of the jobs has been read for the first time, and the question for the latest jobs failed at once until then.

Why this fix works: the question waits for that read within the 500 ms that it has anyway. While the store is away the answer is 503 as before, after 500 ms.

Evidence: TestCatchUpWaitsForTheFirstRead failed before, at once.

--- a/internal/watch/watcher.go
+++ b/internal/watch/watcher.go
@@ -252,12 +252,13 @@
 }
 
 // CatchUp passes the changes to the handler that the store knows of now, without waiting
-// for the change feed. The feed brings them once more, which the handler must ignore.
+// for the change feed. The feed brings them once more, which the handler must ignore. It
+// waits for the first read of the table: before that it is not known where changes begin.
 func (w *Watcher) CatchUp(ctx context.Context) error {
 	select {
 	case <-w.loaded:
-	default:
-		return infra.ErrUnavailable // where the changes begin is not known yet
+	case <-ctx.Done():
+		return infra.ErrUnavailable
 	}
 	set, err := w.Store.Follow(ctx, w.Table, w.version.Load(), 0)
 	if err == nil && len(set.Rows) > 0 {
--- a/internal/watch/watcher_test.go
+++ b/internal/watch/watcher_test.go
@@ -67,6 +67,28 @@
 	return w, r
 }
 
+// Guards against a node that refuses jobs of limited organisations in the first moments
+// after it is ready, because its copy of the jobs has not been read yet.
+func TestCatchUpWaitsForTheFirstRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		rows := infratest.NewRows()
+		writeRow(g, rows, "0", "a", "1")
+		r := &recorder{rows: make(map[string]string)}
+		w := New(rows, "t", []string{"0", "1"}, r, slog.New(slog.DiscardHandler))
+		short, cancelShort := context.WithTimeout(t.Context(), time.Second)
+		defer cancelShort()
+		g.Expect(w.CatchUp(short)).To(gomega.MatchError(infra.ErrUnavailable))
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		time.AfterFunc(time.Second, func() { w.Run(ctx); close(ended) })
+		g.Expect(w.CatchUp(t.Context())).To(gomega.Succeed())
+		g.Expect(r.get("a")).To(gomega.Equal("1"))
+		cancel()
+		<-ended
+	})
+}
+
 // Guards against missing changes when the change feed loses its history or the
 // store is unavailable.
 func TestWatcherFollowsChanges(t *testing.T) {
