Give an item more time for its first event after each run that stalled

One of two replicas declined it each time; the other, sound, was silent for 1.499 s after its head, and was given up at 1.5 s, fifteen times.

Cause: the time for the first event was the same in each run, however often a replica had not kept it.

Why this fix works: it doubles with each run in a row that brought no event, up to 6 s. The first run is given up as before, since it usually helps.

Whether an item may have darkened its replica is told by why the run was given up, as the error of a response whose head has come is another one.

--- a/internal/jobs/executor.go
+++ b/internal/jobs/executor.go
@@ -24,6 +24,10 @@
 	// arrive every 30 ms, but an engine under memory pressure may preempt a
 	// request and process its prompt again.
 	itemStallTimeout = 1500 * time.Millisecond
+	// maxItemStallTimeout bounds that time for an item whose runs have stalled without an
+	// event, one after the other. It doubles with each of them: the replicas may be sound,
+	// and slow to begin.
+	maxItemStallTimeout = 6 * time.Second
 	// maxEmptyRuns is the number of runs in a row that resume an item and end with the
 	// connection before their first event. Either they were cut, or the item is complete
 	// and its end was lost. It then begins anew.
@@ -114,7 +118,7 @@
 	}
 	run := &itemRun{
 		task: task, observed: observed, stopWatch: e.Quarantine.Watch(task.parts, cancel),
-		watchdog: time.AfterFunc(itemStallTimeout, func() { cancel(errItemStalled) }),
+		watchdog: time.AfterFunc(task.stallTimeout(), func() { cancel(errItemStalled) }),
 	}
 	defer run.end()
 	start, from, fresh := time.Now(), task.lastEvent, task.output.events == 0
@@ -135,7 +139,8 @@
 			e.Log.Info("replica failed; ejecting it", "item", task.item.ID, "replica", target.Info().ID, "error", err, "avoid_ms", wait.Milliseconds())
 		}
 	}
-	task.crashed = fresh && (task.mayHaveCrashed(outcome, err) || task.mayHaveDarkened(outcome, err) && observed.ReplicaDark())
+	task.crashed = fresh && (task.mayHaveCrashed(outcome, err) || task.mayHaveDarkened(outcome, context.Cause(runCtx)) && observed.ReplicaDark())
+	task.recordStall(context.Cause(runCtx))
 	e.Log.Info("item run ended", "job", task.job.entry.ID, "item", task.item.ID, "replica", target.Info().ID,
 		"outcome", outcome.String(), "from_event", from, "last_event", task.lastEvent, "ms", time.Since(start).Milliseconds(), "error", err)
 	return outcome
--- a/internal/jobs/itemtask.go
+++ b/internal/jobs/itemtask.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync/atomic"
 	"time"
 
@@ -36,6 +37,8 @@
 	newEvents  int
 	progressAt time.Time
 	emptyRuns  int
+	// stalls is the number of runs in a row that were given up without an event.
+	stalls int
 	// crashes is the number of runs in a row that may have crashed their replica, see
 	// suspect.go. crashed is set if the present run may have, and begun once it has
 	// received an event.
@@ -56,6 +59,25 @@
 	return task.runTime + time.Since(task.started)
 }
 
+// stallTimeout is how long the present run may wait for its first event.
+func (task *itemTask) stallTimeout() time.Duration {
+	timeout := itemStallTimeout
+	for i := 0; i < task.stalls && timeout < maxItemStallTimeout; i++ {
+		timeout *= 2
+	}
+	return min(timeout, maxItemStallTimeout)
+}
+
+// recordStall records the end of a run with a cause, or nil.
+func (task *itemTask) recordStall(cause error) {
+	switch {
+	case task.newEvents > 0:
+		task.stalls = 0
+	case errors.Is(cause, errItemStalled):
+		task.stalls++
+	}
+}
+
 // runOutcome is the outcome of one run of an item.
 type runOutcome int
 
--- a/internal/jobs/suspect.go
+++ b/internal/jobs/suspect.go
@@ -31,8 +31,8 @@
 
 // mayHaveDarkened reports whether a run of the item was given up before the item's first
 // event, as when its replica has gone dark.
-func (task *itemTask) mayHaveDarkened(outcome runOutcome, err error) bool {
-	return outcome == outcomeBroken && task.output.events == 0 && errors.Is(err, errItemStalled)
+func (task *itemTask) mayHaveDarkened(outcome runOutcome, cause error) bool {
+	return outcome == outcomeBroken && task.output.events == 0 && errors.Is(cause, errItemStalled)
 }
 
 // suspectDelay returns the delay before a suspect is sent again.
