run: don't refuse a request by the table from before the first replicas

Cause, one of three by reading: while one caller builds the table of replicas, others use the one before and don't wait. Right after the start that one is empty.

Why this fix works: a caller that finds no replica in a table that is not of the present views waits until the next one is built. One that finds a replica goes on as before.

Evidence: TestChoiceWaitsForTheFirstReplicas fails with the two calls as the dispatcher made them.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -107,8 +107,7 @@
 }
 
 func (d *Dispatcher) choose(request Request, excluded []core.ReplicaID) route.Choice {
-	d.router.Update(d.options.Replicas(), d.options.Settings())
-	return d.router.Choose(route.Query{
+	return d.router.ChooseFrom(d.options.Replicas(), d.options.Settings(), route.Query{
 		Deployment: request.Deployment, Class: request.Class, PrefixHash: request.PrefixHash,
 		Exclude: excluded, Random: d.nextRandom(), Now: d.options.Now(),
 	})
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -39,11 +39,36 @@
 // Choose chooses a replica by the current table.
 func (r *Router) Choose(q Query) Choice { return r.table.Load().choose(&q) }
 
+// ChooseFrom chooses a replica from the views. If another caller is still building their
+// table, it uses the one before, and waits for the new one only if the former has no replica
+// for the query: it may be from before the first replicas were known.
+func (r *Router) ChooseFrom(view *directory.View, snapshot *settings.Snapshot, q Query) Choice {
+	r.Update(view, snapshot)
+	choice := r.Choose(q)
+	stale := r.inputs.Load()
+	if choice.Replica != nil || r.built(view, snapshot) {
+		return choice
+	}
+	r.mu.Lock()
+	if r.inputs.Load() == stale {
+		r.rebuild(view, snapshot)
+		r.inputs.Store(&tableInputs{replicas: view, settings: snapshot})
+	}
+	r.mu.Unlock()
+	return r.Choose(q)
+}
+
+// built reports whether the current table is that of the views.
+func (r *Router) built(view *directory.View, snapshot *settings.Snapshot) bool {
+	s := r.inputs.Load()
+	return s != nil && s.replicas == view && s.settings == snapshot
+}
+
 // Update builds a new table if the views changed. If another caller is already
 // doing so, it returns at once and the current table stays in use, except for
 // the first table, for which it waits.
 func (r *Router) Update(view *directory.View, snapshot *settings.Snapshot) {
-	if s := r.inputs.Load(); s != nil && s.replicas == view && s.settings == snapshot {
+	if r.built(view, snapshot) {
 		return
 	}
 	first := r.inputs.Load() == nil
--- a/internal/route/router_test.go
+++ b/internal/route/router_test.go
@@ -297,6 +297,27 @@
 	g.Expect(online).To(Equal(2))
 }
 
+// Guards against requests that are refused right after a node has started: one of ten that
+// came at once met the table from before the first replicas were known, as another of them
+// was still building the next one.
+func TestChoiceWaitsForTheFirstReplicas(t *testing.T) {
+	g := NewWithT(t)
+	r := newTestRouter(nil)
+	snapshot := settings.NewSnapshot(settings.SnapshotInput{})
+	view, q := directory.NewView(newReplicas(2)), Query{Deployment: "d", Now: epoch}
+	r.mu.Lock() // another caller builds the table
+	chosen := make(chan *Replica)
+	go func() { chosen <- r.ChooseFrom(view, snapshot, q).Replica }()
+	g.Consistently(chosen, "50ms").ShouldNot(Receive())
+	r.mu.Unlock()
+	g.Eventually(chosen).Should(Receive(Not(BeNil())))
+
+	r.mu.Lock()
+	go func() { chosen <- r.ChooseFrom(directory.NewView(newReplicas(3)), snapshot, q).Replica }()
+	g.Eventually(chosen).Should(Receive(Not(BeNil())), "the table before has replicas")
+	r.mu.Unlock()
+}
+
 // Guards against allocations on the request path.
 func TestChooseAllocatesNothing(t *testing.T) {
 	g := NewWithT(t)
