--- a/internal/directory/merge.go
+++ b/internal/directory/merge.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"cmp"
 	"time"
 
 	"gentiantide.example/gentiantide/internal/core"
@@ -57,12 +58,13 @@
 }
 
 // setFromStatus sets the state and load of a replica from its published status. If
-// there is none or it is older than statusTTL, it sets only the slots; the replica
-// then counts as up. A zero now accepts a status of any age.
+// there is none or it is older than statusTTL, it sets only the slots, by the status or by
+// what this node saw while it owned the replica; the replica then counts as up. A zero now
+// accepts a status of any age.
 func (s *Service) setFromStatus(r *Replica, e *entry, now time.Time) {
 	if e.receivedAt.IsZero() || (!now.IsZero() && now.Sub(e.receivedAt) > statusTTL) {
 		if r.Slots == 0 {
-			r.Slots = e.published.Slots
+			r.Slots = cmp.Or(e.published.Slots, e.lastLoad.Slots)
 		}
 		return
 	}
--- a/internal/directory/service_test.go
+++ b/internal/directory/service_test.go
@@ -98,6 +98,23 @@
 	})
 }
 
+// Guards against a backend server that no node uses for a moment because a node that has
+// started owns it now and has published nothing of it yet.
+func TestReplicaOfANewOwnerKeepsItsSlots(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		f := nonOwnerFixture()
+		f.otherLive = false
+		s := f.service()
+		s.SetFleet([]infra.VM{replicaVM})
+		s.pollOwned(t.Context())
+		synctest.Wait()
+		f.otherLive = true
+		s.Refresh(time.Now())
+		g.Expect(*s.Current().Replica("e1")).To(gomega.And(gomega.HaveField("State", StateUp), gomega.HaveField("Slots", 8)))
+	})
+}
+
 // Guards against a drained or leaving backend server that still appears usable to
 // its owner or to other nodes.
 func TestDrainAndLeavingReachEveryNode(t *testing.T) {
