run: not ready before the first fleet list is applied

Cause: a node says that it is ready when it has read the fleet list and knows the slots of each deployment's servers. Between the read of the list and its use no server was known, and so nothing was missing.

Why this fix works: the node is ready only after the list is in its view.

Evidence: TestNodeIsNotReadyBeforeTheFirstFleetList failed before.

--- a/internal/directory/service.go
+++ b/internal/directory/service.go
@@ -45,6 +45,8 @@
 	mu       sync.Mutex
 	replicas map[core.ReplicaID]*entry
 	view     atomic.Pointer[View]
+	// listed is set once the view has the replicas of a fleet list.
+	listed atomic.Bool
 }
 
 // entry is the information about one replica from all sources.
@@ -97,13 +99,17 @@
 	}
 	s.mu.Unlock()
 	s.Refresh(time.Now())
+	s.listed.Store(true)
 }
 
 // Ready reports whether the node knows enough about the backend servers to serve
-// requests: for each deployment in the settings that has replicas, the slots of at
+// requests: a fleet list, and for each deployment in the settings that has replicas, the slots of at
 // least one of them, or that at least one is not up. Requests that arrive earlier
 // would be refused because no replica appears usable.
 func (s *Service) Ready() bool {
+	if !s.listed.Load() {
+		return false
+	}
 	known := make(map[core.DeploymentID]bool)
 	view, current := s.Current(), s.settings()
 	for i := range view.All() {
--- a/internal/directory/service_test.go
+++ b/internal/directory/service_test.go
@@ -98,6 +98,16 @@
 	})
 }
 
+// Guards against a node that takes requests before it has applied the first fleet list, and
+// refuses them.
+func TestNodeIsNotReadyBeforeTheFirstFleetList(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := (&fixture{self: "n1", prober: fakeProber{}, settings: settingsWith()}).service()
+	g.Expect(s.Ready()).To(gomega.BeFalse())
+	s.SetFleet(nil)
+	g.Expect(s.Ready()).To(gomega.BeTrue(), "a fleet without backend servers")
+}
+
 // Guards against a backend server that no node uses for a moment because a node that has
 // started owns it now and has published nothing of it yet.
 func TestReplicaOfANewOwnerKeepsItsSlots(t *testing.T) {
