--- a/bench/soak/crashableengines.go
+++ b/bench/soak/crashableengines.go
@@ -24,7 +24,7 @@
 	// name begins the IDs of the engines that replace others.
 	name string
 	// behave responds to a request; it calls crash if the request crashes the engine.
-	behave  func(b *backend, r platformtest.ReceivedRequest) platformtest.Behaviour
+	behave func(b *backend, r platformtest.ReceivedRequest) platformtest.Behaviour
 	// dark is set if engines go dark, for good, instead of refusing connections.
 	dark    bool
 	crashed chan *backend
