Don't look after an item that was declined before it was sent

What callers saw: nothing known; found in the last reading of the change. An item whose output began at another version is declined before it is sent. Its run was still looked after for a silent replica, and could have become one of the suspects if that replica went dark within the next 500 ms.

Cause: the condition for it asked for a time of sending that is set before, so that it never held. The run is now settled where the item is declined, and the dead condition is gone.

Evidence: by reading; there is no test of its own, as no caller can see the difference. The tests of internal/jobs and of dark replicas pass.

--- a/internal/jobs/executor.go
+++ b/internal/jobs/executor.go
@@ -123,7 +123,7 @@
 	defer run.end()
 	start, from, fresh := time.Now(), task.lastEvent, task.output.events == 0
 	outcome, err := e.sendItem(runCtx, run, target)
-	if outcome == outcomeNotRun || errors.Is(err, errOtherSoftware) && run.sent.IsZero() || replica.NotSent(err) {
+	if outcome == outcomeNotRun || replica.NotSent(err) {
 		observed.RecordNotRun()
 	}
 	switch {
@@ -164,6 +164,7 @@
 		task.dropOutput() // of events without IDs: the replica begins with the first one
 	}
 	if task.begunAt != nil && *task.begunAt != run.software {
+		run.observed.RecordNotRun()
 		return outcomeDeclined, errOtherSoftware
 	}
 	response, err := target.Send(ctx, &replica.Request{
