--- a/internal/directory/service.go
+++ b/internal/directory/service.go
@@ -103,9 +103,9 @@
 }
 
 // Ready reports whether the node knows enough about the backend servers to serve
-// requests: a fleet list, and for each deployment in the settings that has replicas, the slots of at
-// least one of them, or that at least one is not up. Requests that arrive earlier
-// would be refused because no replica appears usable.
+// requests: a fleet list, and for each deployment in the settings that has replicas,
+// the slots of at least one of them, or that at least one is not up. Requests that
+// arrive earlier would be refused because no replica appears usable.
 func (s *Service) Ready() bool {
 	if !s.listed.Load() {
 		return false
--- a/internal/jobs/itemtask.go
+++ b/internal/jobs/itemtask.go
@@ -61,11 +61,7 @@
 
 // stallTimeout is how long the present run may wait for its first event.
 func (task *itemTask) stallTimeout() time.Duration {
-	timeout := itemStallTimeout
-	for i := 0; i < task.stalls && timeout < maxItemStallTimeout; i++ {
-		timeout *= 2
-	}
-	return min(timeout, maxItemStallTimeout)
+	return doubled(itemStallTimeout, task.stalls, maxItemStallTimeout)
 }
 
 // recordStall records the end of a run with a cause, or nil.
--- a/internal/jobs/suspect.go
+++ b/internal/jobs/suspect.go
@@ -37,11 +37,15 @@
 
 // suspectDelay returns the delay before a suspect is sent again.
 func (task *itemTask) suspectDelay() time.Duration {
-	delay := suspectDelay
-	for i := 1; i < task.crashes && delay < maxSuspectDelay; i++ {
-		delay *= 2
+	return doubled(suspectDelay, task.crashes-1, maxSuspectDelay)
+}
+
+// doubled returns a duration doubled a number of times, up to a bound.
+func doubled(d time.Duration, times int, most time.Duration) time.Duration {
+	for i := 0; i < times && d < most; i++ {
+		d *= 2
 	}
-	return min(delay, maxSuspectDelay)
+	return min(d, most)
 }
 
 // suspectGate lets one suspect of a node run at a time. It is guarded by the runner's
--- a/internal/quarantine/run.go
+++ b/internal/quarantine/run.go
@@ -171,8 +171,25 @@
 	if !r.mayHaveCrashed() {
 		return
 	}
+	r.reportIf(func(*report) bool {
+		ctx, cancel := context.WithTimeout(context.Background(), verifyTimeout)
+		defer cancel()
+		return r.replica.Connect(ctx) == replica.Refused
+	})
+}
+
+// reportIf reports the run, in a goroutine of its own, if a function finds that its replica
+// has crashed, and ends its trial.
+func (r *Run) reportIf(crashed func(*report) bool) {
 	r.service.reporting.Add(1)
-	go r.service.verify(r, r.takeTrial())
+	trial := r.takeTrial()
+	go func() {
+		defer contain.Recover(r.service.Log, "suspect of a crash", string(r.replica.Info().ID))
+		defer r.service.list.release(trial)
+		if r.service.reportCrash(r.report, crashed) && len(trial) > 0 {
+			time.Sleep(trialSettleTime)
+		}
+	}()
 }
 
 // mayHaveCrashed reports whether a crash of the replica may be the fault of the run.
@@ -194,22 +211,11 @@
 	return out
 }
 
-// verify reports a run if its replica refuses connections, and ends its trial.
-func (s *Service) verify(r *Run, trial []Part) {
-	defer contain.Recover(s.Log, "suspect of a crash", string(r.replica.Info().ID))
-	defer s.list.release(trial)
-	if s.reportCrash(r) && len(trial) > 0 {
-		time.Sleep(trialSettleTime)
-	}
-}
-
-// reportCrash reports a run if its replica refuses connections.
-func (s *Service) reportCrash(r *Run) bool {
+// reportCrash sends a report if a function finds that the replica has crashed.
+func (s *Service) reportCrash(newReport func() *report, crashed func(*report) bool) bool {
 	defer s.reporting.Add(-1)
-	suspect := r.report()
-	ctx, cancel := context.WithTimeout(context.Background(), verifyTimeout)
-	defer cancel()
-	if r.replica.Connect(ctx) != replica.Refused {
+	suspect := newReport()
+	if !crashed(suspect) {
 		return false
 	}
 	s.sendReport(suspect)
--- a/internal/quarantine/silencewatch.go
+++ b/internal/quarantine/silencewatch.go
@@ -115,29 +115,16 @@
 func (w *silenceWatch) report() {
 	for _, r := range w.service.silences.take(w) {
 		if r.mayHaveCrashed() && r.sent.Before(w.since) {
-			w.service.reporting.Add(1)
-			go w.service.reportSilent(r, r.takeTrial(), w.since)
+			since := w.since
+			r.reportIf(func(suspect *report) bool {
+				suspect.Silent, suspect.Age = true, time.Since(since)
+				return true
+			})
 		}
 		r.settle()
 	}
 }
 
-// reportSilent reports a run after which a replica was dark from a time on, and ends its
-// trial.
-func (s *Service) reportSilent(r *Run, trial []Part, since time.Time) {
-	defer contain.Recover(s.Log, "suspect of a crash", string(r.replica.Info().ID))
-	defer s.list.release(trial)
-	suspect := r.report()
-	suspect.Silent, suspect.Age = true, time.Since(since)
-	func() {
-		defer s.reporting.Add(-1)
-		s.sendReport(suspect)
-	}()
-	if len(trial) > 0 {
-		time.Sleep(trialSettleTime)
-	}
-}
-
 // markSilent keeps requests away from a replica until it answers again.
 func (s *Service) markSilent(target *replica.Replica) {
 	s.Log.Info("replica is silent and cannot be connected to", "replica", target.Info().ID)
--- a/internal/replica/reach.go
+++ b/internal/replica/reach.go
@@ -34,20 +34,10 @@
 	if len(all) < reachSamples {
 		return nil
 	}
-	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
 	ctx, cancel := context.WithTimeout(ctx, reachTimeout)
 	defer cancel()
-	var silent atomic.Int32
-	var wait sync.WaitGroup
-	for _, r := range all[:reachSamples] {
-		wait.Go(func() {
-			if r.Connect(ctx) == Silent {
-				silent.Add(1)
-			}
-		})
-	}
-	wait.Wait()
-	if silent.Load() < reachSamples {
+	silent, _ := countSample(all, func(r *Replica) bool { return r.Connect(ctx) == Silent })
+	if silent < reachSamples {
 		return nil
 	}
 	now := time.Now()
@@ -94,17 +84,26 @@
 			others = append(others, other)
 		}
 	}
-	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-	others = others[:min(len(others), reachSamples)]
-	var open atomic.Int32
+	return countSample(others, func(other *Replica) bool {
+		return time.Since(other.LastHeard()) < stallTimeout || other.Connect(ctx) == Open
+	})
+}
+
+// countSample checks up to reachSamples of some replicas at the same time. It returns how
+// many passed, and how many were checked.
+func countSample(replicas []*Replica, check func(*Replica) bool) (passed, checked int) {
+	sample := slices.Clone(replicas)
+	rand.Shuffle(len(sample), func(i, j int) { sample[i], sample[j] = sample[j], sample[i] })
+	sample = sample[:min(len(sample), reachSamples)]
+	var count atomic.Int32
 	var wait sync.WaitGroup
-	for _, other := range others {
+	for _, r := range sample {
 		wait.Go(func() {
-			if time.Since(other.LastHeard()) < stallTimeout || other.Connect(ctx) == Open {
-				open.Add(1)
+			if check(r) {
+				count.Add(1)
 			}
 		})
 	}
 	wait.Wait()
-	return int(open.Load()), len(others)
+	return int(count.Load()), len(sample)
 }
