--- a/internal/quarantine/service_test.go
+++ b/internal/quarantine/service_test.go
@@ -8,12 +8,8 @@
 	"time"
 
 	"github.com/onsi/gomega"
-	"github.com/uber-go/tally/v4"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"gentiantide.example/gentiantide/internal/core"
-	"gentiantide.example/gentiantide/internal/nodes"
-	"gentiantide.example/gentiantide/internal/peer"
 	"gentiantide.example/gentiantide/internal/replica"
 )
 
