Replicas that go dark count when the nodes that saw it are killed

All nodes, and then two, were killed within 2 s after five of the crashes.

Cause: only the node with the run knew of a silent replica until it had compared what it saw, 2.1 to 2.5 s after the crash. What it knew was lost with it.

The node now names the replica and its runs to the hubs, and in the shared state "silences" in the store, at the first connection that is not established. A suspicion is no evidence: a hub that establishes a connection drops it, and compares with others before it reports.

Evidence: TestDarkReplicasAreCountedWhenTheirNodeIsKilled fails in 3 of 3 cases (the node with the run; with it the first hub; all nodes) without the announcement, and passes with it. TestPausedReplicasAreNotCounted- WhenTheirNodeIsKilled passes: a pause of a second, and a replica that only the killed node cannot reach.

Not covered: kills within 0.7 s after the crash; announcements do not say which run was a trial.

--- a/internal/platformnode/node.go
+++ b/internal/platformnode/node.go
@@ -142,6 +142,7 @@
 	n.nodes.SetSettings(settings.Version, false)
 	n.nodes.Share("shared", n.quarantine)
 	n.nodes.Share("crashes", n.quarantine.Crashes())
+	n.nodes.Share("silences", n.quarantine.Suspicions())
 	n.placer = placement.New(placement.Options{
 		Transport: n.peers, Registry: n.registry, Nodes: n.nodes, Log: log,
 		Preempt: func(r *replica.Replica) bool { return n.jobs.Preempt(r) },
--- a/internal/quarantine/crashstate.go
+++ b/internal/quarantine/crashstate.go
@@ -9,7 +9,6 @@
 
 	"gentiantide.example/gentiantide/internal/core"
 	"gentiantide.example/gentiantide/internal/nodes"
-	"gentiantide.example/gentiantide/internal/wire"
 )
 
 // maxStoredCrashes bounds the crashes in the store, of which each node reads all with
@@ -26,18 +25,7 @@
 // Reconcile implements nodes.SharedState.
 func (st crashState) Reconcile(stored []byte, clock time.Duration) (update []byte, changed bool) {
 	s, now := st.service, time.Now()
-	var known evidence
-	if len(stored) > 0 {
-		err := wire.Unmarshal(stored, &known)
-		if err == nil {
-			err = known.check()
-		}
-		if err != nil {
-			s.Log.Error("stored crashes cannot be decoded; they are replaced", "error", err)
-			known = evidence{}
-		}
-	}
-	s.mergeEvidence(&known, clock, now, true)
+	s.mergeEvidence(s.decodeStored("crashes", stored), clock, now, true)
 	s.contributeProofs()
 	s.evaluateAsFirstHub()
 	out, news := s.evidence(now, func(c *crash) time.Duration {
@@ -60,6 +48,16 @@
 	return update, true
 }
 
+// decodeStored returns the evidence in a shared state of a name, or none if it cannot be
+// decoded.
+func (s *Service) decodeStored(name string, stored []byte) *evidence {
+	known, err := decodeEvidence(stored)
+	if len(stored) > 0 && err != nil {
+		s.Log.Error("stored evidence of crashes cannot be decoded; it is replaced", "state", name, "error", err)
+	}
+	return known
+}
+
 // mergeEvidence adds the evidence of other nodes to the tallies. clock is the time now of
 // the clock of its times. stored says whether it is in the store.
 func (s *Service) mergeEvidence(e *evidence, clock time.Duration, now time.Time, stored bool) {
@@ -156,14 +154,11 @@
 
 // AdoptCrashes merges the crashes that a peer knows.
 func (s *Service) AdoptCrashes(data []byte) error {
-	var copied evidence
-	if err := wire.Unmarshal(data, &copied); err != nil {
-		return err
-	}
-	if err := copied.check(); err != nil {
+	copied, err := decodeEvidence(data)
+	if err != nil {
 		return err
 	}
-	s.mergeEvidence(&copied, 0, time.Now(), false)
+	s.mergeEvidence(copied, 0, time.Now(), false)
 	return nil
 }
 
@@ -177,9 +172,8 @@
 	var harmless []Part
 	for _, counted := range s.latestCrashes(now) {
 		c := counted.crash
-		from := crashEvidence{Service: counted.service, Replica: c.replica, Started: c.started, Silent: c.silent, At: timeOf(c), Cleared: index.of(c.cleared)}
+		from := index.ofCrash(counted, timeOf(c))
 		for _, run := range c.runs {
-			from.Runs = append(from.Runs, index.of(run))
 			for _, part := range run {
 				if s.tallies[counted.service].harmless[part] && !slices.Contains(harmless, part) {
 					harmless = append(harmless, part)
--- a/internal/quarantine/doc.go
+++ b/internal/quarantine/doc.go
@@ -7,6 +7,7 @@
 // whose replica has gone dark with its machine: for longer than sound replicas pause, the
 // run has got no answer and no connection was established, neither from this node nor
 // from others, while other replicas of the data centre can be reached (silenceWatch). The
+// hubs watch such a replica too, since its node may be killed first (suspicionState). The
 // suspects of all nodes are reported to one node, the first hub of the service, which
 // looks for a part that was in several crashes and asks all nodes whether a run with
 // it has proved harmless since. If none has, the part is quarantined: the entry goes
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -1,11 +1,13 @@
 package quarantine
 
 import (
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"gentiantide.example/gentiantide/internal/core"
+	"gentiantide.example/gentiantide/internal/wire"
 )
 
 // evidence is what nodes know of crashes and of what has proved harmless, in the store
@@ -29,8 +31,23 @@
 	Cleared []int             `msgpack:"k,omitempty"`
 }
 
+func (c *crashEvidence) key() processKey { return processKey{c.Replica, c.Started} }
+
 var errEvidenceIndex = errors.New("evidence names a part that it does not list")
 
+// decodeEvidence returns encoded evidence, or none with an error.
+func decodeEvidence(data []byte) (*evidence, error) {
+	out := &evidence{}
+	err := wire.Unmarshal(data, out)
+	if err == nil {
+		err = out.check()
+	}
+	if err != nil {
+		return &evidence{}, err
+	}
+	return out, nil
+}
+
 // check reports whether the evidence is consistent.
 func (e *evidence) check() error {
 	lists := [][]int{e.Harmless}
@@ -56,6 +73,19 @@
 	return out
 }
 
+// addsTo reports whether suspicions differ from those in the store: by one, by a run of one,
+// or by a later silence.
+func (e *evidence) addsTo(known *evidence) bool {
+	stored := make(map[processKey]*crashEvidence, len(known.Crashes))
+	for i := range known.Crashes {
+		stored[known.Crashes[i].key()] = &known.Crashes[i]
+	}
+	return len(e.Crashes) != len(stored) || slices.ContainsFunc(e.Crashes, func(c crashEvidence) bool {
+		old := stored[c.key()]
+		return old == nil || len(c.Runs) > len(old.Runs) || c.At-old.At > darkTime
+	})
+}
+
 // partIndex numbers the parts of evidence.
 type partIndex struct {
 	evidence *evidence
@@ -75,3 +105,12 @@
 	}
 	return out
 }
+
+// ofCrash returns a crash, with a time, as evidence.
+func (x *partIndex) ofCrash(c countedCrash, at time.Duration) crashEvidence {
+	out := crashEvidence{Service: c.service, Replica: c.replica, Started: c.started, Silent: c.silent, At: at, Cleared: x.of(c.cleared)}
+	for _, run := range c.runs {
+		out.Runs = append(out.Runs, x.of(run))
+	}
+	return out
+}
--- a/internal/quarantine/fakestore_test.go
+++ b/internal/quarantine/fakestore_test.go
@@ -32,7 +32,7 @@
 	if f.store.rows == nil {
 		f.store.rows, f.store.began = make(map[string][]byte), time.Now().Add(-time.Hour)
 	}
-	for name, state := range map[string]nodes.SharedState{"shared": s, "crashes": s.Crashes()} {
+	for name, state := range map[string]nodes.SharedState{"shared": s, "crashes": s.Crashes(), "silences": s.Suspicions()} {
 		if update, changed := state.Reconcile(f.store.rows[name], time.Since(f.store.began)); changed {
 			f.store.rows[name] = update
 			f.store.writes++
--- a/internal/quarantine/fuzz_test.go
+++ b/internal/quarantine/fuzz_test.go
@@ -35,6 +35,8 @@
 			_, _ = s.Reconcile(data, time.Minute)
 			update, _ := s.Crashes().Reconcile(data, time.Minute)
 			_, _ = s.Crashes().Reconcile(update, time.Minute)
+			update, _ = s.Suspicions().Reconcile(data, time.Minute)
+			_, _ = s.Suspicions().Reconcile(update, time.Minute)
 			_, _ = s.Blocked([]Part{"bad"})
 			if n := len(s.Entries()); n > maxEntries {
 				t.Errorf("%d entries", n)
--- a/internal/quarantine/messages.go
+++ b/internal/quarantine/messages.go
@@ -9,6 +9,8 @@
 const (
 	// kindReport is a call from a node to a hub: a run may have crashed a replica.
 	kindReport = "quarantine.report"
+	// kindSilence is a call from a node to a hub: a replica has fallen silent.
+	kindSilence = "quarantine.silence"
 	// kindWitness is a call from a hub to all nodes: it asks whether runs with some
 	// parts have proved harmless.
 	kindWitness = "quarantine.witness"
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -52,10 +52,11 @@
 // Service is the quarantine of a node.
 type Service struct {
 	Options
-	list     *list
-	proofs   *proofs
-	counters *counters
-	silences silences
+	list       *list
+	proofs     *proofs
+	counters   *counters
+	silences   silences
+	suspicions suspicions
 	// reporting is the number of crashes that are being reported.
 	reporting atomic.Int32
 
@@ -70,9 +71,11 @@
 func New(o Options) *Service {
 	s := &Service{
 		Options: o, list: newList(o.Messenger.Self()), proofs: newProofs(), counters: newCounters(o.Scope), silences: silences{watches: make(map[silenceKey]*silenceWatch)},
-		tallies: make(map[core.DeploymentID]*serviceTally), storedHarmless: make(map[Part]bool),
+		suspicions: suspicions{open: make(map[processKey]*suspicion)},
+		tallies:    make(map[core.DeploymentID]*serviceTally), storedHarmless: make(map[Part]bool),
 	}
 	o.Messenger.Handle(kindReport, s.handleReport)
+	o.Messenger.Handle(kindSilence, s.handleSilence)
 	o.Messenger.Handle(kindWitness, s.handleWitness)
 	o.Messenger.Handle(kindReach, s.handleReach)
 	o.Messenger.Handle(kindEntries, s.handleEntries)
--- a/internal/quarantine/silence_test.go
+++ b/internal/quarantine/silence_test.go
@@ -30,6 +30,7 @@
 		dark := &replicatest.DarkListener{TCPListener: listener.(*net.TCPListener)}
 		t.Cleanup(func() { dark.Close() })
 		c.listeners = append(c.listeners, dark)
+		c.replicas = append(c.replicas, c.info(i))
 		for _, s := range c.services {
 			s.Registry.Put(c.info(i))
 		}
@@ -54,7 +55,7 @@
 
 // suspected returns the parts of the runs that are counted at the hub.
 func (c *silentCase) suspected() []Part {
-	s := c.services["n0"]
+	s := c.service("n0")
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return partsOf(s.tallyOf("m").runs())
@@ -115,6 +116,68 @@
 	}
 }
 
+// Guards against a run after which a replica is dark and that nobody counts, because the
+// node with the run, the hubs, or all nodes are killed before that node has compared what
+// it sees with others.
+func TestDarkReplicasAreCountedWhenTheirNodeIsKilled(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		kill func(c *silentCase)
+	}{
+		{"the node with the run", func(c *silentCase) { c.setDown(true, "n2") }},
+		{"the node with the run and the first hub", func(c *silentCase) {
+			c.setDown(true, "n2")
+			c.restart("n0")
+		}},
+		{"all nodes", func(c *silentCase) { c.restart("n0", "n1", "n2") }},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			c := newSilentCase(t)
+			c.begin("tainted")
+			c.goDark(0)
+			c.Eventually(func() bool { return c.services["n2"].Registry.Get(c.id(0)).Ejected(time.Now()) }, "2s", "5ms").Should(gomega.BeTrue())
+			time.Sleep(100 * time.Millisecond) // the message and the write take a few ms
+			tc.kill(c)
+			c.Eventually(c.suspected, 6*time.Second, "20ms").Should(gomega.Equal([]Part{"tainted"}))
+		})
+	}
+}
+
+// Guards against sound runs that other nodes count because their replica was silent for a
+// second or so, or to the node with the run only, when that node is killed.
+func TestPausedReplicasAreNotCountedWhenTheirNodeIsKilled(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		kill func(c *silentCase)
+	}{
+		{"paused", func(c *silentCase) {
+			c.goDark(0)
+			time.Sleep(silenceTime + 2*verifyTimeout + 200*time.Millisecond)
+			c.restart("n0", "n1", "n2")
+			c.Expect(c.listeners[0].Light()).To(gomega.Succeed())
+		}},
+		{"silent to one node", func(c *silentCase) {
+			dark := c.info(0)
+			for _, id := range []core.NodeID{"n0", "n1"} {
+				dark.Address = c.listeners[1].Addr().String()
+				c.service(id).Registry.Put(dark)
+			}
+			c.goDark(0)
+			time.Sleep(silenceTime + 2*verifyTimeout + 200*time.Millisecond)
+			c.setDown(true, "n2")
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			c := newSilentCase(t)
+			c.begin("sound")
+			tc.kill(c)
+			c.Consistently(c.suspected, maxDarkTime, "20ms").Should(gomega.BeEmpty())
+		})
+	}
+}
+
 // Guards against a run that is suspected because it was sent to a replica that was already
 // known to be dark.
 func TestRunSentIntoTheDarkIsNotSuspected(t *testing.T) {
--- a/internal/quarantine/silences.go
+++ b/internal/quarantine/silences.go
@@ -72,17 +72,31 @@
 func (s *silences) add(r *Run) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	key := silenceKey{r.replica, r.started}
+	w := s.watch(r.service, silenceKey{r.replica, r.started})
+	w.runs = append(w.runs, r)
+	r.mu.Lock()
+	r.watched = true
+	r.mu.Unlock()
+}
+
+// addSuspicion watches a replica that another node has found silent.
+func (s *silences) addSuspicion(service *Service, target *replica.Replica, found *suspicion) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w := s.watch(service, silenceKey{target, found.started})
+	w.suspicions = append(w.suspicions, found)
+}
+
+// watch returns the watch of a process of a replica, and starts it if there is none. The
+// caller holds the lock and gives the watch something to wait for.
+func (s *silences) watch(service *Service, key silenceKey) *silenceWatch {
 	w := s.watches[key]
 	if w == nil {
-		w = &silenceWatch{service: r.service, key: key}
+		w = &silenceWatch{service: service, key: key}
 		s.watches[key] = w
 		go w.run()
 	}
-	w.runs = append(w.runs, r)
-	r.mu.Lock()
-	r.watched = true
-	r.mu.Unlock()
+	return w
 }
 
 // dark reports whether a process of a replica is being watched and cannot be connected to.
@@ -109,10 +123,12 @@
 	for _, r := range over {
 		r.settle()
 	}
-	if len(w.runs) == 0 {
+	w.suspicions = slices.DeleteFunc(w.suspicions, func(c *suspicion) bool { return heard.After(c.at) })
+	waiting := len(w.runs)+len(w.suspicions) > 0
+	if !waiting {
 		delete(s.watches, w.key)
 	}
-	return len(w.runs) > 0
+	return waiting
 }
 
 // end ends a watch that is over, or has failed.
@@ -125,11 +141,18 @@
 	w.drop()
 }
 
-// take removes and returns the runs of a watch.
-func (s *silences) take(w *silenceWatch) []*Run {
+// take removes and returns the runs of a watch, and the suspicions of other nodes.
+func (s *silences) take(w *silenceWatch) ([]*Run, []*suspicion) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	runs, others := w.runs, w.suspicions
+	w.runs, w.suspicions = nil, nil
+	return runs, others
+}
+
+// present returns the runs of a watch.
+func (s *silences) present(w *silenceWatch) []*Run {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	runs := w.runs
-	w.runs = nil
-	return runs
+	return slices.Clone(w.runs)
 }
--- a/internal/quarantine/silencewatch.go
+++ b/internal/quarantine/silencewatch.go
@@ -30,8 +30,10 @@
 type silenceWatch struct {
 	service *Service
 	key     silenceKey
-	// runs are those without an answer. The mutex of silences guards them.
-	runs []*Run
+	// runs are those without an answer, and suspicions those of other nodes. The mutex of
+	// silences guards them.
+	runs       []*Run
+	suspicions []*suspicion
 	// since is the beginning of the first of the attempts to connect that failed, or
 	// zero, and looked that of the latest one. opened is the latest success.
 	since, looked, opened time.Time
@@ -49,6 +51,7 @@
 	for pause := darkInterval; w.service.silences.waiting(w); time.Sleep(pause) {
 		result := w.look()
 		w.dark.Store(!w.since.IsZero())
+		w.announce()
 		gone := result == replica.Refused || w.replaced()
 		switch {
 		case gone && !w.since.IsZero() && w.service.reachesNeighbours(target):
@@ -104,17 +107,45 @@
 	return target.Info().Started != w.key.started || w.service.Registry.Get(target.Info().ID) != target
 }
 
+// suspect reports whether a run may be the reason why the replica is dark: it was sent
+// before that was found.
+func (w *silenceWatch) suspect(r *Run) bool { return r.mayHaveCrashed() && r.sent.Before(w.since) }
+
+// announce tells other nodes of the suspects among the runs once the replica cannot be
+// connected to.
+func (w *silenceWatch) announce() {
+	if w.since.IsZero() {
+		return
+	}
+	info := w.key.replica.Info()
+	found := &crash{replica: info.ID, started: w.key.started, at: w.since, silent: true}
+	for _, r := range w.service.silences.present(w) {
+		if w.suspect(r) {
+			found.addRun(r.parts)
+		}
+	}
+	w.service.announce(&suspicion{countedCrash: countedCrash{found, info.Service}})
+}
+
 // drop ends the watch of the present runs without a report.
 func (w *silenceWatch) drop() {
-	for _, r := range w.service.silences.take(w) {
+	runs, _ := w.service.silences.take(w)
+	for _, r := range runs {
 		r.settle()
 	}
 }
 
-// report reports the runs that were sent before the replica was found to be silent.
+// report reports the runs that were sent before the replica was found to be silent, and
+// those that other nodes suspect.
 func (w *silenceWatch) report() {
-	for _, r := range w.service.silences.take(w) {
-		if r.mayHaveCrashed() && r.sent.Before(w.since) {
+	runs, others := w.service.silences.take(w)
+	for _, c := range others {
+		for _, parts := range c.runs {
+			w.service.reportFor(&report{Service: c.service, Replica: c.replica, Started: c.started, Parts: parts, Silent: true, Age: time.Since(c.at)})
+		}
+	}
+	for _, r := range runs {
+		if w.suspect(r) {
 			since := w.since
 			r.reportIf(func(suspect *report) bool {
 				suspect.Silent, suspect.Age = true, time.Since(since)
--- a/internal/quarantine/testfleet_test.go
+++ b/internal/quarantine/testfleet_test.go
@@ -32,6 +32,7 @@
 	down     map[core.NodeID]bool // no other node reaches them
 	excluded map[core.NodeID]bool // found to be down
 	crashes  int
+	replicas []replica.Info // those that each process knows from its start
 }
 
 // fakeMessenger is one node's messenger.
@@ -47,8 +48,9 @@
 
 func (m *fakeMessenger) Call(ctx context.Context, to core.NodeID, kind string, req, resp any) error {
 	m.fleet.mu.Lock()
-	unreachable := to != m.self && (m.fleet.down[to] || m.fleet.down[m.self])
 	target := m.fleet.services[to]
+	killed := m.fleet.services[m.self].Messenger != m // and started again
+	unreachable := killed || to != m.self && (m.fleet.down[to] || m.fleet.down[m.self])
 	m.fleet.mu.Unlock()
 	if unreachable {
 		<-ctx.Done()
@@ -88,6 +90,9 @@
 		Hubs:      func(core.DeploymentID) []core.NodeID { return f.hubs() }, View: func() *nodes.View { return &f.view },
 		Persist: func() { go f.renew(id) }, Registry: replica.NewRegistry(), Log: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
 	})
+	for i := range f.replicas {
+		s.Registry.Put(f.replicas[i])
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.services[id] = s
