--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -122,9 +122,11 @@
 		rows.Compact()
 	case 4:
 		f.log("store holds writes")
+		f.testbed.writesHeld.Store(true)
 		rows.HoldWrites()
 	default:
 		f.log("store recovered, %d held writes applied", rows.ReleaseWrites())
+		f.testbed.writesHeld.Store(false)
 		rows.SetFaultPlan(infratest.FaultPlan{})
 		objects.SetFaultPlan(infratest.FaultPlan{})
 		f.testbed.storeAway.Store(false)
@@ -194,6 +196,7 @@
 	tb := f.testbed
 	f.log("calm")
 	tb.store.Rows.ReleaseWrites()
+	tb.writesHeld.Store(false)
 	tb.store.Rows.SetFaultPlan(infratest.FaultPlan{})
 	tb.store.Objects.SetFaultPlan(infratest.FaultPlan{})
 	tb.storeAway.Store(false)
--- a/bench/soak/testbed.go
+++ b/bench/soak/testbed.go
@@ -65,6 +65,8 @@
 	keys *keyring
 	// storeAway is set while calls to the store fail.
 	storeAway atomic.Bool
+	// writesHeld is set while the store takes no writes.
+	writesHeld atomic.Bool
 
 	configMu      sync.Mutex
 	configVersion int
