--- a/Makefile
+++ b/Makefile
@@ -24,10 +24,16 @@
 # its own.
 CROWD := gentiantide.example/gentiantide/platform/crowdtest gentiantide.example/gentiantide/bench/crowdtest
 
+# Tests that start several nodes each, with time limits as callers have. They run after the
+# others, so that no compiler and few other tests take the processor from them. The tests
+# of placement run beside them, as they take minutes on one processor.
+LAST := $(addprefix gentiantide.example/gentiantide/,platform/nodetest bench/soak bench/integration internal/placement)
+
 # The environment variable SKIP is a pattern of tests that are known to fail;
 # see KNOWN-RED.txt.
 test:
-	go test -race -count=1 $${SKIP:+-skip "$$SKIP"} $$(go list $(PACKAGES) | grep -vxF $(addprefix -e ,$(CROWD) $(NO_RACE)))
+	go test -race -count=1 $${SKIP:+-skip "$$SKIP"} $$(go list $(PACKAGES) | grep -vxF $(addprefix -e ,$(CROWD) $(LAST) $(NO_RACE)))
+	go test -race -count=1 $${SKIP:+-skip "$$SKIP"} $(LAST)
 	$(if $(NO_RACE),go test -count=1 $${SKIP:+-skip "$$SKIP"} $(NO_RACE))
 	go test -count=1 -run '$(NO_RACE_TEST)' ./internal/streamversion
 
