Nodes do not announce the replicas of an outage

When a data centre is cut off, each node would have told the hubs of up to 32 dark replicas, and renewed its row in the store for each. A node for which more than four replicas are dark at once now tells nobody; these replicas count once nodes have compared, as before the announcement.

Evidence: TestOutageOfManyReplicasIsNotAnnounced fails without the bound: six replicas went dark, and the hub was told of six. A first draft of the bound failed it, too: watches that end lower the count, and the others announced then. So the decision holds as long as the replica is silent.

--- a/internal/quarantine/silence_test.go
+++ b/internal/quarantine/silence_test.go
@@ -20,7 +20,7 @@
 	listeners []*replicatest.DarkListener
 }
 
-const silentReplicas = 3
+const silentReplicas = maxAnnouncedDark + 2
 
 func newSilentCase(t *testing.T) *silentCase {
 	c := &silentCase{testFleet: newTestFleet(t, 3), t: t}
@@ -47,8 +47,10 @@
 func (c *silentCase) goDark(i int) { c.Expect(c.listeners[i].GoDark()).To(gomega.Succeed()) }
 
 // begin begins a run at the first replica.
-func (c *silentCase) begin(part Part) *Run {
-	run, ok := c.services["n2"].Begin([]Part{part}, c.services["n2"].Registry.Get(c.id(0)))
+func (c *silentCase) begin(part Part) *Run { return c.beginAt(0, part) }
+
+func (c *silentCase) beginAt(i int, part Part) *Run {
+	run, ok := c.services["n2"].Begin([]Part{part}, c.services["n2"].Registry.Get(c.id(i)))
 	c.Expect(ok).To(gomega.BeTrue())
 	return run
 }
@@ -178,6 +180,21 @@
 	}
 }
 
+// Guards against nodes that all tell the hubs and the store of each replica of a data
+// centre that is cut off.
+func TestOutageOfManyReplicasIsNotAnnounced(t *testing.T) {
+	t.Parallel()
+	c := newSilentCase(t)
+	for i := range silentReplicas {
+		c.beginAt(i, Part(fmt.Sprint("sound-", i)))
+		c.goDark(i)
+	}
+	told := func() int { return len(c.service("n0").suspicions.latest(time.Now())) }
+	c.Eventually(func() bool { return c.service("n2").silences.darkReplicas() == silentReplicas }, "2s", "5ms").Should(gomega.BeTrue())
+	c.Consistently(told, 2*darkTime, "20ms").Should(gomega.BeNumerically("<=", maxAnnouncedDark))
+	c.Expect(c.suspected()).To(gomega.BeEmpty())
+}
+
 // Guards against a run that is suspected because it was sent to a replica that was already
 // known to be dark.
 func TestRunSentIntoTheDarkIsNotSuspected(t *testing.T) {
--- a/internal/quarantine/silences.go
+++ b/internal/quarantine/silences.go
@@ -107,6 +107,18 @@
 	return w != nil && w.dark.Load()
 }
 
+// darkReplicas returns the number of replicas that are being watched and cannot be connected to.
+func (s *silences) darkReplicas() (n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, w := range s.watches {
+		if w.dark.Load() {
+			n++
+		}
+	}
+	return n
+}
+
 // waiting reports whether any run still needs the watch. It ends the watch otherwise.
 func (s *silences) waiting(w *silenceWatch) bool {
 	heard := w.heard()
--- a/internal/quarantine/silencewatch.go
+++ b/internal/quarantine/silencewatch.go
@@ -39,6 +39,8 @@
 	since, looked, opened time.Time
 	// dark is set while since is.
 	dark atomic.Bool
+	// outage is set if many replicas were dark together with this one.
+	outage bool
 }
 
 // heard returns when the replica last showed that it lives.
@@ -112,9 +114,15 @@
 func (w *silenceWatch) suspect(r *Run) bool { return r.mayHaveCrashed() && r.sent.Before(w.since) }
 
 // announce tells other nodes of the suspects among the runs once the replica cannot be
-// connected to.
+// connected to. With many dark replicas it does not: that is an outage, in which all nodes
+// would tell the hubs and write to the store.
 func (w *silenceWatch) announce() {
 	if w.since.IsZero() {
+		w.outage = false
+		return
+	}
+	w.outage = w.outage || w.service.silences.darkReplicas() > maxAnnouncedDark
+	if w.outage {
 		return
 	}
 	info := w.key.replica.Info()
--- a/internal/quarantine/suspicions.go
+++ b/internal/quarantine/suspicions.go
@@ -16,6 +16,9 @@
 	// maxSuspicions bounds the replicas that are remembered. More fall silent when a data
 	// centre is cut off.
 	maxSuspicions = 32
+	// maxAnnouncedDark is the number of replicas that are dark at once for this node up to
+	// which it tells other nodes of one.
+	maxAnnouncedDark = 4
 )
 
 // processKey is a process of a replica on any node.
