An item goes elsewhere after a replica has not taken it

The hub gives the next item to the replica with the most free slots, which is the one that has just refused, and nothing remembered that.

An item that a replica has not taken, or has failed, now goes to other replicas of the service for 2 s, if there is another one that it may go to. A failed item went back to the same replica, too, until its route's attempts were used up.

Evidence: TestItemGoesElsewhereAfterARefusal failed in 3 of 4 cases before (not run, declined: no result in 10 s; failed: abandoned) and passes; the fourth guards an item with one replica only. internal/jobs passed with the race detector.

--- a/internal/jobs/itemtask.go
+++ b/internal/jobs/itemtask.go
@@ -39,6 +39,10 @@
 	emptyRuns  int
 	// stalls is the number of runs in a row that were given up without an event.
 	stalls int
+	// refusedBy is the replica that has not taken the item, or has failed it, in its last
+	// run, and refusedAt when.
+	refusedBy *replica.Replica
+	refusedAt time.Time
 	// crashes is the number of runs in a row that may have crashed their replica, see
 	// suspect.go. crashed is set if the present run may have, and begun once it has
 	// received an event.
--- a/internal/jobs/placement_test.go
+++ b/internal/jobs/placement_test.go
@@ -38,7 +38,7 @@
 func (p *localPlacer) Place(ctx context.Context, q *placement.Query) (*replica.Replica, time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	r := p.registry.Choose(&replica.Query{Service: q.Service, Version: q.Version, Now: time.Now(), MinFreeSlots: localFreeSlots})
+	r := p.registry.Choose(&replica.Query{Service: q.Service, Tried: q.Tried, Version: q.Version, Now: time.Now(), MinFreeSlots: localFreeSlots})
 	if r != nil {
 		r.Begin(q.Class)
 	}
--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -207,6 +207,7 @@
 		}
 		r.searches[key]++
 		q := key.query()
+		q.Tried = r.avoids(task, route, now)
 		q.Arrived, q.MaxWait, q.DueIn, q.Late = now, searchTimeout, task.job.entry.Due-clock, !r.meanTokenTime.canMeetDue(task, clock)
 		q.Org, q.Weight, q.Priority, q.Repeatable = key.org, organisationWeight, r.exec.priority(task, route), true
 		go r.placeNext(key, q)
@@ -230,7 +231,8 @@
 	now, software := time.Now(), target.Info().Software()
 	for _, task := range preferOrg(r.readyItems(now, clock), key.org) {
 		route, status := r.exec.route(task)
-		if status == routeFound && route.HasBackend(q.Service) && r.mayRunAt(task, route, software, now) && !r.exec.quarantined(task) && !r.stopped {
+		if status == routeFound && route.HasBackend(q.Service) && r.mayRunAt(task, route, software, now) &&
+			!slices.Contains(r.avoids(task, route, now), target.Info().ID) && !r.exec.quarantined(task) && !r.stopped {
 			r.startItem(task, route, target)
 			r.wakeDispatch() // a further search may start now
 			return
@@ -326,6 +328,7 @@
 	case task.begunAt == nil:
 		task.runTime = 0 // the output was dropped
 	}
+	task.recordRefusal(outcome, task.replica, now)
 	task.replica, task.cancel, task.started = nil, nil, time.Time{}
 	if r.jobs[job.entry.ID] != job || outcome == outcomeStopped {
 		return
