--- a/internal/jobs/elsewhere.go
+++ b/internal/jobs/elsewhere.go
@@ -10,12 +10,12 @@
 )
 
 // elsewhereTime is how long an item that a replica has not taken, or has failed, goes to
-// other replicas of the service only. The same one may do so each time, and it is the one
-// with the most free slots as long as it does.
+// other replicas of the service only. A replica may refuse an item each time, and has the
+// most free slots while it does.
 const elsewhereTime = 2 * time.Second
 
-// recordRefusal records which replica did not complete an item without being at fault for
-// all items, or none.
+// recordRefusal records the replica of a run that ended, if it has not taken the item or
+// has failed it.
 func (task *itemTask) recordRefusal(outcome runOutcome, at *replica.Replica, now time.Time) {
 	switch outcome {
 	case outcomeFailed, outcomeNotRun, outcomeDeclined:
