Look for other replicas of a refused item only at the one that refused it

Found in the last reading of the diff: each placement asked, for each pending item that a replica had refused in the last 2 s, the registry for the replicas of its service, under the runner's lock, whichever replica it was placed on. The question is needed at the replica that refused the item, and once for a search. Same behaviour; TestItemGoesElsewhereAfterARefusal and the rest of internal/jobs pass with the race detector.

--- a/internal/jobs/elsewhere.go
+++ b/internal/jobs/elsewhere.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"gentiantide.example/gentiantide/internal/core"
 	"gentiantide.example/gentiantide/internal/replica"
 	"gentiantide.example/gentiantide/internal/routetable"
 )
@@ -25,19 +24,14 @@
 	}
 }
 
-// avoids returns the replica that an item must not go to now, or none: if no other replica
-// that the item may go to takes work, it goes to the same one again. The caller holds the
-// lock.
-func (r *Runner) avoids(task *itemTask, route *routetable.Route, now time.Time) []core.ReplicaID {
-	by := task.refusedBy
-	if by == nil || now.Sub(task.refusedAt) >= elsewhereTime {
-		return nil
+// avoids reports whether an item must not go to a replica now, as that was the last one to
+// refuse it. If no other replica that the item may go to takes work, it goes there again.
+// The caller holds the lock.
+func (r *Runner) avoids(task *itemTask, route *routetable.Route, target *replica.Replica, now time.Time) bool {
+	if target == nil || target != task.refusedBy || now.Sub(task.refusedAt) >= elsewhereTime {
+		return false
 	}
-	others := r.registry.Ready(by.Info().Service)
-	if !slices.ContainsFunc(others, func(other *replica.Replica) bool {
-		return other != by && r.mayRunAt(task, route, other.Info().Software(), now)
-	}) {
-		return nil
-	}
-	return []core.ReplicaID{by.Info().ID}
+	return slices.ContainsFunc(r.registry.Ready(target.Info().Service), func(other *replica.Replica) bool {
+		return other != target && r.mayRunAt(task, route, other.Info().Software(), now)
+	})
 }
--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -207,7 +207,9 @@
 		}
 		r.searches[key]++
 		q := key.query()
-		q.Tried = r.avoids(task, route, now)
+		if r.avoids(task, route, task.refusedBy, now) {
+			q.Tried = []core.ReplicaID{task.refusedBy.Info().ID}
+		}
 		q.Arrived, q.MaxWait, q.DueIn, q.Late = now, searchTimeout, task.job.entry.Due-clock, !r.meanTokenTime.canMeetDue(task, clock)
 		q.Org, q.Weight, q.Priority, q.Repeatable = key.org, organisationWeight, r.exec.priority(task, route), true
 		go r.placeNext(key, q)
@@ -232,7 +234,7 @@
 	for _, task := range preferOrg(r.readyItems(now, clock), key.org) {
 		route, status := r.exec.route(task)
 		if status == routeFound && route.HasBackend(q.Service) && r.mayRunAt(task, route, software, now) &&
-			!slices.Contains(r.avoids(task, route, now), target.Info().ID) && !r.exec.quarantined(task) && !r.stopped {
+			!r.avoids(task, route, target, now) && !r.exec.quarantined(task) && !r.stopped {
 			r.startItem(task, route, target)
 			r.wakeDispatch() // a further search may start now
 			return
