--- a/internal/quarantine/crashstate.go
+++ b/internal/quarantine/crashstate.go
@@ -168,7 +168,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	out = &evidence{}
-	index := partIndex{evidence: out, known: make(map[Part]int)}
+	index := newPartIndex(out)
 	var harmless []Part
 	for _, counted := range s.latestCrashes(now) {
 		c := counted.crash
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -92,6 +92,11 @@
 	known    map[Part]int
 }
 
+// newPartIndex returns the index of evidence that names no part yet.
+func newPartIndex(e *evidence) *partIndex {
+	return &partIndex{evidence: e, known: make(map[Part]int)}
+}
+
 func (x *partIndex) of(parts []Part) []int {
 	out := make([]int, len(parts))
 	for i, part := range parts {
--- a/internal/quarantine/suspicionstate.go
+++ b/internal/quarantine/suspicionstate.go
@@ -44,7 +44,7 @@
 // newSuspicionEvidence returns suspicions with the times that a function gives.
 func newSuspicionEvidence(all []*suspicion, timeOf func(time.Time) time.Duration) *evidence {
 	out := &evidence{}
-	index := partIndex{evidence: out, known: make(map[Part]int)}
+	index := newPartIndex(out)
 	for _, c := range all {
 		out.Crashes = append(out.Crashes, index.ofCrash(c.countedCrash, timeOf(c.at)))
 	}
