Bench: one piece each for the traffic of transports and the flags of stores

The measurements of batch roles, settings managers and pairs each summed and closed their transports; the table and the object store of the stand-in listed the same four flags.

--- a/bench/capacity/roles/batchnodes.go
+++ b/bench/capacity/roles/batchnodes.go
@@ -28,10 +28,10 @@
 // batchNodes runs the batch roles of several nodes on one table and one object
 // store in memory.
 type batchNodes struct {
-	table      *meter.Table
-	objects    *meter.Objects
-	services   []*service.Service
-	transports []*peer.Transport
+	table    *meter.Table
+	objects  *meter.Objects
+	services []*service.Service
+	transports
 }
 
 // newBatchNodes starts the batch roles of n nodes in each region with the production
@@ -115,23 +115,11 @@
 	return fmt.Errorf("job %s did not complete within %s", id, limit)
 }
 
-// sent returns the bytes that the transports of all nodes have sent.
-func (b *batchNodes) sent() float64 {
-	total := int64(0)
-	for _, t := range b.transports {
-		sent, _ := t.Traffic()
-		total += sent
-	}
-	return float64(total)
-}
-
 func (b *batchNodes) close() {
 	for _, s := range b.services {
 		s.Kill()
 	}
-	for _, t := range b.transports {
-		t.Close()
-	}
+	b.transports.close()
 }
 
 // inputFile generates the lines of an input file as they are read, so that the file
--- a/bench/capacity/roles/pair.go
+++ b/bench/capacity/roles/pair.go
@@ -84,11 +84,7 @@
 }
 
 // sent returns the bytes that holder and owner have sent.
-func (p *pair) sent() float64 {
-	a, _ := p.holderTransport.Traffic()
-	b, _ := p.ownerTransport.Traffic()
-	return float64(a + b)
-}
+func (p *pair) sent() float64 { return p.transports().sent() }
 
 // awaitQuiescence waits until no more messages are sent, so that one-way messages
 // have been handled.
@@ -98,7 +94,6 @@
 	}
 }
 
-func (p *pair) close() {
-	p.holderTransport.Close()
-	p.ownerTransport.Close()
-}
+func (p *pair) close() { p.transports().close() }
+
+func (p *pair) transports() transports { return transports{p.holderTransport, p.ownerTransport} }
--- a/bench/capacity/roles/settings.go
+++ b/bench/capacity/roles/settings.go
@@ -153,8 +153,8 @@
 // managers are the settings managers of several nodes on one table. They have loaded
 // the tree and no longer poll the table, so that only changes are measured.
 type managers struct {
-	transports []*peer.Transport
-	managers   []*settings.Manager
+	transports
+	managers []*settings.Manager
 }
 
 func newManagers(table infra.Table, n int) (*managers, error) {
@@ -234,19 +234,7 @@
 	return time.Since(began), nil
 }
 
-// sent returns the bytes that the transports of all nodes have sent.
-func (m *managers) sent() float64 {
-	total := int64(0)
-	for _, t := range m.transports {
-		sent, _ := t.Traffic()
-		total += sent
-	}
-	return float64(total)
-}
-
 func (m *managers) close() {
-	for _, t := range m.transports {
-		t.Close()
-	}
+	m.transports.close()
 	runtime.KeepAlive(m.managers)
 }
--- a/bench/cmd/standin/commands.go
+++ b/bench/cmd/standin/commands.go
@@ -4,6 +4,7 @@
 	"flag"
 	"net/http"
 	"os"
+	"time"
 
 	"github.com/google/subcommands"
 
@@ -31,10 +32,7 @@
 	return &command{
 		name: "table", synopsis: "transactional table service",
 		flags: func(f *flag.FlagSet) {
-			f.Uint64Var(&p.Seed, "seed", p.Seed, "seed of the random faults")
-			f.Float64Var(&p.WritesPerSecond, "writes", p.WritesPerSecond, "transactions per second, 0 for no limit")
-			f.Float64Var(&p.ReadsPerSecond, "reads", p.ReadsPerSecond, "reads per second, 0 for no limit")
-			f.DurationVar(&p.MaxWait, "max-wait", p.MaxWait, "how long calls above the rate limit may wait")
+			storeFlags(f, "transactions", &p.Seed, &p.WritesPerSecond, &p.ReadsPerSecond, &p.MaxWait)
 		},
 		handler: func() (http.Handler, func()) { return table.New(p), nil },
 	}
@@ -45,10 +43,7 @@
 	return &command{
 		name: "objects", synopsis: "object store",
 		flags: func(f *flag.FlagSet) {
-			f.Uint64Var(&p.Seed, "seed", p.Seed, "seed of the random faults")
-			f.Float64Var(&p.WritesPerSecond, "writes", p.WritesPerSecond, "writes per second, 0 for no limit")
-			f.Float64Var(&p.ReadsPerSecond, "reads", p.ReadsPerSecond, "reads per second, 0 for no limit")
-			f.DurationVar(&p.MaxWait, "max-wait", p.MaxWait, "how long calls above the rate limit may wait")
+			storeFlags(f, "writes", &p.Seed, &p.WritesPerSecond, &p.ReadsPerSecond, &p.MaxWait)
 		},
 		handler: func() (http.Handler, func()) { return objects.New(p), nil },
 	}
@@ -118,6 +113,14 @@
 	}
 }
 
+// storeFlags are those of a store with rate limits. writes is what it calls its writes.
+func storeFlags(f *flag.FlagSet, writes string, seed *uint64, writesPerSecond, readsPerSecond *float64, maxWait *time.Duration) {
+	f.Uint64Var(seed, "seed", *seed, "seed of the random faults")
+	f.Float64Var(writesPerSecond, "writes", *writesPerSecond, writes+" per second, 0 for no limit")
+	f.Float64Var(readsPerSecond, "reads", *readsPerSecond, "reads per second, 0 for no limit")
+	f.DurationVar(maxWait, "max-wait", *maxWait, "how long calls above the rate limit may wait")
+}
+
 func engineFlags(f *flag.FlagSet, p *engine.Params) {
 	f.Uint64Var(&p.Seed, "seed", p.Seed, "seed of the random faults")
 	f.DurationVar(&p.StepBase, "step-base", p.StepBase, "base time of a step")
